--- /dev/null
+++ b/src/bramleystair/__init__.py
@@ -0,0 +1,1 @@
+"""bramleystair, a layer-4 load balancer with stateless entry nodes."""
--- /dev/null
+++ b/src/bramleystair/timers/__init__.py
@@ -0,0 +1,11 @@
+"""Clocks and the timer service that components subscribe to."""
+
+from bramleystair.timers._service import (
+    Clock,
+    ManualClock,
+    MonotonicClock,
+    Subscription,
+    TimerService,
+)
+
+__all__ = ["Clock", "ManualClock", "MonotonicClock", "Subscription", "TimerService"]
