Add replicas of balancers and agents

Cause: every node needs the newest tables, marks and announcements, also while the platform is down.

Change: `replicas` holds the newest version of each object, spreads new ones by header-first gossip and digests, sends and answers heartbeats, reports and refutes failures, and renews leases. Announcements are ordered by a version that their owner derives from its incarnation, so they spread during an outage and a renewed lease is not a new version. Digests that differ are narrowed by 256 fine buckets before versions are listed. `tables` gains the JSON bodies of objects.

--- /dev/null
+++ b/src/bramleystair/replicas/_agent.py
@@ -0,0 +1,250 @@
+"""Replica of an agent: heartbeats, what concerns its services, and its lease."""
+
+from collections.abc import Iterable
+from random import Random
+
+from bramleystair.actions import Send
+from bramleystair.replicas._assignment import (
+    choose_balancers,
+    group_by_zone,
+    rank_names,
+)
+from bramleystair.replicas._batches import measure_header, split_batches
+from bramleystair.replicas._events import (
+    DrainRequested,
+    LoadsChanged,
+    MessageArrived,
+    ReplicaAction,
+    ReplicaEvent,
+    ReplicaSettings,
+    Tick,
+)
+from bramleystair.replicas._replica import Replica
+from bramleystair.tables import BALANCER_PREFIX, AgentState, Announcement
+from bramleystair.wire import (
+    Heartbeat,
+    HeartbeatReply,
+    LoadReport,
+    Objects,
+    Pull,
+    ServiceLoad,
+    StoredObject,
+    VersionHeader,
+    VersionHeaders,
+)
+
+# A balancer that did not answer is left out this long, unless none is left.
+AVOID_S = 30.0
+HEARTBEAT_TARGETS = 2
+
+
+class AgentReplica(Replica):
+    """Hold what concerns one backend server and keep its announcement known.
+
+    Parameters
+    ----------
+    server, zone : str
+        Name of the backend server and its availability zone.
+    incarnation : int
+        Number of this lifetime, below 2**47 and above that of earlier lifetimes.
+    services : tuple of str
+        Services that the backend server can serve.
+    settings : ReplicaSettings
+        Address, seeds, periods and sizes.
+    random : Random
+        Source of every random choice.
+    """
+
+    def __init__(
+        self,
+        server: str,
+        zone: str,
+        incarnation: int,
+        services: tuple[str, ...],
+        settings: ReplicaSettings,
+        random: Random,
+    ) -> None:
+        announcement = Announcement(
+            server,
+            zone,
+            settings.host,
+            settings.port,
+            incarnation,
+            AgentState.READY,
+            tuple(services),
+        )
+        super().__init__(server, announcement, settings.seeds, settings, random)
+        self._zone = zone
+        self._loads: tuple[ServiceLoad, ...] = ()
+        self._sequence = 0
+        self._next_heartbeat = 0.0
+        self._concerns: dict[str, tuple[int, set[str]]] = {}
+        self._unanswered: dict[str, float] = {}
+        self._avoided: dict[str, float] = {}
+
+    def handle(self, event: ReplicaEvent, now: float) -> list[ReplicaAction]:
+        """Return the actions that follow from `event` at `now` seconds."""
+        match event:
+            case MessageArrived(sender, message):
+                actions = self._take_message(sender, message, now)
+            case Tick():
+                actions = self._advance(now)
+            case LoadsChanged(loads):
+                self._loads = loads
+                actions = []
+            case DrainRequested():
+                actions = self._drain(now)
+            case _:
+                actions = []
+        return actions + self._show_view()
+
+    def _take_message(self, sender: str, message, now: float) -> list[ReplicaAction]:
+        match message:
+            case HeartbeatReply():
+                return self._take_reply(sender, message, now)
+            case VersionHeaders(headers, _, path):
+                actions = self._answer_own(sender, headers)
+                return actions + self._request(sender, headers, path, now)
+            case Pull():
+                return self._answer_pull(sender, message)
+            case Objects(objects):
+                return self._take_objects(sender, objects)
+        return []
+
+    def _advance(self, now: float) -> list[ReplicaAction]:
+        actions = self.owner.advance(now)
+        if now < self._next_heartbeat:
+            return actions
+        self._next_heartbeat = now + self._settings.heartbeat_period_s
+        return actions + self._send_heartbeats(now) + self._send_loads()
+
+    def _drain(self, now: float) -> list[ReplicaAction]:
+        if self.owner.announcement.state is AgentState.DRAINING:
+            return []
+        self.owner.change(state=AgentState.DRAINING)
+        # The announcement goes out at once: 3 s after it, no new work may arrive.
+        actions = self.owner.advance(now)
+        for peer in self._choose_targets(now):
+            actions += self._send_objects(peer, [self.store.get(self.owner.key)])
+        return actions
+
+    def _send_heartbeats(self, now: float) -> list[ReplicaAction]:
+        self._sequence += 1
+        self._avoid_silent(now)
+        is_draining = self.owner.announcement.state is AgentState.DRAINING
+        services = self._list_services()
+        actions: list[ReplicaAction] = []
+        for peer in self._choose_targets(now):
+            self._unanswered.setdefault(peer, now)
+            _, keys = self._concerns.get(peer, (0, set()))
+            digest = self.store.digest_keys(keys)
+            actions.append(
+                Send(
+                    peer,
+                    Heartbeat(
+                        self._sequence, is_draining, digest, self._loads, services
+                    ),
+                )
+            )
+        return actions
+
+    def _send_loads(self) -> list[ReplicaAction]:
+        actions: list[ReplicaAction] = []
+        shared: dict[str, list[ServiceLoad]] = {}
+        tables = self.view.tables_by_id
+        for load in self._loads:
+            table = tables.get(load.service_id)
+            for member in () if table is None else table.members:
+                shared.setdefault(member.server, []).append(load)
+        for server, loads in shared.items():
+            if server != self.name and self.view.is_live(server):
+                actions.append(Send(server, LoadReport(tuple(loads))))
+        return actions
+
+    def _avoid_silent(self, now: float) -> None:
+        limit = now - self._settings.down_after_s
+        for peer, since in list(self._unanswered.items()):
+            if since <= limit:
+                del self._unanswered[peer]
+                self._avoided[peer] = now + AVOID_S
+
+    def _choose_targets(self, now: float) -> list[str]:
+        avoided = {peer for peer, until in self._avoided.items() if now < until}
+        targets: list[str] = []
+        for names in (self._list_offered(), self.view.nodes, self._seeds):
+            for is_trusted in (True, False):
+                usable = [n for n in names if is_trusted == (n not in avoided)]
+                targets += self._rank(usable, targets)
+                if len(targets) >= HEARTBEAT_TARGETS:
+                    return targets[:HEARTBEAT_TARGETS]
+        return targets
+
+    def _rank(self, names: Iterable[str], taken: list[str]) -> list[str]:
+        nodes = self.view.nodes
+        names = [name for name in names if name not in taken]
+        known = {name: nodes[name] for name in names if name in nodes}
+        chosen = choose_balancers(self.name, self._zone, group_by_zone(known))
+        return chosen + [n for n in rank_names(self.name, names) if n not in chosen]
+
+    def _list_offered(self) -> set[str]:
+        nodes = self.view.nodes
+        offered = set()
+        for _, keys in self._concerns.values():
+            for key in keys:
+                name = key.removeprefix(BALANCER_PREFIX)
+                if name != key and name in nodes:
+                    offered.add(name)
+        return offered
+
+    def _list_services(self) -> tuple[str, ...]:
+        announced = self.owner.announcement.services
+        held = [
+            service
+            for service, table in self.view.tables.items()
+            if table.get_member(self.name) is not None
+        ]
+        return tuple(sorted({*announced, *held}))
+
+    def _take_reply(
+        self, sender: str, message: HeartbeatReply, now: float
+    ) -> list[ReplicaAction]:
+        self._unanswered.pop(sender, None)
+        self._avoided.pop(sender, None)
+        if not message.headers:
+            return []
+        keys = {header.key for header in message.headers}
+        sequence, known = self._concerns.get(sender, (0, set()))
+        if sequence == message.sequence:
+            keys |= known
+        self._concerns[sender] = (message.sequence, keys)
+        actions = self._answer_own(sender, message.headers)
+        actions += self._request(sender, message.headers, (sender,), now)
+        return actions + self._offer_newer(sender, message.headers)
+
+    def _offer_newer(
+        self, sender: str, headers: Iterable[VersionHeader]
+    ) -> list[ReplicaAction]:
+        newer = [
+            VersionHeader(header.key, self.store.get_version(header.key))
+            for header in headers
+            if self.store.get_version(header.key) > header.version
+            and not self.owner.owns(header.key)
+        ]
+        limit = self._settings.datagram_bytes
+        return [
+            Send(sender, VersionHeaders(batch, 0, (self.name,)))
+            for batch in split_batches(newer, measure_header, limit)
+        ]
+
+    def _take_objects(
+        self, sender: str, objects: Iterable[StoredObject]
+    ) -> list[ReplicaAction]:
+        actions: list[ReplicaAction] = []
+        for item in objects:
+            if self.owner.owns(item.key):
+                header = VersionHeader(item.key, item.version)
+                actions += self._answer_own(sender, (header,))
+                continue
+            self._take_pull(item)
+            actions += self._put(item)[1]
+        return actions
--- /dev/null
+++ b/src/bramleystair/replicas/_owner.py
@@ -0,0 +1,155 @@
+"""Announcement, lease and liveness of the replica's own process."""
+
+from random import Random
+
+import attrs
+
+from bramleystair.replicas._events import (
+    IncarnationRaised,
+    RenewLease,
+    ReplicaAction,
+    ReplicaSettings,
+)
+from bramleystair.replicas._store import ObjectStore
+from bramleystair.replicas._versions import (
+    LIVENESS_PREFIX,
+    compute_owner_version,
+    encode_liveness,
+    get_incarnation,
+    is_down_version,
+    refute_version,
+)
+from bramleystair.tables import (
+    Announcement,
+    NodeAnnouncement,
+    build_key,
+    encode_object,
+    replace_version,
+)
+from bramleystair.wire import StoredObject
+
+# Renewals of a fleet that started at once spread out over this share of the interval.
+RENEW_JITTER = 0.2
+
+
+class Owner:
+    """Keep the objects that only this process may write.
+
+    Parameters
+    ----------
+    announcement : Announcement or NodeAnnouncement
+        First announcement; its version is replaced.
+    name : str
+        Name of the node or backend server.
+    store : ObjectStore
+        Store of the replica, in which own objects are kept too.
+    settings : ReplicaSettings
+        Intervals of the lease.
+    random : Random
+        Source of the jitter between renewals.
+    """
+
+    def __init__(
+        self,
+        announcement: Announcement | NodeAnnouncement,
+        name: str,
+        store: ObjectStore,
+        settings: ReplicaSettings,
+        random: Random,
+    ) -> None:
+        self.announcement = announcement
+        self.key = build_key(announcement)
+        self.liveness_key = LIVENESS_PREFIX + name
+        self._store = store
+        self._settings = settings
+        self._random = random
+        self._revision = 0
+        self._is_changed = True
+        self._renew_at = 0.0
+        self._seen_at: float | None = None
+        self._publish()
+
+    @property
+    def incarnation(self) -> int:
+        """Return the number of this lifetime."""
+        return self.announcement.incarnation
+
+    def change(self, **values) -> None:
+        """Announce changed values under the next revision."""
+        self._revision += 1
+        self.announcement = attrs.evolve(self.announcement, **values)
+        self._publish()
+
+    def advance(self, now: float) -> list[ReplicaAction]:
+        """Renew the lease when due, and end a lifetime that was paused past it."""
+        actions: list[ReplicaAction] = []
+        if self._seen_at is not None and now - self._seen_at > self._settings.lease_s:
+            actions.append(self._raise_incarnation(self.incarnation + 1))
+        self._seen_at = now
+        if self._is_changed or now >= self._renew_at:
+            actions.append(RenewLease(self.announcement, self._is_changed))
+            jitter = 1 - RENEW_JITTER * self._random.random()
+            self._renew_at = now + self._settings.lease_renew_s * jitter
+            self._is_changed = False
+        return actions
+
+    def owns(self, key: str) -> bool:
+        """Return whether only this process may write `key`."""
+        return key in (self.key, self.liveness_key)
+
+    def answer_version(
+        self, key: str, version: int
+    ) -> tuple[list[StoredObject], list[ReplicaAction]]:
+        """Respond to a version of an own object that another node holds.
+
+        Returns
+        -------
+        list of StoredObject
+            Objects that the other node lacks.
+        list of ReplicaAction
+            `IncarnationRaised` when another lifetime was announced at the same time.
+        """
+        actions: list[ReplicaAction] = []
+        if key == self.key:
+            actions = self._supersede(version)
+        elif self._is_report(version):
+            self._refute(version)
+        held = self._store.get(key)
+        if held is None or held.version <= version:
+            return [], actions
+        return [held], actions
+
+    def _is_report(self, version: int) -> bool:
+        if get_incarnation(version) < self.incarnation:
+            return False
+        is_newer = version > self._store.get_version(self.liveness_key)
+        return is_newer and is_down_version(version)
+
+    def _refute(self, version: int) -> None:
+        higher = refute_version(version)
+        self._store.put(
+            StoredObject(self.liveness_key, higher, "", encode_liveness(higher))
+        )
+
+    def _supersede(self, version: int) -> list[ReplicaAction]:
+        if version <= self.announcement.version:
+            return []
+        if get_incarnation(version) > self.incarnation:
+            return [self._raise_incarnation(get_incarnation(version) + 1)]
+        # A tombstone of this lifetime: the lease lapsed while the process lived.
+        self._revision = (version - compute_owner_version(self.incarnation, 0)) // 2
+        self.change()
+        return []
+
+    def _raise_incarnation(self, incarnation: int) -> IncarnationRaised:
+        self._revision = 0
+        self.announcement = attrs.evolve(self.announcement, incarnation=incarnation)
+        self._publish()
+        return IncarnationRaised(incarnation)
+
+    def _publish(self) -> None:
+        version = compute_owner_version(self.incarnation, self._revision)
+        self.announcement = replace_version(self.announcement, version)
+        body = encode_object(self.announcement)
+        self._store.put(StoredObject(self.key, version, "", body))
+        self._is_changed = True
--- /dev/null
+++ b/src/bramleystair/replicas/_replica.py
@@ -0,0 +1,173 @@
+"""What the replicas of balancers and agents have in common."""
+
+from collections.abc import Iterable
+from random import Random
+
+import attrs
+
+from bramleystair.actions import Count, Send
+from bramleystair.replicas._batches import (
+    MAX_OBJECT_BYTES,
+    measure_key,
+    measure_object,
+    split_batches,
+)
+from bramleystair.replicas._events import (
+    Peer,
+    ReplicaAction,
+    ReplicaSettings,
+    ViewUpdated,
+)
+from bramleystair.replicas._owner import Owner
+from bramleystair.replicas._store import ObjectStore
+from bramleystair.tables import Announcement, NodeAnnouncement
+from bramleystair.views import View
+from bramleystair.wire import Objects, Pull, StoredObject, VersionHeader
+
+# A pull that is not answered within this time is repeated with another peer.
+PULL_TIMEOUT_S = 1.0
+
+
+@attrs.frozen
+class PendingPull:
+    """A version that was asked for and has not arrived.
+
+    Parameters
+    ----------
+    version : int
+        The version that the peer announced.
+    deadline : float
+        Time in seconds after which another peer is asked.
+    path : tuple of str
+        Nodes that the header has passed.
+    """
+
+    version: int
+    deadline: float
+    path: tuple[str, ...]
+
+
+class Replica:
+    """Store, own objects, pulls and addresses of one process.
+
+    Parameters
+    ----------
+    name : str
+        Name of the node or backend server.
+    announcement : Announcement or NodeAnnouncement
+        First announcement.
+    seeds : tuple of Peer
+        Nodes known before any announcement.
+    settings : ReplicaSettings
+        Periods and sizes.
+    random : Random
+        Source of every random choice.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        announcement: Announcement | NodeAnnouncement,
+        seeds: tuple[Peer, ...],
+        settings: ReplicaSettings,
+        random: Random,
+    ) -> None:
+        self.name = name
+        self.store = ObjectStore()
+        self.owner = Owner(announcement, name, self.store, settings, random)
+        self._seeds = {seed.name: seed for seed in seeds if seed.name != name}
+        self._settings = settings
+        self._random = random
+        self._pulls: dict[str, PendingPull] = {}
+        self._shown_generation = 0
+
+    @property
+    def view(self) -> View:
+        """Return the view of everything held."""
+        return self.store.build_view()
+
+    def resolve(self, peer: str) -> tuple[str, int] | None:
+        """Return the host and port of `peer`, or None if it was never announced.
+
+        A daemon answers an unannounced sender at the address its message came from.
+        """
+        view = self.view
+        known = view.nodes.get(peer) or view.agents.get(peer) or self._seeds.get(peer)
+        return None if known is None else (known.host, known.port)
+
+    def _show_view(self) -> list[ReplicaAction]:
+        if self.store.generation == self._shown_generation:
+            return []
+        self._shown_generation = self.store.generation
+        return [ViewUpdated(self.view)]
+
+    def _put(self, item: StoredObject) -> tuple[bool, list[ReplicaAction]]:
+        result = self.store.put(item)
+        if result.is_err():
+            return False, [Count("objects_refused", "malformed")]
+        return result.ok(), []
+
+    def _request(
+        self,
+        sender: str,
+        headers: Iterable[VersionHeader],
+        path: tuple[str, ...],
+        now: float,
+    ) -> list[ReplicaAction]:
+        """Pull from `sender` what is newer than what is held or asked for."""
+        keys = []
+        for header in headers:
+            if self.owner.owns(header.key) or not self._is_wanted(header, now):
+                continue
+            deadline = now + PULL_TIMEOUT_S
+            self._pulls[header.key] = PendingPull(header.version, deadline, path)
+            keys.append(header.key)
+        limit = self._settings.datagram_bytes
+        return [
+            Send(sender, Pull(batch))
+            for batch in split_batches(keys, measure_key, limit)
+        ]
+
+    def _is_wanted(self, header: VersionHeader, now: float) -> bool:
+        if header.version <= self.store.get_version(header.key):
+            return False
+        pending = self._pulls.get(header.key)
+        if pending is None or now >= pending.deadline:
+            return True
+        return header.version > pending.version
+
+    def _take_pull(self, item: StoredObject) -> PendingPull | None:
+        pending = self._pulls.get(item.key)
+        if pending is None or item.version < pending.version:
+            return None
+        return self._pulls.pop(item.key)
+
+    def _answer_pull(self, sender: str, message: Pull) -> list[ReplicaAction]:
+        held = (self.store.get(key) for key in message.keys)
+        return self._send_objects(sender, (item for item in held if item is not None))
+
+    def _send_objects(
+        self, peer: str, objects: Iterable[StoredObject]
+    ) -> list[ReplicaAction]:
+        actions: list[ReplicaAction] = []
+        limit = self._settings.datagram_bytes
+        for batch in split_batches(objects, measure_object, limit):
+            if measure_object(batch[0]) > MAX_OBJECT_BYTES:
+                actions.append(Count("objects_refused", "too_large"))
+                continue
+            actions.append(Send(peer, Objects(batch)))
+        return actions
+
+    def _answer_own(
+        self, sender: str, headers: Iterable[VersionHeader]
+    ) -> list[ReplicaAction]:
+        """Send `sender` the own objects that `headers` show it to lack."""
+        actions: list[ReplicaAction] = []
+        objects: list[StoredObject] = []
+        for header in headers:
+            if not self.owner.owns(header.key):
+                continue
+            missing, raised = self.owner.answer_version(header.key, header.version)
+            objects += missing
+            actions += raised
+        return actions + self._send_objects(sender, objects)
--- /dev/null
+++ b/src/bramleystair/replicas/_store.py
@@ -0,0 +1,179 @@
+"""Newest known version of each object."""
+
+from collections.abc import Iterable
+
+import xxhash
+from result import Err, Ok, Result
+
+from bramleystair.errors import StepError
+from bramleystair.replicas._versions import (
+    LIVENESS_PREFIX,
+    bury_version,
+    get_incarnation,
+    is_down_version,
+)
+from bramleystair.tables import (
+    AGENT_PREFIX,
+    BALANCER_PREFIX,
+    TABLE_PREFIX,
+    ZONE_PREFIX,
+    decode_object,
+    replace_version,
+)
+from bramleystair.views import View
+from bramleystair.wire import StoredObject, VersionHeader
+
+BUCKET_COUNT = 16
+# Each bucket has as many fine buckets. Where a digest differs, the fine digests tell
+# which 1/256 of the versions to list.
+FINE_COUNT = 256
+FINE_PER_BUCKET = FINE_COUNT // BUCKET_COUNT
+VERSION_BYTES = 8
+
+_VIEW_FIELDS = {
+    TABLE_PREFIX: "tables",
+    ZONE_PREFIX: "zones",
+    AGENT_PREFIX: "agents",
+    BALANCER_PREFIX: "nodes",
+}
+
+
+def hash_version(key: str, version: int) -> int:
+    """Return the 64-bit hash of a key and version."""
+    return xxhash.xxh64_intdigest(version.to_bytes(VERSION_BYTES, "big") + key.encode())
+
+
+def find_fine_bucket(key: str) -> int:
+    """Return the number of the fine bucket of `key`."""
+    return xxhash.xxh64_intdigest(key.encode()) % FINE_COUNT
+
+
+class ObjectStore:
+    """Hold the newest version of each object, with digests and a view.
+
+    An object is never replaced by a lower or equal version. A tombstone, an object
+    with an empty body, is kept like any other version.
+    """
+
+    def __init__(self) -> None:
+        self.digest = [0] * BUCKET_COUNT
+        self.fine_digest = [0] * FINE_COUNT
+        self.generation = 0
+        self._objects: dict[str, StoredObject] = {}
+        self._buckets: list[set[str]] = [set() for _ in range(FINE_COUNT)]
+        self._parts: dict[str, dict] = {name: {} for name in _VIEW_FIELDS.values()}
+        self._down: dict[str, int] = {}
+        self._stale_parts = {*_VIEW_FIELDS.values(), "down"}
+        self._view = View()
+
+    def __len__(self) -> int:
+        """Return the number of objects, tombstones included."""
+        return len(self._objects)
+
+    def get(self, key: str) -> StoredObject | None:
+        """Return the newest object under `key`, or None."""
+        return self._objects.get(key)
+
+    def get_version(self, key: str) -> int:
+        """Return the newest version held of `key`, or 0."""
+        known = self._objects.get(key)
+        return 0 if known is None else known.version
+
+    def put(self, item: StoredObject) -> Result[bool, StepError]:
+        """Keep `item` if it is newer than what is held, and return whether it is."""
+        if item.version <= self.get_version(item.key):
+            return Ok(False)
+        decoded = self._decode(item)
+        if decoded.is_err():
+            return Err(decoded.err())
+        self._replace(item)
+        self._update_part(item.key, decoded.ok())
+        self.generation += 1
+        return Ok(True)
+
+    def normalise(self, item: StoredObject) -> StoredObject:
+        """Return a platform object under the version by which replicas order it.
+
+        Announcements are ordered by their owner's version in the body, so a renewed
+        lease, which changes only the platform's version, is not a new version here.
+        """
+        if not item.key.startswith((AGENT_PREFIX, BALANCER_PREFIX)):
+            return item
+        if not item.body:
+            version = bury_version(self.get_version(item.key))
+            return StoredObject(item.key, version, item.nonce, b"")
+        decoded = decode_object(item.key, item.body)
+        if decoded.is_err() or decoded.ok().version == 0:
+            return item
+        return StoredObject(item.key, decoded.ok().version, item.nonce, item.body)
+
+    def list_headers(self, fine_bucket: int) -> list[VersionHeader]:
+        """Return the versions held in `fine_bucket`."""
+        return [
+            VersionHeader(key, self._objects[key].version)
+            for key in self._buckets[fine_bucket]
+        ]
+
+    def list_objects(self, prefix: str = "") -> list[StoredObject]:
+        """Return the objects whose key starts with `prefix`, tombstones included."""
+        return [item for key, item in self._objects.items() if key.startswith(prefix)]
+
+    def digest_keys(self, keys: Iterable[str]) -> int:
+        """Return the XOR of the hashes of `keys` with the versions held."""
+        total = 0
+        for key in keys:
+            total ^= hash_version(key, self.get_version(key))
+        return total
+
+    def build_view(self) -> View:
+        """Return the view of all objects; only changed parts are copied."""
+        if not self._stale_parts:
+            return self._view
+        parts = {
+            name: dict(self._parts[name])
+            if name in self._stale_parts
+            else getattr(self._view, name)
+            for name in _VIEW_FIELDS.values()
+        }
+        down = self._view.down
+        if "down" in self._stale_parts:
+            down = frozenset(self._down.items())
+        self._view = View(**parts, down=down, generation=self.generation)
+        self._stale_parts = set()
+        return self._view
+
+    def _decode(self, item: StoredObject) -> Result:
+        if not item.body or item.key.startswith(LIVENESS_PREFIX):
+            return Ok(None)
+        return decode_object(item.key, item.body)
+
+    def _replace(self, item: StoredObject) -> None:
+        fine = find_fine_bucket(item.key)
+        change = hash_version(item.key, item.version)
+        known = self._objects.get(item.key)
+        if known is not None:
+            change ^= hash_version(known.key, known.version)
+        self.fine_digest[fine] ^= change
+        self.digest[fine // FINE_PER_BUCKET] ^= change
+        self._buckets[fine].add(item.key)
+        self._objects[item.key] = item
+
+    def _update_part(self, key: str, decoded) -> None:
+        prefix, _, name = key.partition("/")
+        version = self._objects[key].version
+        if prefix + "/" == LIVENESS_PREFIX:
+            self._update_down(name, version)
+            return
+        field = _VIEW_FIELDS[prefix + "/"]
+        self._stale_parts.add(field)
+        if decoded is None:
+            self._parts[field].pop(name, None)
+        else:
+            self._parts[field][name] = replace_version(decoded, version)
+
+    def _update_down(self, name: str, version: int) -> None:
+        self._stale_parts.add("down")
+        if is_down_version(version):
+            self._down[name] = get_incarnation(version)
+        else:
+            self._down.pop(name, None)
--- a/src/bramleystair/tables/__init__.py
+++ b/src/bramleystair/tables/__init__.py
@@ -1,5 +1,16 @@
 """Service tables, availability zone marks and announcements."""
 
+from bramleystair.tables._json import (
+    AGENT_PREFIX,
+    BALANCER_PREFIX,
+    TABLE_PREFIX,
+    ZONE_PREFIX,
+    ConfigObject,
+    build_key,
+    decode_object,
+    encode_object,
+    replace_version,
+)
 from bramleystair.tables._objects import (
     AgentState,
     Announcement,
@@ -12,12 +23,21 @@
 )
 
 __all__ = [
+    "AGENT_PREFIX",
+    "BALANCER_PREFIX",
+    "TABLE_PREFIX",
+    "ZONE_PREFIX",
     "AgentState",
     "Announcement",
+    "ConfigObject",
     "Member",
     "NodeAnnouncement",
     "Protocol",
     "Table",
     "ZoneMark",
+    "build_key",
     "compute_service_id",
+    "decode_object",
+    "encode_object",
+    "replace_version",
 ]
