Keep false reports of failure short and find unheard failures

A balancer that heard the member within 1.5 heartbeat periods refutes a report for it. A balancer that was paused, or hears no other balancer, waits again before it reports. Each balancer asks members that should use it, but do not, for a sign of life. What concerns a member is kept until the store changes.

--- a/src/bramleystair/replicas/_agent.py
+++ b/src/bramleystair/replicas/_agent.py
@@ -84,18 +84,16 @@
 
     def handle(self, event: ReplicaEvent, now: float) -> list[ReplicaAction]:
         """Return the actions that follow from `event` at `now` seconds."""
+        _, actions = self.owner.notice_time(now)
         match event:
             case MessageArrived(sender, message):
-                actions = self._take_message(sender, message, now)
+                actions += self._take_message(sender, message, now)
             case Tick():
-                actions = self._advance(now)
+                actions += self._advance(now)
             case LoadsChanged(loads):
                 self._loads = loads
-                actions = []
             case DrainRequested():
-                actions = self._drain(now)
-            case _:
-                actions = []
+                actions += self._drain(now)
         return actions + self._show_view()
 
     def _take_message(self, sender: str, message, now: float) -> list[ReplicaAction]:
@@ -112,7 +110,7 @@
         return []
 
     def _advance(self, now: float) -> list[ReplicaAction]:
-        actions = self.owner.advance(now)
+        actions = self.owner.renew(now)
         if now < self._next_heartbeat:
             return actions
         self._next_heartbeat = now + self._settings.heartbeat_period_s
@@ -123,7 +121,7 @@
             return []
         self.owner.change(state=AgentState.DRAINING)
         # The announcement goes out at once: 3 s after it, no new work may arrive.
-        actions = self.owner.advance(now)
+        actions = self.owner.renew(now)
         for peer in self._choose_targets(now):
             actions += self._send_objects(peer, [self.store.get(self.owner.key)])
         return actions
@@ -151,13 +149,14 @@
     def _send_loads(self) -> list[ReplicaAction]:
         actions: list[ReplicaAction] = []
         shared: dict[str, list[ServiceLoad]] = {}
-        tables = self.view.tables_by_id
+        tables = {table.service_id: table for table in self.store.tables.values()}
         for load in self._loads:
             table = tables.get(load.service_id)
             for member in () if table is None else table.members:
                 shared.setdefault(member.server, []).append(load)
         for server, loads in shared.items():
-            if server != self.name and self.view.is_live(server):
+            is_live = server in self.store.agents and not self.store.is_down(server)
+            if server != self.name and is_live:
                 actions.append(Send(server, LoadReport(tuple(loads))))
         return actions
 
@@ -171,7 +170,7 @@
     def _choose_targets(self, now: float) -> list[str]:
         avoided = {peer for peer, until in self._avoided.items() if now < until}
         targets: list[str] = []
-        for names in (self._list_offered(), self.view.nodes, self._seeds):
+        for names in (self._list_offered(), self.store.nodes, self._seeds):
             for is_trusted in (True, False):
                 usable = [n for n in names if is_trusted == (n not in avoided)]
                 targets += self._rank(usable, targets)
@@ -180,14 +179,14 @@
         return targets
 
     def _rank(self, names: Iterable[str], taken: list[str]) -> list[str]:
-        nodes = self.view.nodes
+        nodes = self.store.nodes
         names = [name for name in names if name not in taken]
         known = {name: nodes[name] for name in names if name in nodes}
         chosen = choose_balancers(self.name, self._zone, group_by_zone(known))
         return chosen + [n for n in rank_names(self.name, names) if n not in chosen]
 
     def _list_offered(self) -> set[str]:
-        nodes = self.view.nodes
+        nodes = self.store.nodes
         offered = set()
         for _, keys in self._concerns.values():
             for key in keys:
@@ -198,11 +197,7 @@
 
     def _list_services(self) -> tuple[str, ...]:
         announced = self.owner.announcement.services
-        held = [
-            service
-            for service, table in self.view.tables.items()
-            if table.get_member(self.name) is not None
-        ]
+        held = self.store.list_services(self.name)
         return tuple(sorted({*announced, *held}))
 
     def _take_reply(
--- a/src/bramleystair/replicas/_balancer.py
+++ b/src/bramleystair/replicas/_balancer.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from random import Random
 
+import attrs
+
 from bramleystair.actions import Send
 from bramleystair.replicas._assignment import (
     choose_balancers,
@@ -26,6 +28,8 @@
     LIVENESS_PREFIX,
     compute_down_version,
     encode_liveness,
+    get_incarnation,
+    refute_version,
 )
 from bramleystair.tables import (
     AGENT_PREFIX,
@@ -51,6 +55,34 @@
 OFFERED_PER_KIND = 2
 
 
+# Silence of this node itself after which it may have missed heartbeats that were sent.
+PAUSE_S = 1.0
+# A report is refuted for a member that was heard within this many heartbeat periods.
+REFUTE_WITHIN_PERIODS = 1.5
+# 300 agents per second find 9,100 agents within 30 s for 0.3 % of a core.
+ADOPTION_PERIOD_S = 1.0
+ADOPTION_CHECKS = 300
+
+
+@attrs.frozen
+class _Concerns:
+    """Versions that one member needs.
+
+    Parameters
+    ----------
+    basis : tuple of int and tuple of str
+        Store generation and services from which they were found.
+    headers : tuple of VersionHeader
+        The versions.
+    digest : int
+        XOR of their hashes.
+    """
+
+    basis: tuple[int, tuple[str, ...]]
+    headers: tuple[VersionHeader, ...]
+    digest: int
+
+
 class BalancerReplica(Replica):
     """Hold every object, spread new versions and detect failed members.
 
@@ -94,32 +126,41 @@
         self._next_digest = 0.0
         self._heard: dict[str, float] = {}
         self._contact_at = 0.0
+        self._next_adoption = 0.0
+        self._adopted: set[str] = set()
+        self._unchecked: list[str] = []
         self._is_watching = False
         self._unspread: dict[tuple[str, ...], list[VersionHeader]] = {}
         self._lapsed: set[str] = set()
-        self._nodes_seen: tuple = ()
+        self._seen_membership = -1
+        self._offers: dict[str, list[str]] = {}
+        self._concerns: dict[str, _Concerns] = {}
         self._peers: list[str] = sorted(self._seeds)
         self._down_peers: list[str] = []
         self._groups: dict[str, list[str]] = {}
-        self._note_new((self.owner.key,))
+        self._own_spread: dict[str, int] = {}
 
     def handle(self, event: ReplicaEvent, now: float) -> list[ReplicaAction]:
         """Return the actions that follow from `event` at `now` seconds."""
+        pause, actions = self.owner.notice_time(now)
+        if pause >= PAUSE_S:
+            self._restart_waiting(now)
         match event:
             case MessageArrived(sender, message):
-                actions = self._take_message(sender, message, now)
+                actions += self._take_message(sender, message, now)
             case PlatformObjects(objects):
-                actions = self._take_platform(objects)
+                actions += self._take_platform(objects, now)
             case Tick():
-                actions = self._advance(now)
-            case _:
-                actions = []
+                actions += self._advance(now)
         actions += self._spread()
         return actions + self._show_view()
 
     def _take_message(self, sender: str, message, now: float) -> list[ReplicaAction]:
-        if sender in self.view.nodes or sender in self._seeds:
+        if sender in self.store.nodes or sender in self._seeds:
             self._contact_at = now
+        if sender in self._adopted:
+            self._adopted.discard(sender)
+            self._heard.pop(sender, None)
         match message:
             case Heartbeat():
                 return self._take_heartbeat(sender, message, now)
@@ -130,7 +171,7 @@
             case Pull():
                 return self._answer_pull(sender, message)
             case Objects(objects):
-                return self._take_objects(sender, objects)
+                return self._take_objects(sender, objects, now)
             case Digest(buckets):
                 return self._take_digest(sender, buckets)
             case BucketVersions():
@@ -138,8 +179,7 @@
         return []
 
     def _advance(self, now: float) -> list[ReplicaAction]:
-        actions = self.owner.advance(now)
-        self._note_new((self.owner.key,) if actions else ())
+        actions = self.owner.renew(now)
         self._update_peers()
         actions += self._update_watch()
         actions += self._detect_down(now)
@@ -149,11 +189,16 @@
         if now >= self._next_digest:
             self._next_digest = now + self._settings.digest_period_s
             actions += self._send_digests()
+        if now >= self._next_adoption:
+            self._next_adoption = now + ADOPTION_PERIOD_S
+            actions += self._adopt_unheard(now)
         return actions
 
     # Versions
 
-    def _take_platform(self, objects: Iterable[StoredObject]) -> list[ReplicaAction]:
+    def _take_platform(
+        self, objects: Iterable[StoredObject], now: float
+    ) -> list[ReplicaAction]:
         actions: list[ReplicaAction] = []
         for item in objects:
             if self._is_foreign(item.key):
@@ -164,7 +209,7 @@
             if is_lapse and not self._is_reported_down(item.key):
                 self._lapsed.add(item.key)
                 continue
-            actions += self._accept(self.store.normalise(item), ())
+            actions += self._accept(self.store.normalise(item), (), now)
         return actions
 
     def _is_foreign(self, key: str) -> bool:
@@ -173,26 +218,46 @@
 
     def _is_reported_down(self, key: str) -> bool:
         name = key.partition("/")[2]
-        incarnation = self._find_incarnation(name)
-        return incarnation is None or (name, incarnation) in self.view.down
-
-    def _find_incarnation(self, name: str) -> int | None:
-        view = self.view
-        known = view.agents.get(name) or view.nodes.get(name)
-        return None if known is None else known.incarnation
+        return self.store.find_member(name) is None or self.store.is_down(name)
 
-    def _accept(self, item: StoredObject, path: tuple[str, ...]) -> list[ReplicaAction]:
+    def _accept(
+        self, item: StoredObject, path: tuple[str, ...], now: float
+    ) -> list[ReplicaAction]:
         is_new, actions = self._put(item)
-        if is_new:
-            self._note_new((item.key,), path)
+        if not is_new:
+            return actions
+        if self._is_refutable(item, now):
+            version = refute_version(item.version)
+            self.store.put(
+                StoredObject(item.key, version, "", encode_liveness(version))
+            )
+            # The nodes on the path hold the report and need the refutation too.
+            path = ()
+        self._note_new(item.key, path)
         return actions
 
-    def _note_new(self, keys: Iterable[str], path: tuple[str, ...] = ()) -> None:
-        for key in keys:
-            header = VersionHeader(key, self.store.get_version(key))
-            self._unspread.setdefault(path, []).append(header)
+    def _is_refutable(self, report: StoredObject, now: float) -> bool:
+        """Return whether `report` is about a member that was heard just now."""
+        name = report.key.removeprefix(LIVENESS_PREFIX)
+        if name == report.key or name in self._adopted or not self.store.is_down(name):
+            return False
+        heard = self._heard.get(name)
+        limit = REFUTE_WITHIN_PERIODS * self._settings.heartbeat_period_s
+        return heard is not None and now - heard < limit
+
+    def _note_new(self, key: str, path: tuple[str, ...]) -> None:
+        header = VersionHeader(key, self.store.get_version(key))
+        self._unspread.setdefault(path, []).append(header)
+
+    def _note_own(self) -> None:
+        for key in (self.owner.key, self.owner.liveness_key):
+            version = self.store.get_version(key)
+            if version > self._own_spread.get(key, 0):
+                self._own_spread[key] = version
+                self._note_new(key, ())
 
     def _spread(self) -> list[ReplicaAction]:
+        self._note_own()
         actions: list[ReplicaAction] = []
         limit = self._settings.datagram_bytes
         for path, headers in self._unspread.items():
@@ -217,7 +282,7 @@
         return actions + self._request(sender, headers, path, now)
 
     def _take_objects(
-        self, sender: str, objects: Iterable[StoredObject]
+        self, sender: str, objects: Iterable[StoredObject], now: float
     ) -> list[ReplicaAction]:
         actions: list[ReplicaAction] = []
         for item in objects:
@@ -226,9 +291,8 @@
                 actions += self._answer_own(sender, (header,))
                 continue
             pending = self._take_pull(item)
-            actions += self._accept(
-                item, (sender,) if pending is None else pending.path
-            )
+            path = (sender,) if pending is None else pending.path
+            actions += self._accept(item, path, now)
         return actions
 
     def _send_digests(self) -> list[ReplicaAction]:
@@ -292,17 +356,14 @@
     # Membership
 
     def _update_peers(self) -> None:
-        view = self.view
-        if self._nodes_seen == (id(view.nodes), id(view.down)):
+        if self._seen_membership == self.store.membership_generation:
             return
-        self._nodes_seen = (id(view.nodes), id(view.down))
-        live = {
-            name: node
-            for name, node in view.nodes.items()
-            if (name, node.incarnation) not in view.down
-        }
+        self._seen_membership = self.store.membership_generation
+        nodes = self.store.nodes
+        live = {name: nodes[name] for name in nodes if not self.store.is_down(name)}
         self._groups = group_by_zone(live)
-        known = sorted(name for name in view.nodes if name != self.name)
+        self._offers = {}
+        known = sorted(name for name in nodes if name != self.name)
         self._peers = [name for name in known if name in live]
         self._down_peers = [name for name in known if name not in live]
         if not self._peers:
@@ -327,85 +388,130 @@
         self, sender: str, message: Heartbeat, now: float
     ) -> list[ReplicaAction]:
         self._heard[sender] = now
-        keys = self._list_concerns(sender, message.services)
-        if self.store.digest_keys(keys) == message.digest:
+        concerns = self._list_concerns(sender, message.services)
+        if concerns.digest == message.digest:
             return [Send(sender, HeartbeatReply(message.sequence))]
-        headers = [VersionHeader(key, self.store.get_version(key)) for key in keys]
         limit = self._settings.datagram_bytes
         return [
             Send(sender, HeartbeatReply(message.sequence, batch))
-            for batch in split_batches(headers, measure_header, limit)
+            for batch in split_batches(concerns.headers, measure_header, limit)
         ]
 
-    def _list_concerns(self, member: str, services: tuple[str, ...]) -> list[str]:
-        """Return the keys that a member needs: its services, zones and balancers."""
-        view = self.view
+    def _list_concerns(self, member: str, services: tuple[str, ...]) -> _Concerns:
+        """Return the versions that a member needs, kept until something changes."""
+        basis = (self.store.generation, services)
+        known = self._concerns.get(member)
+        if known is None or known.basis != basis:
+            keys = sorted(self._find_keys(member, services))
+            versions = [VersionHeader(k, self.store.get_version(k)) for k in keys]
+            digest = self.store.digest_keys(keys)
+            known = _Concerns(basis, tuple(versions), digest)
+            self._concerns[member] = known
+        return known
+
+    def _find_keys(self, member: str, services: tuple[str, ...]) -> set[str]:
         keys = {LIVENESS_PREFIX + member}
-        if member in view.nodes or member in self._seeds:
-            return sorted(keys | {BALANCER_PREFIX + member})
+        if member in self.store.nodes or member in self._seeds:
+            return keys | {BALANCER_PREFIX + member}
         keys.add(AGENT_PREFIX + member)
-        keys.update(ZONE_PREFIX + zone for zone in view.zones)
-        for service, table in view.tables.items():
-            if service in services or table.get_member(member) is not None:
-                keys.add(TABLE_PREFIX + service)
-                keys.update(AGENT_PREFIX + row.server for row in table.members)
-                keys.update(LIVENESS_PREFIX + row.server for row in table.members)
-        keys.update(TABLE_PREFIX + service for service in services)
-        agent = view.agents.get(member)
-        zone = "" if agent is None else agent.zone
-        offered = choose_balancers(member, zone, self._groups, OFFERED_PER_KIND)
-        keys.update(BALANCER_PREFIX + node for node in offered)
-        return sorted(keys)
+        keys.update(ZONE_PREFIX + zone for zone in self.store.zones)
+        for service in {*services, *self.store.list_services(member)}:
+            keys.add(TABLE_PREFIX + service)
+            table = self.store.tables.get(service)
+            for row in () if table is None else table.members:
+                keys.add(AGENT_PREFIX + row.server)
+                keys.add(LIVENESS_PREFIX + row.server)
+        keys.update(BALANCER_PREFIX + node for node in self._offer_balancers(member))
+        return keys
+
+    def _offer_balancers(self, member: str) -> list[str]:
+        if member not in self._offers:
+            agent = self.store.agents.get(member)
+            zone = "" if agent is None else agent.zone
+            self._offers[member] = choose_balancers(
+                member, zone, self._groups, OFFERED_PER_KIND
+            )
+        return self._offers[member]
 
     def _detect_down(self, now: float) -> list[ReplicaAction]:
         if self._is_isolated(now):
-            self._heard = dict.fromkeys(self._heard, now)
+            self._restart_waiting(now)
             return []
         limit = now - self._settings.down_after_s
         silent = [name for name, heard in self._heard.items() if heard <= limit]
         actions: list[ReplicaAction] = []
         for name in silent:
             del self._heard[name]
+            self._adopted.discard(name)
+            self._concerns.pop(name, None)
             if self._is_chosen_by(name):
-                actions += self._report_down(name)
+                actions += self._report_down(name, now)
         return actions
 
+    def _restart_waiting(self, now: float) -> None:
+        self._heard = dict.fromkeys(self._heard, now)
+
     def _is_chosen_by(self, member: str) -> bool:
         # A member that was heard only while it started sends to others from then on.
-        known = self.view.agents.get(member) or self.view.nodes.get(member)
+        known = self.store.find_member(member)
         if known is None:
             return False
         return self.name in choose_balancers(member, known.zone, self._groups)
 
+    def _adopt_unheard(self, now: float) -> list[ReplicaAction]:
+        """Ask agents that should send heartbeats here, but do not, for a sign of life.
+
+        Without this, the failure of an agent together with both of its balancers would
+        never be reported.
+        """
+        if not self._unchecked:
+            self._unchecked = list(self.store.agents)
+        checked = self._unchecked[-ADOPTION_CHECKS:]
+        del self._unchecked[-ADOPTION_CHECKS:]
+        actions: list[ReplicaAction] = []
+        for name in checked:
+            if name in self._heard or not self._is_adoptable(name):
+                continue
+            self._heard[name] = now
+            self._adopted.add(name)
+            actions.append(Send(name, Pull((AGENT_PREFIX + name,))))
+        return actions
+
+    def _is_adoptable(self, name: str) -> bool:
+        agent = self.store.agents.get(name)
+        if agent is None or self.store.is_down(name):
+            return False
+        # A refuted report shows that others reach the agent even if this node cannot.
+        reported = self.store.get_version(LIVENESS_PREFIX + name)
+        if reported and get_incarnation(reported) == agent.incarnation:
+            return False
+        return self._is_chosen_by(name)
+
     def _is_isolated(self, now: float) -> bool:
         """Return whether this node, rather than its members, has lost contact."""
         if not self._peers:
             return False
         return now - self._contact_at >= self._settings.down_after_s
 
-    def _report_down(self, name: str) -> list[ReplicaAction]:
-        incarnation = self._find_incarnation(name)
-        if incarnation is None:
-            return []
+    def _report_down(self, name: str, now: float) -> list[ReplicaAction]:
+        incarnation = self.store.find_member(name).incarnation
         key = LIVENESS_PREFIX + name
         version = compute_down_version(incarnation, self.store.get_version(key))
         report = StoredObject(key, version, "", encode_liveness(version))
-        actions = self._accept(report, ())
-        return actions + self._apply_lapse(name)
+        return self._accept(report, (), now) + self._apply_lapse(name, now)
 
-    def _apply_lapse(self, name: str) -> list[ReplicaAction]:
+    def _apply_lapse(self, name: str, now: float) -> list[ReplicaAction]:
         actions: list[ReplicaAction] = []
         for key in (AGENT_PREFIX + name, BALANCER_PREFIX + name):
             if key in self._lapsed:
                 self._lapsed.discard(key)
                 lapse = self.store.normalise(StoredObject(key))
-                actions += self._accept(lapse, ())
+                actions += self._accept(lapse, (), now)
         return actions
 
     def _send_report(self, sender: str) -> list[ReplicaAction]:
         """Tell a sender that is reported down, so that it can refute the report."""
-        incarnation = self._find_incarnation(sender)
-        if (sender, incarnation) not in self.view.down:
+        if not self.store.is_down(sender):
             return []
         key = LIVENESS_PREFIX + sender
         header = VersionHeader(key, self.store.get_version(key))
--- a/src/bramleystair/replicas/_owner.py
+++ b/src/bramleystair/replicas/_owner.py
@@ -80,18 +80,23 @@
         self.announcement = attrs.evolve(self.announcement, **values)
         self._publish()
 
-    def advance(self, now: float) -> list[ReplicaAction]:
-        """Renew the lease when due, and end a lifetime that was paused past it."""
-        actions: list[ReplicaAction] = []
-        if self._seen_at is not None and now - self._seen_at > self._settings.lease_s:
-            actions.append(self._raise_incarnation(self.incarnation + 1))
+    def notice_time(self, now: float) -> tuple[float, list[ReplicaAction]]:
+        """Return the time since the last event, and end a lifetime paused too long."""
+        pause = 0.0 if self._seen_at is None else now - self._seen_at
         self._seen_at = now
-        if self._is_changed or now >= self._renew_at:
-            actions.append(RenewLease(self.announcement, self._is_changed))
-            jitter = 1 - RENEW_JITTER * self._random.random()
-            self._renew_at = now + self._settings.lease_renew_s * jitter
-            self._is_changed = False
-        return actions
+        if pause <= self._settings.lease_s:
+            return pause, []
+        return pause, [self._raise_incarnation(self.incarnation + 1)]
+
+    def renew(self, now: float) -> list[ReplicaAction]:
+        """Write the announcement when it changed, and renew its lease when due."""
+        if not self._is_changed and now < self._renew_at:
+            return []
+        action = RenewLease(self.announcement, self._is_changed)
+        jitter = 1 - RENEW_JITTER * self._random.random()
+        self._renew_at = now + self._settings.lease_renew_s * jitter
+        self._is_changed = False
+        return [action]
 
     def owns(self, key: str) -> bool:
         """Return whether only this process may write `key`."""
--- a/src/bramleystair/replicas/_replica.py
+++ b/src/bramleystair/replicas/_replica.py
@@ -91,8 +91,7 @@
 
         A daemon answers an unannounced sender at the address its message came from.
         """
-        view = self.view
-        known = view.nodes.get(peer) or view.agents.get(peer) or self._seeds.get(peer)
+        known = self.store.find_member(peer) or self._seeds.get(peer)
         return None if known is None else (known.host, known.port)
 
     def _show_view(self) -> list[ReplicaAction]:
--- a/src/bramleystair/replicas/_store.py
+++ b/src/bramleystair/replicas/_store.py
@@ -17,6 +17,10 @@
     BALANCER_PREFIX,
     TABLE_PREFIX,
     ZONE_PREFIX,
+    Announcement,
+    NodeAnnouncement,
+    Table,
+    ZoneMark,
     decode_object,
     replace_version,
 )
@@ -59,9 +63,14 @@
         self.digest = [0] * BUCKET_COUNT
         self.fine_digest = [0] * FINE_COUNT
         self.generation = 0
+        self.membership_generation = 0
+        self.tables: dict[str, Table] = {}
+        self.zones: dict[str, ZoneMark] = {}
+        self.agents: dict[str, Announcement] = {}
+        self.nodes: dict[str, NodeAnnouncement] = {}
+        self._tables_of: dict[str, set[str]] = {}
         self._objects: dict[str, StoredObject] = {}
         self._buckets: list[set[str]] = [set() for _ in range(FINE_COUNT)]
-        self._parts: dict[str, dict] = {name: {} for name in _VIEW_FIELDS.values()}
         self._down: dict[str, int] = {}
         self._stale_parts = {*_VIEW_FIELDS.values(), "down"}
         self._view = View()
@@ -91,6 +100,19 @@
         self.generation += 1
         return Ok(True)
 
+    def find_member(self, name: str) -> Announcement | NodeAnnouncement | None:
+        """Return the announcement of the agent or balancer `name`, or None."""
+        return self.agents.get(name) or self.nodes.get(name)
+
+    def is_down(self, name: str) -> bool:
+        """Return whether the announced lifetime of `name` is reported down."""
+        member = self.find_member(name)
+        return member is not None and self._down.get(name) == member.incarnation
+
+    def list_services(self, server: str) -> set[str]:
+        """Return the services whose table has a row for `server`."""
+        return self._tables_of.get(server, set())
+
     def normalise(self, item: StoredObject) -> StoredObject:
         """Return a platform object under the version by which replicas order it.
 
@@ -130,7 +152,7 @@
         if not self._stale_parts:
             return self._view
         parts = {
-            name: dict(self._parts[name])
+            name: dict(getattr(self, name))
             if name in self._stale_parts
             else getattr(self._view, name)
             for name in _VIEW_FIELDS.values()
@@ -166,13 +188,27 @@
             return
         field = _VIEW_FIELDS[prefix + "/"]
         self._stale_parts.add(field)
+        if field == "tables":
+            self._index_table(name, decoded)
+        if field == "nodes":
+            self.membership_generation += 1
+        part = getattr(self, field)
         if decoded is None:
-            self._parts[field].pop(name, None)
+            part.pop(name, None)
         else:
-            self._parts[field][name] = replace_version(decoded, version)
+            part[name] = replace_version(decoded, version)
+
+    def _index_table(self, service: str, table: Table | None) -> None:
+        known = self.tables.get(service)
+        for member in () if known is None else known.members:
+            self._tables_of[member.server].discard(service)
+        for member in () if table is None else table.members:
+            self._tables_of.setdefault(member.server, set()).add(service)
 
     def _update_down(self, name: str, version: int) -> None:
         self._stale_parts.add("down")
+        if name in self.nodes:
+            self.membership_generation += 1
         if is_down_version(version):
             self._down[name] = get_incarnation(version)
         else:
