Compare ways to spread a version

Cause: the design names header-first gossip that excludes peers on the path; no figure backed the choice.

Change: `bramleystair-bench spread` compares flooding, periodic pull and header-first gossip at 10, 100 and 1,200 nodes, and the replicas as built; docs/spread.md is written from its data.

--- a/src/bramleystair/bench/__init__.py
+++ b/src/bramleystair/bench/__init__.py
@@ -1,6 +1,16 @@
 """Measurements of the decision modules."""
 
+import defopt
+
 from bramleystair.bench._carrier import Carrier, Faults
 from bramleystair.bench._fleet import build_fleet, introduce
+from bramleystair.bench._spread import measure_spread
+
+__all__ = ["Carrier", "Faults", "build_fleet", "introduce", "main", "measure_spread"]
+
+COMMANDS = {"spread": measure_spread}
+
 
-__all__ = ["Carrier", "Faults", "build_fleet", "introduce"]
+def main() -> None:
+    """Run `bramleystair-bench`."""
+    defopt.run(COMMANDS)
--- a/src/bramleystair/bench/_carrier.py
+++ b/src/bramleystair/bench/_carrier.py
@@ -83,7 +83,7 @@
         self.handle_s += time.perf_counter() - started
         for action in actions:
             if isinstance(action, Send):
-                self._send(name, action)
+                self.send(name, action)
         for observe in self.observers:
             observe(self.now, name, actions)
 
@@ -107,14 +107,8 @@
         self.now = end
         return seconds
 
-    def reset_counts(self) -> None:
-        """Start counting again."""
-        self.messages.clear()
-        self.bytes.clear()
-        self.sent_bytes.clear()
-        self.handle_s = 0.0
-
-    def _send(self, sender: str, action: Send) -> None:
+    def send(self, sender: str, action: Send) -> None:
+        """Carry a message of `sender`, subject to the faults."""
         message = action.message
         kind = type(message).__name__
         # One message goes to several peers; its size is measured once.
@@ -140,6 +134,13 @@
             delay = self._random.uniform(*self.faults.delay_s)
             self._push(delay, action.peer, receiver, event)
 
+    def reset_counts(self) -> None:
+        """Start counting again."""
+        self.messages.clear()
+        self.bytes.clear()
+        self.sent_bytes.clear()
+        self.handle_s = 0.0
+
     def _push(self, delay: float, name: str, replica, event) -> None:
         due = self.now + delay
         heapq.heappush(self._heap, (due, next(self._order), name, replica, event))
--- /dev/null
+++ b/src/bramleystair/bench/_spread.py
@@ -0,0 +1,265 @@
+"""Comparison of ways to spread one version among balancers."""
+
+import statistics
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from random import Random
+
+import attrs
+
+from bramleystair.actions import Send
+from bramleystair.bench._carrier import Carrier
+from bramleystair.bench._fleet import build_fleet, introduce
+from bramleystair.bench._report import render_spread_page, write_data
+from bramleystair.replicas import MessageArrived, PlatformObjects, Tick
+from bramleystair.tables import Member, Protocol, Table, encode_object
+from bramleystair.wire import (
+    Digest,
+    Objects,
+    Pull,
+    StoredObject,
+    VersionHeader,
+    VersionHeaders,
+)
+
+BUCKET_COUNT = 16
+# The planned size has four members per service.
+MEMBERS = tuple(Member(f"server-{i}", f"zone-{i}", 1.0, 2000, 3) for i in range(4))
+PULL_PERIOD_S = 1.0
+LIMIT_S = 60.0
+HEADER_RETRY_S = 1.0
+KEY = "table/feed"
+
+
+@attrs.frozen
+class Strategy:
+    """A way to spread a version.
+
+    Parameters
+    ----------
+    name : str
+        Row of the comparison.
+    fanout : int
+        Peers told of a new version; 0 for none.
+    is_body_pushed : bool
+        Whether the body is sent at once instead of a header.
+    excluded : str
+        Who is not told: "nobody", the "sender" of the version, or all on its "path",
+        which the messages then carry.
+    is_pulled : bool
+        Whether each node asks one random peer per second.
+    """
+
+    name: str
+    fanout: int
+    is_body_pushed: bool
+    excluded: str
+    is_pulled: bool
+
+
+STRATEGIES = (
+    Strategy("flooding to all peers", 10**6, True, "nobody", False),
+    Strategy("flooding to 4 peers", 4, True, "nobody", True),
+    Strategy("periodic pull", 0, False, "nobody", True),
+    Strategy("header first, 2 peers", 2, False, "nobody", True),
+    Strategy("header first, 4 peers", 4, False, "nobody", True),
+    Strategy("header first, 4 peers, sender excluded", 4, False, "sender", True),
+    Strategy("header first, 4 peers, path excluded", 4, False, "path", True),
+    Strategy("header first, 6 peers", 6, False, "nobody", True),
+)
+SEEDS = 5
+
+
+class SpreadNode:
+    """Node that spreads one version by one strategy, and nothing else.
+
+    `BalancerReplica` follows one strategy; this node follows each, so that they are
+    compared with equal messages.
+    """
+
+    def __init__(
+        self, name: str, peers: list[str], strategy: Strategy, random: Random
+    ) -> None:
+        self.name = name
+        self.item = StoredObject(KEY, 0)
+        self._peers = peers
+        self._strategy = strategy
+        self._random = random
+        self._asked_at = -HEADER_RETRY_S
+        self._path: tuple[str, ...] = ()
+        self._next_pull = PULL_PERIOD_S * random.random()
+
+    def handle(self, event, now: float) -> list[Send]:
+        """Return the messages that follow from `event`."""
+        match event:
+            case Tick():
+                return self._ask_peer(now)
+            case MessageArrived(sender, VersionHeaders(headers, _, path)):
+                return self._take_header(sender, headers[0], path, now)
+            case MessageArrived(sender, Digest(buckets)):
+                return self._answer_digest(sender, buckets[0])
+            case MessageArrived(sender, Pull()):
+                return [Send(sender, Objects((self.item,)))]
+            case MessageArrived(sender, Objects(objects)):
+                return self._take_body(sender, objects[0])
+        return []
+
+    def accept(self, item: StoredObject) -> list[Send]:
+        """Hold and announce a version that came from the platform."""
+        self.item = item
+        return self._announce(())
+
+    def _ask_peer(self, now: float) -> list[Send]:
+        if not self._strategy.is_pulled or now < self._next_pull:
+            return []
+        self._next_pull = now + PULL_PERIOD_S
+        digest = Digest((self.item.version,) * BUCKET_COUNT)
+        return [Send(self._random.choice(self._peers), digest)]
+
+    def _answer_digest(self, sender: str, version: int) -> list[Send]:
+        if version >= self.item.version:
+            return []
+        header = VersionHeader(KEY, self.item.version)
+        return [Send(sender, VersionHeaders((header,), 0, ()))]
+
+    def _take_header(
+        self, sender: str, header: VersionHeader, path: tuple[str, ...], now: float
+    ) -> list[Send]:
+        is_asked = now < self._asked_at + HEADER_RETRY_S
+        if header.version <= self.item.version or is_asked:
+            return []
+        self._asked_at = now
+        self._path = path or (sender,)
+        return [Send(sender, Pull((KEY,)))]
+
+    def _take_body(self, sender: str, item: StoredObject) -> list[Send]:
+        if item.version <= self.item.version:
+            return []
+        self.item = item
+        return self._announce(self._path or (sender,))
+
+    def _announce(self, path: tuple[str, ...]) -> list[Send]:
+        excluded = () if self._strategy.excluded == "nobody" else path
+        peers = [peer for peer in self._peers if peer not in excluded]
+        count = min(self._strategy.fanout, len(peers))
+        if self._strategy.is_body_pushed:
+            message = Objects((self.item,))
+        else:
+            header = VersionHeader(KEY, self.item.version)
+            is_carried = self._strategy.excluded == "path"
+            onward = (*path, self.name) if is_carried else ()
+            message = VersionHeaders((header,), len(path), onward)
+        return [Send(peer, message) for peer in self._random.sample(peers, count)]
+
+
+def measure_strategy(strategy: Strategy, count: int, loss: float, seed: int) -> dict:
+    """Return what one strategy takes until all of `count` nodes hold a version."""
+    random = Random(f"{seed} {count}")
+    carrier = Carrier(random)
+    carrier.faults.loss = loss
+    names = [f"b{index}" for index in range(count)]
+    for name in names:
+        peers = [peer for peer in names if peer != name]
+        carrier.add(name, SpreadNode(name, peers, strategy, Random(f"{seed} {name}")))
+    carrier.run(2.0)
+    carrier.reset_counts()
+    table = Table("feed", "10.0.0.1", 80, Protocol.UDP, MEMBERS)
+    item = StoredObject(KEY, 7, "n" * 16, encode_object(table))
+    for send in carrier.replicas["b0"].accept(item):
+        carrier.send("b0", send)
+    nodes = list(carrier.replicas.values())
+    taken_s = carrier.run_until(
+        lambda: all(node.item.version == 7 for node in nodes), LIMIT_S
+    )
+    held = sum(node.item.version == 7 for node in nodes)
+    return _describe(strategy.name, carrier, count, loss, held, taken_s)
+
+
+def measure_replicas(count: int, loss: float, seed: int) -> dict:
+    """Return what the replicas take until all of `count` balancers hold a version."""
+    carrier = Carrier(Random(f"{seed} {count}"))
+    carrier.faults.loss = loss
+    fleet = build_fleet(count, 0, min(count // 2, 15), (), seed)
+    introduce(fleet)
+    for name, replica in fleet.items():
+        carrier.add(name, replica)
+    carrier.run(2.0)
+    carrier.reset_counts()
+    table = Table("feed", "10.0.0.1", 80, Protocol.UDP, MEMBERS)
+    item = StoredObject(KEY, 7, "n" * 16, encode_object(table))
+    carrier.give("b0", PlatformObjects((item,)))
+    stores = [replica.store for replica in fleet.values()]
+    taken_s = carrier.run_until(
+        lambda: all(store.get_version(KEY) == 7 for store in stores), LIMIT_S
+    )
+    held = sum(store.get_version(KEY) == 7 for store in stores)
+    return _describe("as built", carrier, count, loss, held, taken_s)
+
+
+def _describe(
+    name: str, carrier: Carrier, count: int, loss: float, held: int, taken_s: float
+) -> dict:
+    # Digests and heartbeats are sent whether or not anything changed.
+    for kind in ("Digest", "Heartbeat", "HeartbeatReply"):
+        carrier.messages.pop(kind, None)
+        carrier.bytes.pop(kind, None)
+    return {
+        "strategy": name,
+        "nodes": count,
+        "loss": loss,
+        "held": held / count,
+        "seconds": taken_s,
+        "messages": carrier.messages.total() / count,
+        "bytes": carrier.bytes.total() / count,
+    }
+
+
+def measure_spread(*, seed: int = 1, output: Path = Path("docs/capacity")) -> None:
+    """Compare ways to spread one version at 10, 100 and 1,200 nodes.
+
+    Parameters
+    ----------
+    seed : int
+        First of five seeds of delays, losses and choices.
+    output : Path
+        Directory of the data; docs/spread.md beside it is written from spread.json.
+    """
+    seeds = range(seed, seed + SEEDS)
+    with ProcessPoolExecutor(SEEDS) as pool:
+        runs = list(pool.map(_run_all, seeds))
+    rows = [_summarise(samples) for samples in zip(*runs, strict=True)]
+    data = {
+        "command": f"bramleystair-bench spread --seed {seed}",
+        "seeds": list(seeds),
+        "rows": rows,
+    }
+    write_data(output / "spread.json", data)
+    render_spread_page(output)
+
+
+def _run_all(seed: int) -> list[dict]:
+    rows = []
+    for count in (10, 100, 1200):
+        for loss in (0.0, 0.05):
+            for strategy in STRATEGIES:
+                if strategy.fanout > 100 and count > 100:
+                    # Each node would send to each other: 1.4 million messages.
+                    continue
+                rows.append(measure_strategy(strategy, count, loss, seed))
+            rows.append(measure_replicas(count, loss, seed))
+    return rows
+
+
+def _summarise(samples: tuple[dict, ...]) -> dict:
+    first = samples[0]
+    times = [sample["seconds"] for sample in samples]
+    return {
+        "strategy": first["strategy"],
+        "nodes": first["nodes"],
+        "loss": f"{first['loss']:.0%}",
+        "held": f"{min(sample['held'] for sample in samples):.0%}",
+        "median_s": f"{statistics.median(times):.2f}",
+        "worst_s": f"{max(times):.2f}",
+        "messages": f"{statistics.mean(s['messages'] for s in samples):.2f}",
+        "bytes": f"{statistics.mean(s['bytes'] for s in samples):.0f}",
+    }
