Repeat lost pulls and stop carrying the path of a version

Cause: with 5 % of messages lost, a lost pull or body waited for a digest. The path in each header made it larger and saved nothing (docs/spread.md).

Change: a pull is repeated after 0.4 s with another peer that announced the version. Headers exclude only the sender, and the path stays empty.

--- a/src/bramleystair/replicas/_agent.py
+++ b/src/bramleystair/replicas/_agent.py
@@ -100,9 +100,9 @@
         match message:
             case HeartbeatReply():
                 return self._take_reply(sender, message, now)
-            case VersionHeaders(headers, _, path):
+            case VersionHeaders(headers):
                 actions = self._answer_own(sender, headers)
-                return actions + self._request(sender, headers, path, now)
+                return actions + self._request(sender, headers, now)
             case Pull():
                 return self._answer_pull(sender, message)
             case Objects(objects):
@@ -110,7 +110,7 @@
         return []
 
     def _advance(self, now: float) -> list[ReplicaAction]:
-        actions = self.owner.renew(now)
+        actions = self.owner.renew(now) + self._retry_pulls(now)
         if now < self._next_heartbeat:
             return actions
         self._next_heartbeat = now + self._settings.heartbeat_period_s
@@ -213,7 +213,7 @@
             keys |= known
         self._concerns[sender] = (message.sequence, keys)
         actions = self._answer_own(sender, message.headers)
-        actions += self._request(sender, message.headers, (sender,), now)
+        actions += self._request(sender, message.headers, now)
         return actions + self._offer_newer(sender, message.headers)
 
     def _offer_newer(
@@ -227,7 +227,7 @@
         ]
         limit = self._settings.datagram_bytes
         return [
-            Send(sender, VersionHeaders(batch, 0, (self.name,)))
+            Send(sender, VersionHeaders(batch))
             for batch in split_batches(newer, measure_header, limit)
         ]
 
@@ -240,6 +240,5 @@
                 header = VersionHeader(item.key, item.version)
                 actions += self._answer_own(sender, (header,))
                 continue
-            self._take_pull(item)
             actions += self._put(item)[1]
         return actions
--- a/src/bramleystair/replicas/_balancer.py
+++ b/src/bramleystair/replicas/_balancer.py
@@ -133,7 +133,7 @@
         self._adopted: set[str] = set()
         self._unchecked: list[str] = []
         self._is_watching = False
-        self._unspread: dict[tuple[str, ...], list[VersionHeader]] = {}
+        self._unspread: dict[str, list[VersionHeader]] = {}
         self._lapsed: set[str] = set()
         self._seen_membership = -1
         self._offers: dict[str, list[str]] = {}
@@ -172,9 +172,9 @@
             case Heartbeat():
                 return self._take_heartbeat(sender, message, now)
             case HeartbeatReply(_, headers):
-                return self._take_headers(sender, headers, (sender,), now)
-            case VersionHeaders(headers, _, path):
-                return self._take_headers(sender, headers, path, now)
+                return self._take_headers(sender, headers, now)
+            case VersionHeaders(headers):
+                return self._take_headers(sender, headers, now)
             case Pull():
                 return self._answer_pull(sender, message)
             case Objects(objects):
@@ -186,7 +186,7 @@
         return []
 
     def _advance(self, now: float) -> list[ReplicaAction]:
-        actions = self.owner.renew(now)
+        actions = self.owner.renew(now) + self._retry_pulls(now)
         self._update_peers()
         actions += self._update_watch()
         actions += self._detect_down(now)
@@ -216,7 +216,7 @@
             if is_lapse and not self._is_reported_down(item.key):
                 self._lapsed.add(item.key)
                 continue
-            actions += self._accept(self.store.normalise(item), (), now)
+            actions += self._accept(self.store.normalise(item), "", now)
         return actions
 
     def _is_foreign(self, key: str) -> bool:
@@ -228,7 +228,7 @@
         return self.store.find_member(name) is None or self.store.is_down(name)
 
     def _accept(
-        self, item: StoredObject, path: tuple[str, ...], now: float
+        self, item: StoredObject, sender: str, now: float
     ) -> list[ReplicaAction]:
         is_new, actions = self._put(item)
         if not is_new:
@@ -238,9 +238,9 @@
             self.store.put(
                 StoredObject(item.key, version, "", encode_liveness(version))
             )
-            # The nodes on the path hold the report and need the refutation too.
-            path = ()
-        self._note_new(item.key, path)
+            # The sender holds the report and needs the refutation too.
+            sender = ""
+        self._note_new(item.key, sender)
         return actions
 
     def _is_refutable(self, report: StoredObject, now: float) -> bool:
@@ -252,29 +252,27 @@
         limit = REFUTE_WITHIN_PERIODS * self._settings.heartbeat_period_s
         return heard is not None and now - heard < limit
 
-    def _note_new(self, key: str, path: tuple[str, ...]) -> None:
+    def _note_new(self, key: str, sender: str) -> None:
         header = VersionHeader(key, self.store.get_version(key))
-        self._unspread.setdefault(path, []).append(header)
+        self._unspread.setdefault(sender, []).append(header)
 
     def _note_own(self) -> None:
         for key in (self.owner.key, self.owner.liveness_key):
             version = self.store.get_version(key)
             if version > self._own_spread.get(key, 0):
                 self._own_spread[key] = version
-                self._note_new(key, ())
+                self._note_new(key, "")
 
     def _spread(self) -> list[ReplicaAction]:
         self._note_own()
         actions: list[ReplicaAction] = []
         limit = self._settings.datagram_bytes
-        for path, headers in self._unspread.items():
-            peers = [peer for peer in self._peers if peer not in path]
+        for sender, headers in self._unspread.items():
+            peers = [peer for peer in self._peers if peer != sender]
             count = min(self._settings.fanout, len(peers))
             chosen = self._random.sample(peers, count)
-            onward = (*path, self.name)
             for batch in split_batches(headers, measure_header, limit):
-                message = VersionHeaders(batch, len(path), onward)
-                actions += [Send(peer, message) for peer in chosen]
+                actions += [Send(peer, VersionHeaders(batch)) for peer in chosen]
         self._unspread = {}
         return actions
 
@@ -282,11 +280,10 @@
         self,
         sender: str,
         headers: Iterable[VersionHeader],
-        path: tuple[str, ...],
         now: float,
     ) -> list[ReplicaAction]:
         actions = self._answer_own(sender, headers)
-        return actions + self._request(sender, headers, path, now)
+        return actions + self._request(sender, headers, now)
 
     def _take_objects(
         self, sender: str, objects: Iterable[StoredObject], now: float
@@ -297,9 +294,7 @@
                 header = VersionHeader(item.key, item.version)
                 actions += self._answer_own(sender, (header,))
                 continue
-            pending = self._take_pull(item)
-            path = (sender,) if pending is None else pending.path
-            actions += self._accept(item, path, now)
+            actions += self._accept(item, sender, now)
         return actions
 
     def _send_digests(self) -> list[ReplicaAction]:
@@ -341,7 +336,7 @@
     def _take_buckets(
         self, sender: str, message: BucketVersions, now: float
     ) -> list[ReplicaAction]:
-        actions = self._take_headers(sender, message.headers, (sender,), now)
+        actions = self._take_headers(sender, message.headers, now)
         if message.is_reply:
             return actions
         limit = self._settings.datagram_bytes
@@ -504,7 +499,7 @@
         key = LIVENESS_PREFIX + name
         version = compute_down_version(incarnation, self.store.get_version(key))
         report = StoredObject(key, version, "", encode_liveness(version))
-        return self._accept(report, (), now) + self._apply_lapse(name, now)
+        return self._accept(report, "", now) + self._apply_lapse(name, now)
 
     def _apply_lapse(self, name: str, now: float) -> list[ReplicaAction]:
         actions: list[ReplicaAction] = []
@@ -512,7 +507,7 @@
             if key in self._lapsed:
                 self._lapsed.discard(key)
                 lapse = self.store.normalise(StoredObject(key))
-                actions += self._accept(lapse, (), now)
+                actions += self._accept(lapse, "", now)
         return actions
 
     def _send_report(self, sender: str) -> list[ReplicaAction]:
@@ -521,4 +516,4 @@
             return []
         key = LIVENESS_PREFIX + sender
         header = VersionHeader(key, self.store.get_version(key))
-        return [Send(sender, VersionHeaders((header,), 0, (self.name,)))]
+        return [Send(sender, VersionHeaders((header,)))]
--- a/src/bramleystair/replicas/_replica.py
+++ b/src/bramleystair/replicas/_replica.py
@@ -24,27 +24,32 @@
 from bramleystair.views import View
 from bramleystair.wire import Objects, Pull, StoredObject, VersionHeader
 
-# A pull that is not answered within this time is repeated with another peer.
-PULL_TIMEOUT_S = 1.0
+# A pull that is not answered within this time is repeated, with another peer if one
+# announced the version too.
+PULL_TIMEOUT_S = 0.4
+PULL_ATTEMPTS = 4
 
 
-@attrs.frozen
+@attrs.define
 class PendingPull:
     """A version that was asked for and has not arrived.
 
     Parameters
     ----------
     version : int
-        The version that the peer announced.
+        The version that the peers announced.
     deadline : float
-        Time in seconds after which another peer is asked.
-    path : tuple of str
-        Nodes that the header has passed.
+        Time in seconds after which it is asked for again.
+    peers : list of str
+        Those that announced it, the next to ask first.
+    attempts : int
+        How often it was asked for.
     """
 
     version: int
     deadline: float
-    path: tuple[str, ...]
+    peers: list[str]
+    attempts: int = 1
 
 
 class Replica:
@@ -110,36 +115,53 @@
         self,
         sender: str,
         headers: Iterable[VersionHeader],
-        path: tuple[str, ...],
         now: float,
     ) -> list[ReplicaAction]:
         """Pull from `sender` what is newer than what is held or asked for."""
         keys = []
         for header in headers:
-            if self.owner.owns(header.key) or not self._is_wanted(header, now):
+            if self.owner.owns(header.key) or not self._is_wanted(sender, header):
                 continue
             deadline = now + PULL_TIMEOUT_S
-            self._pulls[header.key] = PendingPull(header.version, deadline, path)
+            self._pulls[header.key] = PendingPull(header.version, deadline, [sender])
             keys.append(header.key)
-        limit = self._settings.datagram_bytes
-        return [
-            Send(sender, Pull(batch))
-            for batch in split_batches(keys, measure_key, limit)
-        ]
+        return self._send_pulls(sender, keys)
 
-    def _is_wanted(self, header: VersionHeader, now: float) -> bool:
+    def _is_wanted(self, sender: str, header: VersionHeader) -> bool:
         if header.version <= self.store.get_version(header.key):
             return False
         pending = self._pulls.get(header.key)
-        if pending is None or now >= pending.deadline:
+        if pending is None or header.version > pending.version:
             return True
-        return header.version > pending.version
+        if sender not in pending.peers:
+            pending.peers.insert(0, sender)
+        return False
+
+    def _retry_pulls(self, now: float) -> list[ReplicaAction]:
+        wanted: dict[str, list[str]] = {}
+        for key, pending in list(self._pulls.items()):
+            if pending.version <= self.store.get_version(key):
+                del self._pulls[key]
+            elif now >= pending.deadline and pending.attempts >= PULL_ATTEMPTS:
+                # The digests find the version again.
+                del self._pulls[key]
+            elif now >= pending.deadline:
+                peer = pending.peers.pop(0)
+                pending.peers.append(peer)
+                pending.attempts += 1
+                pending.deadline = now + PULL_TIMEOUT_S
+                wanted.setdefault(peer, []).append(key)
+        return [
+            send
+            for peer, keys in wanted.items()
+            for send in self._send_pulls(peer, keys)
+        ]
 
-    def _take_pull(self, item: StoredObject) -> PendingPull | None:
-        pending = self._pulls.get(item.key)
-        if pending is None or item.version < pending.version:
-            return None
-        return self._pulls.pop(item.key)
+    def _send_pulls(self, peer: str, keys: Iterable[str]) -> list[ReplicaAction]:
+        limit = self._settings.datagram_bytes
+        return [
+            Send(peer, Pull(batch)) for batch in split_batches(keys, measure_key, limit)
+        ]
 
     def _answer_pull(self, sender: str, message: Pull) -> list[ReplicaAction]:
         held = (self.store.get(key) for key in message.keys)
