--- a/src/bramleystair/replicas/_balancer.py
+++ b/src/bramleystair/replicas/_balancer.py
@@ -59,6 +59,8 @@
 
 # Silence of this node itself after which it may have missed heartbeats that were sent.
 PAUSE_S = 1.0
+# A member that is silent for longer is asked for a sign of life on each tick.
+PROBE_AFTER_PERIODS = 2.0
 # A report is refuted for a member that was heard within this many heartbeat periods.
 REFUTE_WITHIN_PERIODS = 1.5
 # 100 members per second check 9,100 agents and 1,200 balancers within 103 s. Only the
@@ -130,7 +132,6 @@
         self._heard: dict[str, float] = {}
         self._contact_at = 0.0
         self._next_adoption = 0.0
-        self._adopted: set[str] = set()
         self._unchecked: list[str] = []
         self._is_watching = False
         self._unspread: dict[str, list[VersionHeader]] = {}
@@ -165,9 +166,8 @@
 
     def _take_message(self, sender: str, message, now: float) -> list[ReplicaAction]:
         self._contact_at = now
-        if sender in self._adopted:
-            self._adopted.discard(sender)
-            self._heard.pop(sender, None)
+        if sender in self._heard:
+            self._heard[sender] = now
         match message:
             case Heartbeat():
                 return self._take_heartbeat(sender, message, now)
@@ -198,7 +198,7 @@
             actions += self._send_digests()
         if now >= self._next_adoption:
             self._next_adoption = now + ADOPTION_PERIOD_S
-            actions += self._adopt_unheard(now)
+            self._adopt_unheard(now)
         return actions
 
     # Versions
@@ -246,7 +246,7 @@
     def _is_refutable(self, report: StoredObject, now: float) -> bool:
         """Return whether `report` is about a member that was heard just now."""
         name = report.key.removeprefix(LIVENESS_PREFIX)
-        if name == report.key or name in self._adopted or not self.store.is_down(name):
+        if name == report.key or not self.store.is_down(name):
             return False
         heard = self._heard.get(name)
         limit = REFUTE_WITHIN_PERIODS * self._settings.heartbeat_period_s
@@ -439,17 +439,23 @@
         if self._is_isolated(now):
             self._restart_waiting(now)
             return []
-        limit = now - self._settings.down_after_s
+        limit = now - PROBE_AFTER_PERIODS * self._settings.heartbeat_period_s
         silent = [name for name, heard in self._heard.items() if heard <= limit]
         actions: list[ReplicaAction] = []
         for name in silent:
-            del self._heard[name]
-            self._adopted.discard(name)
-            self._concerns.pop(name, None)
-            if self._is_chosen_by(name):
-                actions += self._report_down(name, now)
+            actions += self._check_silent(name, now)
         return actions
 
+    def _check_silent(self, name: str, now: float) -> list[ReplicaAction]:
+        """Ask a silent member for a sign of life, and report it down after a while."""
+        is_over = now - self._heard[name] >= self._settings.down_after_s
+        is_chosen = self._is_chosen_by(name)
+        if is_chosen and not is_over:
+            return [Send(name, Pull((build_key(self.store.find_member(name)),)))]
+        del self._heard[name]
+        self._concerns.pop(name, None)
+        return self._report_down(name, now) if is_chosen else []
+
     def _restart_waiting(self, now: float) -> None:
         self._heard = dict.fromkeys(self._heard, now)
 
@@ -460,8 +466,8 @@
             return False
         return is_chosen(self.name, self._zone, member, known.zone, self._groups)
 
-    def _adopt_unheard(self, now: float) -> list[ReplicaAction]:
-        """Ask members that should send heartbeats here, but do not, for a sign of life.
+    def _adopt_unheard(self, now: float) -> None:
+        """Wait for members that should send heartbeats here, but do not.
 
         Without this, the failure of a member together with both of its balancers would
         never be reported.
@@ -470,15 +476,12 @@
             self._unchecked = [*self.store.agents, *self.store.nodes]
         checked = self._unchecked[-ADOPTION_CHECKS:]
         del self._unchecked[-ADOPTION_CHECKS:]
-        actions: list[ReplicaAction] = []
         for name in checked:
             if name in self._heard or not self._is_adoptable(name):
                 continue
-            self._heard[name] = now
-            self._adopted.add(name)
-            key = build_key(self.store.find_member(name))
-            actions.append(Send(name, Pull((key,))))
-        return actions
+            # Early enough that the wait is no reason to refute another's report.
+            period_s = self._settings.heartbeat_period_s
+            self._heard[name] = now - REFUTE_WITHIN_PERIODS * period_s
 
     def _is_adoptable(self, name: str) -> bool:
         member = self.store.find_member(name)
