Encode server names before hashing

Cause: xxhash accepts bytes only, so every choice of a home raised TypeError. Change: encode the name, and cache its hash because it is the same for all flows. Conclusion: find_home works; a test follows with the router.

--- a/src/bramleystair/routing/_rendezvous.py
+++ b/src/bramleystair/routing/_rendezvous.py
@@ -1,5 +1,6 @@
 """Weighted rendezvous hashing."""
 
+import functools
 import math
 from collections.abc import Sequence
 
@@ -28,8 +29,12 @@
 
 
 def _score(flow: bytes, candidate: Candidate) -> float:
-    seed = xxhash.xxh64_intdigest(candidate.server)
-    digest = xxhash.xxh64_intdigest(flow, seed)
+    digest = xxhash.xxh64_intdigest(flow, _compute_seed(candidate.server))
     # 52 bits and the offset are exact in a float, so the argument is never 0 or 1.
     fraction = ((digest >> (HASH_BITS - SCORE_BITS)) + 0.5) / 2.0**SCORE_BITS
     return -candidate.weight / math.log(fraction)
+
+
+@functools.lru_cache(maxsize=65_536)
+def _compute_seed(server: str) -> int:
+    return xxhash.xxh64_intdigest(server.encode())
