Read inner packet headers and build resets

Cause: balancers and agents need flow keys and TCP flags of each packet. Change: add fixed-offset reads for IPv4 and IPv6 that return an error for fragments, truncated and malformed packets, and a builder of resets per RFC 9293.

--- /dev/null
+++ b/src/bramleystair/packets/_headers.py
@@ -0,0 +1,172 @@
+"""Read the headers of inner IPv4 and IPv6 packets at fixed offsets."""
+
+import ipaddress
+import struct
+
+import attrs
+from result import Err, Ok, Result
+
+from bramleystair.errors import StepError
+
+TCP = 6
+UDP = 17
+FIN, SYN, RST, ACK = 0x01, 0x02, 0x04, 0x10
+IPV4_MIN_BYTES = 20
+IPV6_BYTES = 40
+TCP_MIN_BYTES = 20
+UDP_BYTES = 8
+# More fragments, or an offset: the port numbers may be missing.
+IPV4_FRAGMENT_MASK = 0x3FFF
+# Extension headers that precede the transport header; a fragment header is refused.
+IPV6_OPTIONS = frozenset((0, 43, 60))
+IPV6_FRAGMENT = 44
+# Hop-by-hop, routing and two destination headers, the most that RFC 8200 has in use.
+MAX_IPV6_OPTIONS = 4
+
+_TCP_FIELDS = struct.Struct("!IIBB")
+_LENGTH = struct.Struct("!H")
+
+
+@attrs.frozen
+class PacketHeaders:
+    """Header fields on which decisions depend.
+
+    Parameters
+    ----------
+    flow : bytes
+        Flow key: protocol, addresses and ports, from sender to receiver.
+    protocol : int
+        IP protocol number.
+    is_first : bool
+        Whether it opens a TCP flow; never set for a datagram.
+    has_payload : bool
+        Whether bytes follow the transport header.
+    sequence, acknowledgement : int
+        TCP numbers; 0 for datagrams.
+    next_sequence : int
+        Sequence number that follows this segment.
+    """
+
+    flow: bytes
+    protocol: int
+    is_first: bool
+    has_payload: bool
+    is_reset: bool
+    is_fin: bool
+    sequence: int = 0
+    acknowledgement: int = 0
+    next_sequence: int = 0
+
+
+def read_headers(packet: bytes) -> Result[PacketHeaders, StepError]:
+    """Return the header fields of a whole IPv4 or IPv6 packet.
+
+    Returns
+    -------
+    Result of PacketHeaders or StepError
+        The error covers truncated and malformed packets, fragments, and protocols
+        other than TCP and UDP.
+    """
+    if not packet:
+        return _refuse("empty packet")
+    version = packet[0] >> 4
+    if version == 4:
+        return _read_ipv4(packet)
+    if version == 6:
+        return _read_ipv6(packet)
+    return _refuse(f"IP version {version}, allowed are 4 and 6")
+
+
+def reverse_flow(flow: bytes) -> bytes:
+    """Return the key of the opposite direction of `flow`."""
+    size = (len(flow) - 5) // 2
+    return (
+        flow[:1]
+        + flow[1 + size : 1 + 2 * size]
+        + flow[1 : 1 + size]
+        + flow[-2:]
+        + flow[-4:-2]
+    )
+
+
+def get_endpoint(flow: bytes) -> bytes:
+    """Return protocol, destination address and port of `flow`."""
+    size = (len(flow) - 5) // 2
+    return flow[:1] + flow[1 + size : 1 + 2 * size] + flow[-2:]
+
+
+def pack_endpoint(protocol: int, address: str, port: int) -> bytes:
+    """Return the endpoint in the layout of `get_endpoint`."""
+    packed = ipaddress.ip_address(address).packed
+    return bytes((protocol,)) + packed + _LENGTH.pack(port)
+
+
+def _read_ipv4(packet: bytes) -> Result[PacketHeaders, StepError]:
+    if len(packet) < IPV4_MIN_BYTES:
+        return _refuse("truncated IPv4 header")
+    start = (packet[0] & 0x0F) * 4
+    if start < IPV4_MIN_BYTES:
+        return _refuse("IPv4 header length below 20 bytes")
+    if int.from_bytes(packet[6:8], "big") & IPV4_FRAGMENT_MASK:
+        return _refuse("fragment")
+    end = _LENGTH.unpack_from(packet, 2)[0]
+    return _read_transport(packet, packet[9], packet[12:20], start, end)
+
+
+def _read_ipv6(packet: bytes) -> Result[PacketHeaders, StepError]:
+    if len(packet) < IPV6_BYTES:
+        return _refuse("truncated IPv6 header")
+    end = IPV6_BYTES + _LENGTH.unpack_from(packet, 4)[0]
+    protocol = packet[6]
+    start = IPV6_BYTES
+    for _ in range(MAX_IPV6_OPTIONS):
+        if protocol not in IPV6_OPTIONS:
+            break
+        if start + 2 > len(packet):
+            return _refuse("truncated IPv6 extension header")
+        protocol = packet[start]
+        start += (packet[start + 1] + 1) * 8
+    if protocol == IPV6_FRAGMENT:
+        return _refuse("fragment")
+    return _read_transport(packet, protocol, packet[8:40], start, end)
+
+
+def _read_transport(
+    packet: bytes, protocol: int, addresses: bytes, start: int, end: int
+) -> Result[PacketHeaders, StepError]:
+    if end > len(packet):
+        return _refuse("packet shorter than its IP length")
+    if protocol == UDP:
+        if start + UDP_BYTES > end:
+            return _refuse("truncated UDP header")
+        flow = b"\x11" + addresses + packet[start : start + 4]
+        has_payload = end > start + UDP_BYTES
+        return Ok(PacketHeaders(flow, UDP, False, has_payload, False, False))
+    if protocol != TCP:
+        return _refuse(f"protocol {protocol}, allowed are 6 and 17")
+    if start + TCP_MIN_BYTES > end:
+        return _refuse("truncated TCP header")
+    sequence, acknowledgement, offset, flags = _TCP_FIELDS.unpack_from(
+        packet, start + 4
+    )
+    payload = end - start - (offset >> 4) * 4
+    if payload < 0 or offset >> 4 < TCP_MIN_BYTES // 4:
+        return _refuse("TCP header length out of range")
+    length = payload + bool(flags & SYN) + bool(flags & FIN)
+    return Ok(
+        PacketHeaders(
+            b"\x06" + addresses + packet[start : start + 4],
+            TCP,
+            flags & (SYN | ACK) == SYN,
+            payload > 0,
+            bool(flags & RST),
+            bool(flags & FIN),
+            sequence,
+            acknowledgement if flags & ACK else 0,
+            (sequence + length) & 0xFFFFFFFF,
+        )
+    )
+
+
+def _refuse(detail: str) -> Err[StepError]:
+    return Err(StepError("read packet", "", detail))
--- /dev/null
+++ b/src/bramleystair/packets/_reset.py
@@ -0,0 +1,73 @@
+"""Build TCP segments that bramleystair sends on its own."""
+
+import struct
+
+from bramleystair.packets._headers import (
+    ACK,
+    IPV6_BYTES,
+    RST,
+    TCP,
+    TCP_MIN_BYTES,
+    read_headers,
+    reverse_flow,
+)
+
+HOP_LIMIT = 64
+IPV4_BYTES = 20
+SYN_ACK_NUMBER_OFFSET = 13
+
+_IPV4 = struct.Struct("!BBHHHBBH")
+_IPV6 = struct.Struct("!IHBB")
+_TCP = struct.Struct("!IIBBHHH")
+
+
+def build_reset(packet: bytes) -> bytes:
+    """Return a reset that answers the segment `packet`, from its receiver.
+
+    The sequence numbers follow RFC 9293, section 3.10.7.1. The result is empty for
+    packets that are not answered by a reset: datagrams, resets, malformed ones.
+    """
+    headers = read_headers(packet).ok()
+    if headers is None or headers.protocol != TCP or headers.is_reset:
+        return b""
+    flow = reverse_flow(headers.flow)
+    if _has_acknowledgement(packet):
+        return _build_segment(flow, headers.acknowledgement, 0, RST)
+    return _build_segment(flow, 0, headers.next_sequence, RST | ACK)
+
+
+def build_acknowledgement(flow: bytes, sequence: int, acknowledgement: int) -> bytes:
+    """Return an empty segment of `flow` that carries the given numbers."""
+    return _build_segment(flow, sequence, acknowledgement, ACK)
+
+
+def _has_acknowledgement(packet: bytes) -> bool:
+    start = (packet[0] & 0x0F) * 4 if packet[0] >> 4 == 4 else IPV6_BYTES
+    return bool(packet[start + SYN_ACK_NUMBER_OFFSET] & ACK)
+
+
+def _build_segment(
+    flow: bytes, sequence: int, acknowledgement: int, flags: int
+) -> bytes:
+    addresses, ports = flow[1:-4], flow[-4:]
+    offset = TCP_MIN_BYTES // 4 << 4
+    body = _TCP.pack(sequence, acknowledgement, offset, flags, 0, 0, 0)
+    pseudo = addresses + struct.pack("!II", TCP_MIN_BYTES, TCP)
+    checksum = _compute_checksum(pseudo + ports + body)
+    body = _TCP.pack(sequence, acknowledgement, offset, flags, 0, checksum, 0)
+    return _build_ip_header(addresses) + ports + body
+
+
+def _build_ip_header(addresses: bytes) -> bytes:
+    if len(addresses) == 32:
+        return _IPV6.pack(0x60000000, TCP_MIN_BYTES, TCP, HOP_LIMIT) + addresses
+    length = IPV4_BYTES + TCP_MIN_BYTES
+    header = _IPV4.pack(0x45, 0, length, 0, 0, HOP_LIMIT, TCP, 0)
+    checksum = _compute_checksum(header + addresses)
+    return _IPV4.pack(0x45, 0, length, 0, 0, HOP_LIMIT, TCP, checksum) + addresses
+
+
+def _compute_checksum(data: bytes) -> int:
+    # The sum of the 16-bit words modulo 0xFFFF is the number itself modulo 0xFFFF.
+    total = int.from_bytes(data, "big") % 0xFFFF
+    return 0xFFFF - total
