--- a/src/bramleystair/flows/__init__.py
+++ b/src/bramleystair/flows/__init__.py
@@ -1,5 +1,8 @@
 """The agent's decisions about flows."""
 
+from bramleystair.flows._admission import Admission
+from bramleystair.flows._cold_start import ColdStart
+from bramleystair.flows._controller import FlowController
 from bramleystair.flows._events import (
     CloseFlow,
     Deliver,
@@ -15,8 +18,13 @@
     Tick,
     ViewChanged,
 )
+from bramleystair.flows._settings import FlowSettings
 
 __all__ = [
+    "Admission",
+    "ColdStart",
+    "FlowController",
+    "FlowSettings",
     "CloseFlow",
     "Deliver",
     "DeliveryFailed",
