Look up unknown flows under uneven views

Cause: a first packet or a datagram was placed again when nodes held different views, a lost reply broke a flow, and a false answer about a third member was trusted. Change: while a service is unsettled, or this agent is not the home in its own view, members are queried before a placement; queries are repeated; a named owner must confirm; of two members that look up the same new flow, the lower name goes on; an agent that does not own a flow passed on to it tells the sender; redirects unused for two periods are removed.

--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -2,18 +2,18 @@
 
 import random as random_module
 
-from bramleystair.actions import Count, Send
 from bramleystair.flows import _events as events
 from bramleystair.flows._admission import Admission
 from bramleystair.flows._cold_start import ColdStart
 from bramleystair.flows._entries import FlowEntry, WaitingFlow
 from bramleystair.flows._events import FlowAction, FlowEvent
+from bramleystair.flows._outbox import Outbox
 from bramleystair.flows._placement import Load, rank_targets
+from bramleystair.flows._redirects import Redirects
+from bramleystair.flows._services import Service, Services
 from bramleystair.flows._settings import FlowSettings
 from bramleystair.packets import PacketHeaders, read_headers
-from bramleystair.packets._headers import TCP
-from bramleystair.routing import find_home
-from bramleystair.tables import Member
+from bramleystair.tables import Protocol
 from bramleystair.views import View
 from bramleystair.wire import (
     FlowQuery,
@@ -52,21 +52,20 @@
         random: random_module.Random,
     ) -> None:
         self._server = server
-        self._zone = zone
         self._incarnation = incarnation
         self._settings = settings
         self._random = random
-        self._view = View()
+        self._services = Services(server, zone, settings.change_window_s)
         self._cold_start = ColdStart(settings.initial_fraction, settings.warm_up_s)
         self._admission = Admission(settings, self._cold_start)
         self._flows: dict[bytes, FlowEntry] = {}
         self._flow_counts: dict[int, int] = {}
-        self._redirects: dict[bytes, tuple[int, str]] = {}
+        self._redirects = Redirects()
+        self._rotated_s: float | None = None
         self._waiting: dict[bytes, WaitingFlow] = {}
         self._loads: dict[tuple[int, str], tuple[float, ServiceLoad]] = {}
-        self._unsettled_until_s = 0.0
         self._now = 0.0
-        self._actions: list[FlowAction] = []
+        self._outbox = Outbox()
 
     @property
     def flow_count(self) -> int:
@@ -81,17 +80,16 @@
         """Return flows and present limit for each service of this server."""
         return tuple(
             ServiceLoad(
-                service_id,
-                flows=self._flow_counts.get(service_id, 0),
-                flow_limit=self._compute_limit(member),
+                service.service_id,
+                flows=self._flow_counts.get(service.service_id, 0),
+                flow_limit=self._compute_limit(service),
             )
-            for service_id, member in self._list_rows()
+            for service in self._services.list_member_services()
         )
 
     def handle(self, event: FlowEvent, now: float) -> list[FlowAction]:
         """Return the actions that `event` at time `now` in seconds calls for."""
         self._now = now
-        self._actions = []
         match event:
             case events.MessageArrived(sender, message):
                 self._handle_message(sender, message)
@@ -105,7 +103,7 @@
                 self._admission.is_draining = True
             case events.Tick():
                 self._run_timers()
-        return self._actions
+        return self._outbox.take()
 
     def _handle_message(self, sender: str, message: Message) -> None:
         match message:
@@ -114,8 +112,7 @@
             case PlaceReply():
                 self._handle_place_reply(sender, message)
             case FlowQuery(service_id, flow):
-                owner = self._find_owner(service_id, flow)
-                self._send(sender, FlowQueryReply(service_id, flow, owner))
+                self._answer_query(sender, service_id, flow)
             case FlowQueryReply():
                 self._handle_query_reply(sender, message)
             case RedirectPut(service_id, flows, owner):
@@ -129,7 +126,7 @@
     def _handle_forward(self, sender: str, message: Forward) -> None:
         result = read_headers(message.packet)
         if result.is_err() or result.unwrap().flow != message.flow:
-            self._count("packet_dropped", "malformed")
+            self._outbox.count("packet_dropped", "malformed")
             return
         headers = result.unwrap()
         entry = self._flows.get(message.flow)
@@ -138,35 +135,43 @@
             if message.place:
                 self._reply_place(sender, message, "")
             return
-        table = self._view.tables_by_id.get(message.service_id)
-        if table is None or table.get_member(self._server) is None:
-            self._count("flow_refused", "wrong_service")
-            if message.place:
-                self._reply_place(sender, message, "wrong_service")
+        service = self._services.get(message.service_id)
+        if service is None or service.row is None:
+            self._refuse_service(sender, message)
             return
         if message.place:
             self._accept_placement(sender, message, headers)
             return
-        redirect = self._redirects.get(message.flow)
-        if redirect is not None and redirect[0] == message.service_id:
-            self._pass_on(redirect[1], message)
+        owner = self._redirects.get(message.service_id, message.flow)
+        if owner:
+            self._pass_on(owner, message)
             return
-        self._start_flow(message, headers)
+        self._hold_unknown(sender, service, message, headers)
+
+    def _refuse_service(self, sender: str, message: Forward) -> None:
+        self._outbox.count("flow_refused", "wrong_service")
+        if message.place:
+            self._reply_place(sender, message, "wrong_service")
 
     def _deliver(self, entry: FlowEntry, headers: PacketHeaders, packet: bytes) -> None:
         entry.last_seen_s = self._now
         entry.unanswered = 0
-        self._actions.append(events.Deliver(entry.service_id, headers.flow, packet))
-        if headers.is_fin:
-            entry.has_caller_fin = True
+        self._outbox.add(events.Deliver(entry.service_id, headers.flow, packet))
+        if headers.protocol == Protocol.TCP and not headers.is_first:
+            entry.is_established = True
         if headers.is_reset:
             self._end_flow(headers.flow)
 
     def _pass_on(self, owner: str, message: Forward) -> None:
-        if message.hops + 1 > self._settings.max_hops:
-            self._count("packet_dropped", "hops")
+        if message.hops >= self._settings.max_hops:
+            # Redirects form a loop; without this one, the next packet is looked up.
+            self._redirects.remove(message.flow)
+            self._outbox.count("packet_dropped", "hops")
             return
-        self._send(
+        self._send_packet(owner, message, message.packet)
+
+    def _send_packet(self, owner: str, message: Forward, packet: bytes) -> None:
+        self._outbox.send(
             owner,
             Forward(
                 message.service_id,
@@ -174,62 +179,130 @@
                 message.flow,
                 message.hops + 1,
                 False,
-                message.packet,
+                packet,
             ),
         )
 
-    def _start_flow(self, message: Forward, headers: PacketHeaders) -> None:
-        waiting = self._waiting.get(message.flow)
+    def _hold_unknown(
+        self, sender: str, service: Service, message: Forward, headers: PacketHeaders
+    ) -> None:
+        flow = message.flow
+        if message.hops > 0:
+            # The sender's redirect is out of date.
+            drop = RedirectDrop(service.service_id, (flow,), self._server)
+            self._outbox.send(sender, drop)
+        waiting = self._waiting.get(flow)
         if waiting is not None:
             self._queue_packet(waiting, message.packet)
             return
         if len(self._waiting) >= self._settings.queue_flows:
-            self._count("packet_dropped", "queue_flows")
+            self._outbox.count("packet_dropped", "queue_flows")
             return
-        is_first = headers.is_first or headers.protocol != TCP
-        waiting = WaitingFlow(
-            message.service_id,
-            is_first,
-            self._now + self._settings.query_timeout_s,
-            self._now + self._settings.place_retry_s,
-            [message.packet],
-        )
-        self._waiting[message.flow] = waiting
-        if is_first and self._is_settled(message):
-            self._place_flow(message.flow, waiting)
+        is_opening = headers.is_first or headers.protocol == Protocol.UDP
+        waiting = WaitingFlow(service.service_id, is_opening, self._now)
+        waiting.packets.append(message.packet)
+        self._waiting[flow] = waiting
+        if is_opening and self._is_settled(service, message):
+            self._place_flow(flow, waiting)
             return
-        self._query_members(message.flow, waiting)
+        self._query_members(flow, waiting)
 
-    def _is_settled(self, message: Forward) -> bool:
-        table = self._view.tables_by_id[message.service_id]
-        if self._now < self._unsettled_until_s:
+    def _is_settled(self, service: Service, message: Forward) -> bool:
+        # Otherwise another member may have placed the flow under another view.
+        if message.hops > 0 or self._now < service.unsettled_until_s:
             return False
-        return message.table_version == table.version
+        if message.table_version != service.table.version:
+            return False
+        home = service.find_home(message.flow)
+        return home is not None and home[0] == self._server
 
     def _queue_packet(self, waiting: WaitingFlow, packet: bytes) -> None:
         if len(waiting.packets) >= self._settings.queue_packets_per_flow:
-            self._count("packet_dropped", "queue_packets")
+            self._outbox.count("packet_dropped", "queue_packets")
             return
         waiting.packets.append(packet)
 
     def _query_members(self, flow: bytes, waiting: WaitingFlow) -> None:
-        waiting.members = {
-            member.server
-            for member in self._view.list_reachable(waiting.service_id)
-            if member.server != self._server
-        }
-        for server in sorted(waiting.members):
-            self._send(server, FlowQuery(waiting.service_id, flow))
+        timeout_s = self._settings.query_timeout_s
+        if waiting.is_opening:
+            timeout_s = self._settings.first_query_timeout_s
+        waiting.deadline_s = self._now + timeout_s
+        waiting.retry_s = self._now + self._settings.query_retry_s
+        service = self._services.get(waiting.service_id)
+        for server in service.peers:
+            self._ask(flow, waiting, server)
+        if not waiting.members:
+            self._end_query(flow, waiting)
+
+    def _ask(self, flow: bytes, waiting: WaitingFlow, server: str) -> None:
+        waiting.asked.add(server)
+        waiting.members.add(server)
+        self._outbox.send(server, FlowQuery(waiting.service_id, flow))
+
+    def _answer_query(self, sender: str, service_id: int, flow: bytes) -> None:
+        owner = self._find_owner(sender, service_id, flow)
+        self._outbox.send(sender, FlowQueryReply(service_id, flow, owner))
+
+    def _find_owner(self, sender: str, service_id: int, flow: bytes) -> str:
+        entry = self._flows.get(flow)
+        if entry is not None and entry.service_id == service_id:
+            return self._server
+        waiting = self._waiting.get(flow)
+        if waiting is None or waiting.service_id != service_id:
+            return self._redirects.get(service_id, flow)
+        if waiting.is_placing:
+            return self._server
+        if not waiting.is_opening:
+            return ""
+        # Two members look up the same new flow: the lower name goes on with it.
+        if self._server < sender:
+            return self._server
+        self._hand_over(flow, waiting, sender)
+        return ""
+
+    def _hand_over(self, flow: bytes, waiting: WaitingFlow, owner: str) -> None:
+        del self._waiting[flow]
+        self._redirects.put(waiting.service_id, flow, owner)
+        service = self._services.get(waiting.service_id)
+        version = service.table.version if service else 0
+        first = Forward(waiting.service_id, version, flow)
+        for packet in waiting.packets:
+            self._send_packet(owner, first, packet)
+
+    def _handle_query_reply(self, sender: str, message: FlowQueryReply) -> None:
+        flow = message.flow
+        waiting = self._waiting.get(flow)
+        if waiting is None or sender not in waiting.members:
+            return
+        if message.owner == sender:
+            self._hand_over(flow, waiting, sender)
+            return
+        waiting.members.discard(sender)
+        if message.owner and message.owner != self._server:
+            waiting.hints.append(message.owner)
+            if message.owner not in waiting.asked:
+                self._ask(flow, waiting, message.owner)
         if not waiting.members:
             self._end_query(flow, waiting)
 
     def _end_query(self, flow: bytes, waiting: WaitingFlow) -> None:
-        if waiting.is_first:
+        for hint in waiting.hints:
+            if hint in waiting.members:
+                self._hand_over(flow, waiting, hint)
+                return
+        if waiting.is_opening:
             self._place_flow(flow, waiting)
             return
         del self._waiting[flow]
-        self._actions.append(events.ResetCaller(flow, waiting.packets[-1]))
-        self._count("flow_broken", "unknown")
+        self._reset_unknown(flow, waiting)
+
+    def _reset_unknown(self, flow: bytes, waiting: WaitingFlow) -> None:
+        for packet in waiting.packets:
+            if not read_headers(packet).unwrap().is_reset:
+                self._outbox.add(events.ResetCaller(flow, packet))
+                self._outbox.count("flow_broken", "unknown")
+                return
+        self._outbox.count("packet_dropped", "unknown_reset")
 
     def _place_flow(self, flow: bytes, waiting: WaitingFlow) -> None:
         waiting.deadline_s = self._now + self._settings.place_timeout_s
@@ -237,7 +310,7 @@
         self._try_target(flow, waiting)
 
     def _choose_targets(self, service_id: int) -> list[str]:
-        candidates = self._view.list_candidates(service_id)
+        candidates = self._services.get(service_id).candidates
         loads = [
             self._read_load(service_id, candidate.server, candidate.weight)
             for candidate in candidates
@@ -253,10 +326,11 @@
         )
 
     def _read_load(self, service_id: int, server: str, weight: float) -> Load:
-        member = self._view.tables_by_id[service_id].get_member(server)
+        service = self._services.get(service_id)
+        member = service.table.get_member(server)
         if server == self._server:
             flows = self._flow_counts.get(service_id, 0)
-            return Load(server, weight, flows, self._compute_limit(member))
+            return Load(server, weight, flows, self._compute_limit(service))
         known = self._loads.get((service_id, server))
         if known is None or self._now - known[0] > self._settings.load_fresh_s:
             return Load(server, weight, member.max_flows, member.max_flows)
@@ -265,22 +339,22 @@
 
     def _try_target(self, flow: bytes, waiting: WaitingFlow) -> None:
         while waiting.targets and waiting.targets[0] == self._server:
-            reason = self._check_admission(waiting.service_id)
+            reason = self._check_admission(self._services.get(waiting.service_id))
             if not reason:
                 self._take_waiting(flow, waiting)
                 return
-            self._count("place_refused", reason)
+            self._outbox.count("flow_refused", reason)
             waiting.targets.pop(0)
         if not waiting.targets:
             del self._waiting[flow]
-            self._refuse_flow(flow, waiting.packets[0], "no_candidate")
+            self._reject_flow(flow, waiting.packets[0], "no_candidate")
             return
         self._send_placement(flow, waiting)
 
     def _send_placement(self, flow: bytes, waiting: WaitingFlow) -> None:
         waiting.retry_s = self._now + self._settings.place_retry_s
-        table = self._view.tables_by_id[waiting.service_id]
-        self._send(
+        table = self._services.get(waiting.service_id).table
+        self._outbox.send(
             waiting.targets[0],
             Forward(
                 waiting.service_id, table.version, flow, 0, True, waiting.packets[0]
@@ -289,23 +363,24 @@
 
     def _take_waiting(self, flow: bytes, waiting: WaitingFlow) -> None:
         del self._waiting[flow]
-        entry = self._create_entry(waiting.service_id, flow)
+        entry = self._create_entry(self._services.get(waiting.service_id), flow)
         for packet in waiting.packets:
             self._deliver(entry, read_headers(packet).unwrap(), packet)
 
     def _accept_placement(
         self, sender: str, message: Forward, headers: PacketHeaders
     ) -> None:
-        reason = self._check_admission(message.service_id)
+        service = self._services.get(message.service_id)
+        reason = self._check_admission(service)
         self._reply_place(sender, message, reason)
         if reason:
-            self._count("flow_refused", reason)
+            self._outbox.count("flow_refused", reason)
             return
-        entry = self._create_entry(message.service_id, message.flow)
+        entry = self._create_entry(service, message.flow)
         self._deliver(entry, headers, message.packet)
 
     def _reply_place(self, sender: str, message: Forward, reason: str) -> None:
-        self._send(
+        self._outbox.send(
             sender,
             PlaceReply(message.service_id, message.flow, not reason, reason),
         )
@@ -319,146 +394,127 @@
             waiting.targets.pop(0)
             self._try_target(flow, waiting)
             return
-        del self._waiting[flow]
-        self._redirects[flow] = (waiting.service_id, sender)
-        for packet in waiting.packets[1:]:
-            self._send(sender, Forward(waiting.service_id, 0, flow, 1, False, packet))
-
-    def _find_owner(self, service_id: int, flow: bytes) -> str:
-        entry = self._flows.get(flow)
-        if entry is not None and entry.service_id == service_id:
-            return self._server
-        redirect = self._redirects.get(flow)
-        if redirect is not None and redirect[0] == service_id:
-            return redirect[1]
-        return ""
-
-    def _handle_query_reply(self, sender: str, message: FlowQueryReply) -> None:
-        flow = message.flow
-        waiting = self._waiting.get(flow)
-        if waiting is None or sender not in waiting.members:
-            return
-        if message.owner and message.owner != self._server:
-            del self._waiting[flow]
-            self._redirects[flow] = (waiting.service_id, message.owner)
-            for packet in waiting.packets:
-                forward = Forward(waiting.service_id, 0, flow, 1, False, packet)
-                self._send(message.owner, forward)
-            return
-        waiting.members.discard(sender)
-        if not waiting.members:
-            self._end_query(flow, waiting)
+        waiting.packets.pop(0)
+        self._hand_over(flow, waiting, sender)
 
     def _put_redirects(
         self, service_id: int, flows: tuple[bytes, ...], owner: str
     ) -> None:
         for flow in flows:
             if flow not in self._flows and owner != self._server:
-                self._redirects[flow] = (service_id, owner)
+                self._redirects.put(service_id, flow, owner)
 
     def _drop_redirects(
         self, service_id: int, flows: tuple[bytes, ...], owner: str
     ) -> None:
         for flow in flows:
-            if self._redirects.get(flow) == (service_id, owner):
-                del self._redirects[flow]
-
-    def _check_admission(self, service_id: int) -> str:
-        table = self._view.tables_by_id.get(service_id)
-        member = table.get_member(self._server) if table else None
-        in_service = member is not None and self._is_member_in_service(member)
-        flows = self._flow_counts.get(service_id, 0)
-        return self._admission.check(member, in_service, flows, self._now)
-
-    def _is_member_in_service(self, member: Member) -> bool:
-        return self._view.is_in_service(member.zone) and self._view.is_in_service(
-            self._zone
+            self._redirects.drop(service_id, flow, owner)
+
+    def _check_admission(self, service: Service) -> str:
+        flows = self._flow_counts.get(service.service_id, 0)
+        return self._admission.check(
+            service.row, service.is_in_service, flows, self._now
         )
 
-    def _compute_limit(self, member: Member) -> int:
-        if self._admission.is_draining or not self._is_member_in_service(member):
+    def _compute_limit(self, service: Service) -> int:
+        if self._admission.is_draining or not service.is_in_service:
             return 0
-        return self._cold_start.compute_limit(member.max_flows, self._now)
-
-    def _list_rows(self) -> list[tuple[int, Member]]:
-        rows = []
-        for service_id, table in self._view.tables_by_id.items():
-            member = table.get_member(self._server)
-            if member is not None:
-                rows.append((service_id, member))
-        return rows
-
-    def _create_entry(self, service_id: int, flow: bytes) -> FlowEntry:
-        home = find_home(flow, self._view.list_candidates(service_id))
-        place = (home.server, home.incarnation) if home else None
-        entry = FlowEntry(service_id, place, self._now)
+        return self._cold_start.compute_limit(service.row.max_flows, self._now)
+
+    def _create_entry(self, service: Service, flow: bytes) -> FlowEntry:
+        service_id = service.service_id
+        entry = FlowEntry(service_id, service.find_home(flow), self._now)
         self._flows[flow] = entry
-        self._redirects.pop(flow, None)
+        self._redirects.remove(flow)
         self._flow_counts[service_id] = self._flow_counts.get(service_id, 0) + 1
         return entry
 
     def _end_flow(self, flow: bytes) -> None:
         entry = self._flows.pop(flow)
         self._flow_counts[entry.service_id] -= 1
-        self._actions.append(events.CloseFlow(flow))
+        self._outbox.add(events.CloseFlow(flow))
         if entry.home is not None and entry.home[0] != self._server:
             drop = RedirectDrop(entry.service_id, (flow,), self._server)
-            self._send(entry.home[0], drop)
+            self._outbox.send(entry.home[0], drop)
 
-    def _refuse_flow(self, flow: bytes, packet: bytes, reason: str) -> None:
-        self._count("flow_refused", reason)
-        self._actions.append(events.ResetCaller(flow, packet))
+    def _reject_flow(self, flow: bytes, packet: bytes, reason: str) -> None:
+        self._outbox.count("flow_rejected", reason)
+        self._outbox.add(events.ResetCaller(flow, packet))
 
     def _record_outbound(self, flow: bytes, packet: bytes) -> None:
         entry = self._flows.get(flow)
         if entry is None:
             return
         entry.last_seen_s = self._now
-        entry.is_established = True
+        if flow[0] == Protocol.UDP:
+            entry.is_established = True
         entry.unanswered += 1
 
     def _fail_delivery(self, flow: bytes) -> None:
         if flow not in self._flows:
             return
         self._end_flow(flow)
-        self._actions.append(events.ResetCaller(flow, b""))
-        self._count("flow_broken", "delivery_failed")
+        self._outbox.add(events.ResetCaller(flow, b""))
+        self._outbox.count("flow_broken", "delivery_failed")
 
     def _change_view(self, view: View) -> None:
-        self._view = view
-        self._unsettled_until_s = self._now + self._settings.change_window_s
-        self._register_flows()
+        for service in self._services.update(view, self._now):
+            self._register_flows(service)
+        self._redirects.drop_owners(lambda server: not view.is_live(server))
+        self._drop_waiting()
 
-    def _register_flows(self) -> None:
-        moved: dict[tuple[int, str], list[bytes]] = {}
+    def _drop_waiting(self) -> None:
+        for flow, waiting in list(self._waiting.items()):
+            if self._services.get(waiting.service_id) is None:
+                del self._waiting[flow]
+                self._outbox.count("flow_refused", "wrong_service")
+
+    def _register_flows(self, service: Service) -> None:
+        moved: dict[str, list[bytes]] = {}
         for flow, entry in self._flows.items():
-            home = find_home(flow, self._view.list_candidates(entry.service_id))
-            place = (home.server, home.incarnation) if home else None
-            if place == entry.home:
+            if entry.service_id != service.service_id:
                 continue
-            entry.home = place
-            if place is not None and place[0] != self._server:
-                moved.setdefault((entry.service_id, place[0]), []).append(flow)
-        for (service_id, home), flows in moved.items():
-            self._send(home, RedirectPut(service_id, tuple(flows), self._server))
+            home = service.find_home(flow)
+            if home == entry.home:
+                continue
+            entry.home = home
+            if home is not None and home[0] != self._server:
+                moved.setdefault(home[0], []).append(flow)
+        for home, flows in moved.items():
+            put = RedirectPut(service.service_id, tuple(flows), self._server)
+            self._outbox.send(home, put)
 
     def _run_timers(self) -> None:
         for flow, waiting in list(self._waiting.items()):
             if waiting.is_placing:
                 self._run_placement(flow, waiting)
-            elif self._now >= waiting.deadline_s:
-                self._end_query(flow, waiting)
+            else:
+                self._run_query(flow, waiting)
+        if self._rotated_s is None:
+            self._rotated_s = self._now
+        if self._now - self._rotated_s >= self._settings.redirect_period_s:
+            self._rotated_s = self._now
+            self._redirects.rotate()
+
+    def _run_query(self, flow: bytes, waiting: WaitingFlow) -> None:
+        live = self._services.get(waiting.service_id).live
+        is_doubtful = waiting.members.isdisjoint(live)
+        if is_doubtful and self._now >= waiting.started_s + self._settings.doubt_s:
+            self._end_query(flow, waiting)
+            return
+        if self._now >= waiting.deadline_s:
+            self._end_query(flow, waiting)
+            return
+        if self._now < waiting.retry_s:
+            return
+        waiting.retry_s = self._now + self._settings.query_retry_s
+        for server in sorted(waiting.members):
+            self._outbox.send(server, FlowQuery(waiting.service_id, flow))
 
     def _run_placement(self, flow: bytes, waiting: WaitingFlow) -> None:
         if self._now >= waiting.deadline_s:
             del self._waiting[flow]
-            self._refuse_flow(flow, waiting.packets[0], "place_timeout")
+            self._reject_flow(flow, waiting.packets[0], "place_timeout")
             return
         if self._now >= waiting.retry_s:
             self._send_placement(flow, waiting)
-
-    def _send(self, peer: str, message: Message) -> None:
-        self._actions.append(Send(peer, message))
-
-    def _count(self, name: str, reason: str) -> None:
-        self._actions.append(Count(name, reason))
--- a/src/bramleystair/flows/_entries.py
+++ b/src/bramleystair/flows/_entries.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from bramleystair.flows._services import Home
+
 
 @attrs.define(eq=False)
 class FlowEntry:
@@ -13,12 +15,15 @@
         Server and incarnation at which the owner is registered.
     last_seen_s : float
         Time of the last packet in either direction.
+    is_established : bool
+        Whether the caller sent more than the opening segment or, for datagrams, the
+        backend server answered.
     unanswered : int
         Outbound packets since the last inbound one.
     """
 
     service_id: int
-    home: tuple[str, int] | None
+    home: Home | None
     last_seen_s: float
     is_established: bool = False
     has_caller_fin: bool = False
@@ -32,18 +37,27 @@
 
     Parameters
     ----------
-    members : set of str
-        Members whose answer is outstanding during a query.
+    is_opening : bool
+        Whether the flow is placed when no member knows it.
+    started_s, deadline_s, retry_s : float
+        Start and end of the present step, and time of the next repetition.
+    asked, members : set of str
+        Members that were queried, and those whose answer is outstanding.
+    hints : list of str
+        Owners that other members named and that have not confirmed it.
     targets : list of str
-        Members to try next during a placement; the first one has been asked.
+        Members to try during a placement; the first one has been asked.
     """
 
     service_id: int
-    is_first: bool
-    deadline_s: float
-    retry_s: float
+    is_opening: bool
+    started_s: float
+    deadline_s: float = 0.0
+    retry_s: float = 0.0
     packets: list[bytes] = attrs.field(factory=list)
+    asked: set[str] = attrs.field(factory=set)
     members: set[str] = attrs.field(factory=set)
+    hints: list[str] = attrs.field(factory=list)
     targets: list[str] = attrs.field(factory=list)
 
     @property
--- /dev/null
+++ b/src/bramleystair/flows/_services.py
@@ -0,0 +1,145 @@
+"""What an agent derives from its view for each service."""
+
+import attrs
+
+from bramleystair.routing import find_home
+from bramleystair.tables import Member, Table
+from bramleystair.views import Candidate, View
+
+# A home: server and incarnation, shared by all flow entries registered there.
+Home = tuple[str, int]
+
+
+@attrs.frozen(eq=False)
+class Service:
+    """One service as this agent sees it.
+
+    Parameters
+    ----------
+    row : Member or None
+        This server's row.
+    is_in_service : bool
+        Whether the row's and the agent's availability zones are in service.
+    peers : tuple of str
+        Other members that may own flows, including those reported down and those
+        whose row was removed.
+    live : frozenset of str
+        The peers not reported down.
+    former : frozenset of (str, int)
+        Server and incarnation of members whose row was removed.
+    unsettled_until_s : float
+        End of the interval in which nodes may hold different views of the service.
+    """
+
+    service_id: int
+    table: Table
+    row: Member | None
+    is_in_service: bool
+    candidates: tuple[Candidate, ...]
+    homes: dict[str, Home]
+    peers: tuple[str, ...]
+    live: frozenset[str]
+    former: frozenset[Home]
+    unsettled_until_s: float
+
+    def find_home(self, flow: bytes) -> Home | None:
+        """Return the home of `flow`, or None without any candidate."""
+        candidate = find_home(flow, self.candidates)
+        return None if candidate is None else self.homes[candidate.server]
+
+
+class Services:
+    """Services in an agent's view, with the changes between views."""
+
+    def __init__(self, server: str, zone: str, change_window_s: float) -> None:
+        self._server = server
+        self._zone = zone
+        self._change_window_s = change_window_s
+        self._services: dict[int, Service] = {}
+
+    def get(self, service_id: int) -> Service | None:
+        """Return the service, or None when the view has no table for it."""
+        return self._services.get(service_id)
+
+    def list_member_services(self) -> list[Service]:
+        """Return the services that this server is a member of."""
+        return [service for service in self._services.values() if service.row]
+
+    def update(self, view: View, now: float) -> list[Service]:
+        """Take over `view` and return the services that it changes."""
+        changed = []
+        services = {}
+        for service_id, table in view.tables_by_id.items():
+            known = self._services.get(service_id)
+            service = self._build(service_id, table, view, known, now)
+            if known is not None and not _is_changed(known, service):
+                service = attrs.evolve(
+                    service, unsettled_until_s=known.unsettled_until_s
+                )
+            else:
+                changed.append(service)
+            services[service_id] = service
+        self._services = services
+        return changed
+
+    def _build(
+        self,
+        service_id: int,
+        table: Table,
+        view: View,
+        known: Service | None,
+        now: float,
+    ) -> Service:
+        row = table.get_member(self._server)
+        candidates = view.list_candidates(service_id)
+        former = _list_former(table, known, view)
+        peers = [m.server for m in table.members if view.is_in_service(m.zone)]
+        peers += sorted(server for server, _ in former)
+        peers = tuple(
+            server
+            for server in peers
+            if server != self._server
+            and server in view.agents
+            and view.is_in_service(view.agents[server].zone)
+        )
+        return Service(
+            service_id,
+            table,
+            row,
+            row is not None
+            and view.is_in_service(row.zone)
+            and view.is_in_service(self._zone),
+            candidates,
+            {c.server: (c.server, c.incarnation) for c in candidates},
+            peers,
+            frozenset(server for server in peers if view.is_live(server)),
+            former,
+            now + self._change_window_s,
+        )
+
+
+def _list_former(table: Table, known: Service | None, view: View) -> frozenset[Home]:
+    if known is None:
+        return frozenset()
+    present = {member.server for member in table.members}
+    former = set(known.former)
+    for member in known.table.members:
+        if member.server in view.agents:
+            former.add((member.server, view.agents[member.server].incarnation))
+    return frozenset(
+        (server, incarnation)
+        for server, incarnation in former
+        if server not in present
+        and server in view.agents
+        and view.agents[server].incarnation == incarnation
+    )
+
+
+def _is_changed(known: Service, service: Service) -> bool:
+    return (
+        known.table != service.table
+        or known.candidates != service.candidates
+        or known.peers != service.peers
+        or known.live != service.live
+        or known.is_in_service != service.is_in_service
+    )
--- a/src/bramleystair/flows/_settings.py
+++ b/src/bramleystair/flows/_settings.py
@@ -2,13 +2,39 @@
 
 import attrs
 
+# Period of the `Tick` event; retries and sweeps are checked this often.
+TICK_PERIOD_S = 0.1
+
 
 @attrs.frozen
 class FlowSettings:
-    """Limits and intervals of the flow controller."""
+    """Limits and intervals of the flow controller.
+
+    Parameters
+    ----------
+    max_hops : int
+        Most times that a packet is passed on between agents.
+    query_timeout_s : float
+        Time after which a segment of an unknown flow is answered by a reset. It equals
+        the time after which a silent agent is reported down, so that an owner that is
+        only slow is not taken for lost.
+    first_query_timeout_s : float
+        The same for a packet that may open a flow, which waits meanwhile.
+    doubt_s : float
+        How long answers of members reported down are awaited.
+    query_retry_s : float
+        Interval between repeated queries.
+    change_window_s : float
+        Time after a change during which nodes may hold different views.
+    queue_packets_per_flow, queue_flows : int
+        Bounds of the packets and flows that wait for an answer.
+    """
 
     max_hops: int = 4
-    query_timeout_s: float = 1.0
+    query_timeout_s: float = 3.0
+    first_query_timeout_s: float = 0.5
+    doubt_s: float = 0.5
+    query_retry_s: float = 0.2
     change_window_s: float = 10.0
     queue_packets_per_flow: int = 8
     queue_flows: int = 4096
@@ -22,3 +48,4 @@
     place_retry_s: float = 0.25
     place_timeout_s: float = 3.0
     half_open_idle_s: float = 60.0
+    redirect_period_s: float = 3600.0
