Carry envelopes over TCP with length prefixes

Cause: requests need ordered messages larger than a datagram. Change: a threaded stream server and a client with one connection per peer, bounded frames and queues; Run and Answer carry the content type as a new last field.

--- a/src/bramleystair/wire/__init__.py
+++ b/src/bramleystair/wire/__init__.py
@@ -33,6 +33,7 @@
     VersionHeader,
     VersionHeaders,
 )
+from bramleystair.wire._stream import StreamClient, StreamServer
 
 __all__ = [
     "Answer",
@@ -63,6 +64,8 @@
     "Run",
     "ServiceLoad",
     "StoredObject",
+    "StreamClient",
+    "StreamServer",
     "VersionHeader",
     "VersionHeaders",
     "decode",
--- a/src/bramleystair/wire/_messages.py
+++ b/src/bramleystair/wire/_messages.py
@@ -190,6 +190,7 @@
     ticket: bytes = b""
     body: bytes = b""
     deadline_ms: int = 0
+    content_type: str = ""
 
 
 @attrs.frozen
@@ -202,6 +203,7 @@
     body: bytes = b""
     length: int = 0
     digest: bytes = b""
+    content_type: str = ""
 
 
 @attrs.frozen
--- a/src/bramleystair/wire/messages.capnp
+++ b/src/bramleystair/wire/messages.capnp
@@ -127,6 +127,7 @@
   ticket @1 :Data;
   body @2 :Data;
   deadlineMs @3 :UInt32;
+  contentType @4 :Text;
 }
 
 struct Answer {
@@ -136,6 +137,7 @@
   body @3 :Data;
   length @4 :UInt64;
   digest @5 :Data;
+  contentType @6 :Text;
 }
 
 struct Fetch {
