--- /dev/null
+++ b/src/bramleystair/requests/_tickets.py
@@ -0,0 +1,185 @@
+"""Tickets that bind a request to one lifetime of one agent."""
+
+import base64
+import binascii
+import enum
+import hashlib
+import hmac
+import random
+import struct
+
+import attrs
+from result import Err, Ok, Result
+
+# Format number, key number, service, incarnation, expiry in ms, nonce, name length.
+_HEAD = struct.Struct(">BHQQQ12sB")
+FORMAT = 1
+MAC_BYTES = 16
+KEY_BYTES = 32
+NONCE_BYTES = 12
+MAX_KEY_NUMBER = 0xFFFF
+
+
+class TicketFault(enum.StrEnum):
+    """Why a ticket is not accepted."""
+
+    MALFORMED = "malformed"
+    FORGED = "forged"
+    WRONG_AGENT = "wrong_agent"
+    INCARNATION_GONE = "incarnation_gone"
+    KEY_GONE = "key_gone"
+
+
+@attrs.frozen
+class Ticket:
+    """Contents of a ticket.
+
+    Parameters
+    ----------
+    service_id : int
+        Service that the request is for.
+    server : str
+        Backend server whose agent issued the ticket.
+    incarnation : int
+        Lifetime of that agent.
+    expiry_ms : int
+        Time after which the request may not start, on the agent's clock.
+    nonce : bytes, shape (12,)
+        Random bytes that identify the request.
+    key_number : int
+        Key of the ring that authenticates the ticket.
+    """
+
+    service_id: int
+    server: str
+    incarnation: int
+    expiry_ms: int
+    nonce: bytes
+    key_number: int
+
+    @property
+    def expiry_s(self) -> float:
+        """Return the expiry in seconds on the agent's clock."""
+        return self.expiry_ms / 1000
+
+    @property
+    def request_name(self) -> str:
+        """Return the name of the request at the backend server."""
+        return self.nonce.hex()
+
+
+@attrs.define
+class _Key:
+    number: int
+    secret: bytes
+    created_s: float
+
+
+class KeyRing:
+    """Keys of one agent, newest first.
+
+    Parameters
+    ----------
+    server : str
+        Backend server whose agent holds the ring.
+    incarnation : int
+        Lifetime of the agent.
+    source : random.Random
+        Source of keys and nonces; `random.SystemRandom` outside tests.
+    """
+
+    def __init__(self, server: str, incarnation: int, source: random.Random) -> None:
+        self.server = server
+        self.incarnation = incarnation
+        self._source = source
+        self._keys: list[_Key] = []
+
+    def rotate(self, now: float, period_s: float, keep_s: float) -> None:
+        """Add a key when the newest is older than `period_s`; drop the old ones.
+
+        A key is kept for `keep_s` after its successor was created, which must cover
+        the lifetime of a ticket and the retention of its entry.
+        """
+        if not self._keys or now - self._keys[0].created_s >= period_s:
+            number = (self._keys[0].number + 1) & MAX_KEY_NUMBER if self._keys else 1
+            secret = self._source.randbytes(KEY_BYTES)
+            self._keys.insert(0, _Key(number, secret, now))
+        successors = zip(self._keys, self._keys[1:], strict=False)
+        kept = [key for newer, key in successors if now - newer.created_s < keep_s]
+        self._keys = [self._keys[0], *kept]
+
+    def issue(self, service_id: int, expiry_s: float) -> bytes:
+        """Return a new ticket that expires at `expiry_s` on the agent's clock."""
+        key = self._keys[0]
+        name = self.server.encode()
+        head = _HEAD.pack(
+            FORMAT,
+            key.number,
+            service_id,
+            self.incarnation,
+            int(expiry_s * 1000),
+            self._source.randbytes(NONCE_BYTES),
+            len(name),
+        )
+        signed = head + name
+        return signed + _compute_mac(key.secret, signed)
+
+    def verify(self, data: bytes) -> Result[Ticket, TicketFault]:
+        """Return the contents of `data` if this ring issued it."""
+        parsed = parse_ticket(data)
+        if parsed.is_err():
+            return parsed
+        ticket = parsed.ok()
+        if ticket.server != self.server:
+            return Err(TicketFault.WRONG_AGENT)
+        if ticket.incarnation != self.incarnation:
+            return Err(TicketFault.INCARNATION_GONE)
+        for key in self._keys:
+            if key.number == ticket.key_number:
+                return _check_mac(key.secret, data, ticket)
+        return Err(TicketFault.KEY_GONE)
+
+
+def parse_ticket(data: bytes) -> Result[Ticket, TicketFault]:
+    """Return the contents of `data` without checking who issued it."""
+    if len(data) < _HEAD.size + MAC_BYTES:
+        return Err(TicketFault.MALFORMED)
+    form, key, service_id, incarnation, expiry, nonce, size = _HEAD.unpack_from(data)
+    if form != FORMAT or len(data) != _HEAD.size + size + MAC_BYTES:
+        return Err(TicketFault.MALFORMED)
+    try:
+        server = data[_HEAD.size : _HEAD.size + size].decode()
+    except UnicodeDecodeError:
+        return Err(TicketFault.MALFORMED)
+    return Ok(Ticket(service_id, server, incarnation, expiry, nonce, key))
+
+
+def format_ticket(data: bytes) -> str:
+    """Return `data` in the text form used in locations."""
+    return base64.urlsafe_b64encode(data).rstrip(b"=").decode()
+
+
+def read_ticket(text: str) -> Result[bytes, TicketFault]:
+    """Return the ticket whose text form is `text`."""
+    try:
+        data = base64.b64decode(
+            text.encode("ascii") + b"=" * (-len(text) % 4),
+            altchars=b"-_",
+            validate=True,
+        )
+    except (binascii.Error, ValueError):
+        return Err(TicketFault.MALFORMED)
+    return Ok(data)
+
+
+def _compute_mac(secret: bytes, signed: bytes) -> bytes:
+    return hmac.digest(secret, signed, hashlib.sha256)[:MAC_BYTES]
+
+
+def _check_mac(
+    secret: bytes, data: bytes, ticket: Ticket
+) -> Result[Ticket, TicketFault]:
+    expected = _compute_mac(secret, data[:-MAC_BYTES])
+    if not hmac.compare_digest(expected, data[-MAC_BYTES:]):
+        return Err(TicketFault.FORGED)
+    return Ok(ticket)
