--- /dev/null
+++ b/src/bramleystair/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for tests and the demonstration."""
