Carry the ledger on the agent's TCP port

Cause: the ledger is a state machine without sockets or threads. Change: RequestServer delivers its events and carries out its actions. Conclusion: the agent's daemon can start it.

--- /dev/null
+++ b/src/bramleystair/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Daemon beside each backend server."""
--- /dev/null
+++ b/src/bramleystair/agent/_requests.py
@@ -0,0 +1,160 @@
+"""The ledger on the agent's TCP port."""
+
+import concurrent.futures
+import logging
+import threading
+from collections.abc import Callable
+
+from bramleystair.actions import Count, Send
+from bramleystair.backend import BackendClient, Failed, Ran, RunOutcome, Shed
+from bramleystair.flows import DrainRequested, MessageArrived, Tick, ViewChanged
+from bramleystair.requests import (
+    BackendAnswered,
+    BackendFailed,
+    BackendShed,
+    CancelBackend,
+    LedgerEvent,
+    RequestLedger,
+    StartBackend,
+)
+from bramleystair.timers import TimerService
+from bramleystair.views import View
+from bramleystair.wire import Envelope, ServiceLoad, StreamServer
+
+log = logging.getLogger("bramleystair.agent")
+
+TICK_PERIOD_S = 0.05
+MAX_BACKEND_CALLS = 256
+DRAIN_POLL_S = 0.05
+
+
+class RequestServer:
+    """Carry the ledger's messages and runs.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Address to listen on; port 0 lets the system choose.
+    ledger : RequestLedger
+        Decides on requests.
+    backend : BackendClient
+        Runs them.
+    timers : TimerService
+        Drives the ledger; run by the daemon.
+    count : callable
+        Called with each count.
+    observe : callable
+        Called with the latency in seconds and whether the backend server shed the
+        request, for each outcome.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        ledger: RequestLedger,
+        backend: BackendClient,
+        timers: TimerService,
+        count: Callable[[Count], None],
+        observe: Callable[[float, bool], None],
+    ) -> None:
+        self._ledger = ledger
+        self._backend = backend
+        self._timers = timers
+        self._count = count
+        self._observe = observe
+        self._lock = threading.Lock()
+        self._pool = concurrent.futures.ThreadPoolExecutor(MAX_BACKEND_CALLS)
+        self._stream = StreamServer(
+            host, port, ledger.server, ledger.incarnation, self._receive
+        )
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the address that the server listens on."""
+        return self._stream.address
+
+    def start(self) -> None:
+        """Begin to accept connections."""
+        self._stream.start()
+        self._subscription = self._timers.subscribe_every(
+            TICK_PERIOD_S, lambda now: self._submit(Tick())
+        )
+
+    def set_view(self, view: View) -> None:
+        """Use `view` from now on."""
+        self._submit(ViewChanged(view))
+
+    def start_drain(self) -> None:
+        """Issue no more tickets."""
+        self._submit(DrainRequested())
+
+    def list_loads(self) -> tuple[ServiceLoad, ...]:
+        """Return the present requests and limits by service."""
+        with self._lock:
+            return self._ledger.list_loads(self._timers.clock.now())
+
+    def wait_idle(self, timeout_s: float) -> bool:
+        """Return whether no request is left running within `timeout_s`."""
+        event = threading.Event()
+        for _ in range(max(1, int(timeout_s / DRAIN_POLL_S))):
+            with self._lock:
+                if not self._ledger.count_running():
+                    return True
+            event.wait(DRAIN_POLL_S)
+        return False
+
+    def stop(self) -> None:
+        """Close all connections, then wait for calls to the backend server."""
+        self._subscription.cancel()
+        self._pool.shutdown(wait=True)
+        self._stream.stop()
+
+    def _submit(self, event: LedgerEvent) -> None:
+        with self._lock:
+            actions = self._ledger.handle(event, self._timers.clock.now())
+        for action in actions:
+            match action:
+                case Send(peer, message):
+                    # A balancer that has gone asks again on its next connection.
+                    self._stream.send(peer, message)
+                case StartBackend():
+                    self._pool.submit(self._run, action)
+                case CancelBackend():
+                    self._pool.submit(self._cancel, action)
+                case Count():
+                    self._count(action)
+
+    def _receive(self, peer: str, envelope: Envelope) -> None:
+        self._submit(MessageArrived(peer, envelope.message))
+
+    def _run(self, action: StartBackend) -> None:
+        started_s = self._timers.clock.now()
+        try:
+            outcome = self._backend.run(
+                action.service,
+                action.request_name,
+                action.body,
+                action.content_type,
+                action.deadline_s,
+            )
+        except Exception:
+            log.exception("agent: running a request failed")
+            outcome = Failed("agent_error")
+        self._submit(_build_event(action.ticket, outcome))
+        latency_s = self._timers.clock.now() - started_s
+        self._observe(latency_s, isinstance(outcome, Shed))
+
+    def _cancel(self, action: CancelBackend) -> None:
+        cancelled = self._backend.cancel(action.request_name)
+        if cancelled.is_err():
+            log.warning("agent: %s", cancelled.err())
+
+
+def _build_event(ticket: bytes, outcome: RunOutcome) -> LedgerEvent:
+    match outcome:
+        case Ran(status, body, content_type):
+            return BackendAnswered(ticket, status, body, content_type)
+        case Shed(reason, retry_after_s):
+            return BackendShed(ticket, retry_after_s, reason)
+    return BackendFailed(ticket, outcome.reason)
