Serve callers over HTTP/1.1

Cause: callers reach the dispatcher through any balancer. Change: CallerServer with cheroot and werkzeug, JSON errors, locations and a stop that finishes calls in hand. Conclusion: the balancer's daemon can start it.

--- /dev/null
+++ b/src/bramleystair/caller/_server.py
@@ -0,0 +1,317 @@
+"""HTTP server that carries callers' requests through the dispatcher."""
+
+import concurrent.futures
+import itertools
+import logging
+import select
+import socket
+import threading
+from collections.abc import Callable
+
+from cheroot import wsgi
+from result import Err, Ok, Result
+from werkzeug.exceptions import HTTPException
+from werkzeug.routing import Map, Rule
+from werkzeug.wrappers import Request, Response
+
+from bramleystair.actions import Count, Send
+from bramleystair.caller._responses import build_error, build_response
+from bramleystair.caller._settings import CallerSettings
+from bramleystair.errors import StepError
+from bramleystair.flows import MessageArrived, Tick, ViewChanged
+from bramleystair.requests import (
+    Call,
+    CallArrived,
+    CallerGone,
+    Dispatcher,
+    DispatcherEvent,
+    LoadSeen,
+    Outcome,
+    PeerLost,
+    Reply,
+    read_ticket,
+)
+from bramleystair.timers import TimerService
+from bramleystair.views import View
+from bramleystair.wire import Envelope, Message, ServiceLoad, StreamClient
+
+log = logging.getLogger("bramleystair.caller")
+
+BAD_REQUEST = 400
+NOT_FOUND = 404
+TOO_LARGE = 413
+UNAVAILABLE = 503
+SOCKET_KEY = "bramleystair.socket"
+# Threads that stay free to refuse calls at once when all others wait.
+SPARE_THREADS = 4
+
+ROUTES = Map(
+    [
+        Rule("/v1/services/<service>/requests", methods=["POST"], endpoint="new"),
+        Rule(
+            "/v1/requests/<ticket>",
+            methods=["PUT", "GET", "DELETE"],
+            endpoint="ticket",
+        ),
+    ]
+)
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Gateway that lets the application see whether its caller is still there."""
+
+    def get_environ(self) -> dict:
+        """Return the environment with the caller's socket."""
+        return {**super().get_environ(), SOCKET_KEY: self.req.conn.socket}
+
+
+class CallerServer:
+    """Serve callers over HTTP/1.1.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Address to listen on; port 0 lets the system choose.
+    name, incarnation : str, int
+        Sender of messages to agents.
+    dispatcher : Dispatcher
+        Decides on requests.
+    timers : TimerService
+        Drives the dispatcher; run by the daemon.
+    settings : CallerSettings
+        Sizes and times.
+    count : callable
+        Called with each count.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        name: str,
+        incarnation: int,
+        dispatcher: Dispatcher,
+        timers: TimerService,
+        settings: CallerSettings,
+        count: Callable[[Count], None],
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._timers = timers
+        self._settings = settings
+        self._count = count
+        self._view = View()
+        self._lock = threading.Lock()
+        self._call_ids = itertools.count(1)
+        self._futures: dict[int, concurrent.futures.Future[Reply]] = {}
+        self._is_stopping = False
+        self._client = StreamClient(name, incarnation, self._receive, self._lose)
+        self._http = wsgi.Server(
+            (host, port),
+            self._serve,
+            numthreads=settings.threads + SPARE_THREADS,
+            request_queue_size=1024,
+            shutdown_timeout=settings.stop_timeout_s,
+        )
+        self._http.gateway = _Gateway
+        self._http.max_request_body_size = settings.max_body_bytes + 1
+        self._server_pool = concurrent.futures.ThreadPoolExecutor(1)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the address that the server listens on."""
+        return self._http.bind_addr
+
+    def start(self) -> None:
+        """Begin to accept calls."""
+        self._http.prepare()
+        self._server_pool.submit(self._http.serve)
+        self._subscription = self._timers.subscribe_every(
+            self._settings.tick_s, lambda now: self._submit(Tick())
+        )
+        log.info("caller: serving on %s:%d", *self.address)
+
+    def stop(self) -> None:
+        """Refuse new calls, finish those in hand and stop."""
+        self._is_stopping = True
+        waiting = list(self._futures.values())
+        concurrent.futures.wait(waiting, self._settings.stop_timeout_s)
+        self._http.stop()
+        self._server_pool.shutdown(wait=True)
+        self._subscription.cancel()
+        self._client.stop()
+        log.info("caller: stopped")
+
+    def set_view(self, view: View) -> None:
+        """Use `view` from now on."""
+        self._view = view
+        self._submit(ViewChanged(view))
+
+    def set_loads(self, server: str, loads: tuple[ServiceLoad, ...]) -> None:
+        """Use the loads that the agent of `server` reported."""
+        self._submit(LoadSeen(server, loads))
+
+    # Events and actions
+
+    def _submit(self, event: DispatcherEvent) -> None:
+        with self._lock:
+            actions = self._dispatcher.handle(event, self._timers.clock.now())
+        for action in actions:
+            match action:
+                case Send(peer, message):
+                    self._send(peer, message)
+                case Reply(call_id):
+                    self._resolve(call_id, action)
+                case Count():
+                    self._count(action)
+
+    def _send(self, peer: str, message: Message) -> None:
+        agent = self._view.agents.get(peer)
+        if agent is None:
+            return
+        sent = self._client.send(peer, (agent.host, agent.port), message)
+        if sent.is_err():
+            self._lose(sent.err())
+
+    def _receive(self, peer: str, envelope: Envelope) -> None:
+        self._submit(MessageArrived(peer, envelope.message))
+
+    def _lose(self, error: StepError) -> None:
+        log.debug("caller: %s", error)
+        self._count(Count("agent_connections_lost", error.step))
+        self._submit(PeerLost(error.peer, str(error)))
+
+    def _resolve(self, call_id: int, reply: Reply) -> None:
+        future = self._futures.get(call_id)
+        if future is not None:
+            future.set_result(reply)
+
+    # HTTP
+
+    def _serve(self, environ: dict, start_response: Callable) -> Response:
+        request = Request(environ)
+        response = self._answer(request)
+        if self._is_stopping:
+            response.headers["Connection"] = "close"
+        return response(environ, start_response)
+
+    def _answer(self, request: Request) -> Response:
+        try:
+            endpoint, values = ROUTES.bind_to_environ(request.environ).match()
+        except HTTPException as error:
+            return error.get_response(request.environ)
+        read = self._read_call(request, endpoint, values)
+        if read.is_err():
+            reply = read.err()
+            self._count(Count("calls_refused", reply.reason))
+            return build_error(reply)
+        return self._carry(request, read.ok())
+
+    def _read_call(
+        self, request: Request, endpoint: str, values: dict
+    ) -> Result[CallArrived, Reply]:
+        call_id = next(self._call_ids)
+        body = self._read_body(request)
+        if body.is_err():
+            return Err(_refuse(call_id, TOO_LARGE, body.err()))
+        deadline_s = self._read_deadline(request)
+        if deadline_s.is_err():
+            return Err(_refuse(call_id, BAD_REQUEST, deadline_s.err()))
+        ticket = read_ticket(values["ticket"]) if endpoint == "ticket" else Ok(b"")
+        if ticket.is_err():
+            return Err(_refuse(call_id, NOT_FOUND, str(ticket.err())))
+        return Ok(
+            CallArrived(
+                call_id,
+                _find_call(request.method, body.ok()),
+                values.get("service", ""),
+                ticket.ok(),
+                body.ok(),
+                request.content_type or "",
+                request.headers.get("Idempotent", "").lower() == "true",
+                deadline_s.ok(),
+            )
+        )
+
+    def _read_body(self, request: Request) -> Result[bytes, str]:
+        limit = self._settings.max_body_bytes
+        if (request.content_length or 0) > limit:
+            return Err("too_large")
+        is_chunked = request.environ.get("wsgi.input_terminated", False)
+        if not request.content_length and not is_chunked:
+            return Ok(b"")
+        length = limit + 1 if is_chunked else request.content_length
+        body = request.environ["wsgi.input"].read(length)
+        if len(body) > limit:
+            return Err("too_large")
+        if not is_chunked and len(body) != length:
+            return Err("truncated")
+        return Ok(body)
+
+    def _read_deadline(self, request: Request) -> Result[float | None, str]:
+        text = request.headers.get("Deadline-Ms")
+        if text is None:
+            return Ok(None)
+        limit_ms = int(self._settings.max_deadline_s * 1000)
+        if not text.isdecimal() or not 0 < int(text) <= limit_ms:
+            return Err(f"Deadline-Ms must be 1 to {limit_ms}")
+        return Ok(int(text) / 1000)
+
+    def _carry(self, request: Request, call: CallArrived) -> Response:
+        refusal = self._find_refusal()
+        if refusal:
+            self._count(Count("calls_refused", refusal))
+            return build_error(_refuse(call.call_id, UNAVAILABLE, refusal))
+        future: concurrent.futures.Future[Reply] = concurrent.futures.Future()
+        self._futures[call.call_id] = future
+        try:
+            self._submit(call)
+            return self._wait(request, call, future)
+        finally:
+            del self._futures[call.call_id]
+
+    def _find_refusal(self) -> str:
+        if self._is_stopping:
+            return "stopping"
+        return "busy" if len(self._futures) >= self._settings.threads else ""
+
+    def _wait(
+        self,
+        request: Request,
+        call: CallArrived,
+        future: concurrent.futures.Future[Reply],
+    ) -> Response:
+        sock = request.environ[SOCKET_KEY]
+        while True:
+            try:
+                return build_response(future.result(self._settings.disconnect_poll_s))
+            except TimeoutError:
+                if not _is_connected(sock):
+                    self._submit(CallerGone(call.call_id))
+                    return Response(status=UNAVAILABLE)
+
+
+def _find_call(method: str, body: bytes) -> Call:
+    if method == "POST":
+        return Call.POST if body else Call.RESERVE
+    return Call(method.lower())
+
+
+def _refuse(call_id: int, status: int, reason: str) -> Reply:
+    retry_after_s = 1.0 if status == UNAVAILABLE else None
+    return Reply(
+        call_id,
+        status,
+        Outcome.NOT_RUN,
+        reason,
+        "read call",
+        retry_after_s=retry_after_s,
+    )
+
+
+def _is_connected(sock: socket.socket) -> bool:
+    """Return whether the peer has neither closed nor reset the connection."""
+    try:
+        readable, _, _ = select.select([sock], [], [], 0)
+        return not readable or bool(sock.recv(1, socket.MSG_PEEK))
+    except (OSError, ValueError):
+        return False
