Add settings with a declared schema

The daemons need settings whose mistakes are found before start. load_settings structures JSON with comments into attrs classes, refuses unknown options and wrong types, and returns every mistake of a file at once with file, option, value and what is allowed.

--- /dev/null
+++ b/src/bramleystair/settings/__init__.py
@@ -0,0 +1,25 @@
+"""Validated settings, read from JSON with comments."""
+
+from bramleystair.settings._loader import (
+    SettingsError,
+    check_settings,
+    load_settings,
+    option,
+)
+from bramleystair.settings._schemas import (
+    AgentSettings,
+    BackendSettings,
+    BalancerSettings,
+    FabricSettings,
+)
+
+__all__ = [
+    "AgentSettings",
+    "BackendSettings",
+    "BalancerSettings",
+    "FabricSettings",
+    "SettingsError",
+    "check_settings",
+    "load_settings",
+    "option",
+]
--- /dev/null
+++ b/src/bramleystair/settings/_schemas.py
@@ -0,0 +1,144 @@
+"""Declared options of the daemons."""
+
+import attrs
+
+from bramleystair.settings._loader import option
+
+MAX_PORT = 65_535
+MAX_NETWORK_ID = 2**24 - 1
+
+
+@attrs.frozen
+class FabricSettings:
+    """Options of the connection with the network fabric.
+
+    Parameters
+    ----------
+    port : int
+        UDP port on which a balancer receives Geneve packets.
+    reply_endpoints : tuple of str
+        Addresses to which an agent sends replies as Geneve packets.
+    network_id : int
+        Virtual network identifier of every Geneve packet; others are refused.
+    receive_buffer_bytes : int
+        Size of the socket's receive buffer.
+    """
+
+    port: int = option(6081, minimum=0, maximum=MAX_PORT)
+    reply_endpoints: tuple[str, ...] = option((), is_endpoint=True)
+    network_id: int = option(0, minimum=0, maximum=MAX_NETWORK_ID)
+    receive_buffer_bytes: int = option(4_194_304, minimum=65_536)
+
+
+@attrs.frozen
+class BackendSettings:
+    """Options of the connection with the backend server.
+
+    Parameters
+    ----------
+    host : str
+        IP address of the backend server.
+    flow_port : int
+        UDP port for the packets of flows; 0 keeps the port of the service.
+    http_port : int
+        TCP port of its HTTP endpoint for requests.
+    delivery : str
+        How packets reach it: a UDP socket per flow, or a TUN device.
+    tun_device : str
+        Name of the TUN device, which the operator has created.
+    """
+
+    host: str = option("127.0.0.1", is_ip_address=True)
+    flow_port: int = option(0, minimum=0, maximum=MAX_PORT)
+    http_port: int = option(8000, minimum=1, maximum=MAX_PORT)
+    delivery: str = option("udp", choices=("udp", "tun"))
+    tun_device: str = option("bramley0")
+
+
+@attrs.frozen
+class BalancerSettings:
+    """Options of `bramleystair-balancer`.
+
+    Parameters
+    ----------
+    node : str
+        Name of this balancer, unique in the system.
+    zone : str
+        Availability zone in which it runs.
+    region : str
+        Region of the availability zone.
+    host : str
+        IP address on which every port is opened.
+    message_port : int
+        UDP port for messages from agents and other balancers.
+    http_port : int
+        TCP port for requests of callers.
+    metrics_port : int
+        TCP port of `/metrics` and `/healthz`.
+    platform : str
+        URL of the platform; empty to learn from peers only.
+    seeds : tuple of str
+        Balancers from which a new node learns when the platform is down.
+    stop_limit_s : float
+        Longest wait for requests in hand after SIGTERM.
+    fabric : FabricSettings
+        Connection with the network fabric.
+    """
+
+    node: str = option()
+    zone: str = option()
+    region: str = option()
+    host: str = option("127.0.0.1", is_ip_address=True)
+    message_port: int = option(7946, minimum=1, maximum=MAX_PORT)
+    http_port: int = option(8080, minimum=1, maximum=MAX_PORT)
+    metrics_port: int = option(9100, minimum=0, maximum=MAX_PORT)
+    platform: str = option("")
+    seeds: tuple[str, ...] = option((), is_endpoint=True)
+    stop_limit_s: float = option(30.0, minimum=0)
+    fabric: FabricSettings = option(FabricSettings)
+
+
+@attrs.frozen
+class AgentSettings:
+    """Options of `bramleystair-agent`.
+
+    Parameters
+    ----------
+    server : str
+        Name of the backend server, as in the tables.
+    zone : str
+        Availability zone in which it runs.
+    region : str
+        Region of the availability zone.
+    services : tuple of str
+        Services that the backend server can serve.
+    host : str
+        IP address on which every port is opened, and which is announced.
+    message_port : int
+        UDP port for messages, and TCP port for requests.
+    metrics_port : int
+        TCP port of `/metrics` and `/healthz`.
+    platform : str
+        URL of the platform; empty to learn from peers only.
+    seeds : tuple of str
+        Balancers from which a new agent learns when the platform is down.
+    drain_limit_s : float
+        Longest wait for flows and requests to end after SIGTERM.
+    fabric : FabricSettings
+        Connection with the network fabric.
+    backend : BackendSettings
+        Connection with the backend server.
+    """
+
+    server: str = option()
+    zone: str = option()
+    region: str = option()
+    services: tuple[str, ...] = option(())
+    host: str = option("127.0.0.1", is_ip_address=True)
+    message_port: int = option(7947, minimum=1, maximum=MAX_PORT)
+    metrics_port: int = option(9101, minimum=0, maximum=MAX_PORT)
+    platform: str = option("")
+    seeds: tuple[str, ...] = option((), is_endpoint=True)
+    drain_limit_s: float = option(3600.0, minimum=0)
+    fabric: FabricSettings = option(FabricSettings)
+    backend: BackendSettings = option(BackendSettings)
