--- /dev/null
+++ b/src/bramleystair/metrics/__init__.py
@@ -0,0 +1,6 @@
+"""Counters and gauges of a process, and the endpoint that publishes them."""
+
+from bramleystair.metrics._registry import Metrics
+from bramleystair.metrics._server import MetricsServer
+
+__all__ = ["Metrics", "MetricsServer"]
--- /dev/null
+++ b/src/bramleystair/metrics/_registry.py
@@ -0,0 +1,70 @@
+"""Counters by name and reason, and gauges."""
+
+import threading
+from collections import Counter
+
+import aioprometheus
+
+PREFIX = "bramleystair"
+
+
+class Metrics:
+    """Counters and gauges of one process.
+
+    Parameters
+    ----------
+    labels : dict of str to str
+        Labels of every value, for example the node.
+    """
+
+    def __init__(self, labels: dict[str, str] | None = None) -> None:
+        self._labels = labels or {}
+        self._counts: Counter[tuple[str, str]] = Counter()
+        self._gauges: dict[tuple[str, str], float] = {}
+        self._lock = threading.Lock()
+
+    def count(self, name: str, reason: str = "", amount: int = 1) -> None:
+        """Raise the counter `name` with the label `reason` by `amount`."""
+        with self._lock:
+            self._counts[name, reason] += amount
+
+    def set_gauge(self, name: str, value: float, subject: str = "") -> None:
+        """Set the gauge `name`, of `subject` where there are several."""
+        with self._lock:
+            self._gauges[name, subject] = value
+
+    def get_count(self, name: str, reason: str | None = None) -> int:
+        """Return a counter's value, summed over all reasons without one."""
+        with self._lock:
+            return sum(
+                value
+                for (known, why), value in self._counts.items()
+                if known == name and reason in (None, why)
+            )
+
+    def render(self, accepts: tuple[str, ...] = ("text/plain",)) -> tuple[bytes, dict]:
+        """Return the body and the headers of a response to `/metrics`."""
+        registry = aioprometheus.Registry()
+        with self._lock:
+            counts = dict(self._counts)
+            gauges = dict(self._gauges)
+        collectors = {}
+        for (name, reason), value in counts.items():
+            labels = {"reason": reason} if reason else {}
+            full_name = f"{PREFIX}_{name}_total"
+            collector = self._get(collectors, aioprometheus.Counter, full_name)
+            collector.set(labels, value)
+        for (name, subject), value in gauges.items():
+            labels = {"subject": subject} if subject else {}
+            collector = self._get(collectors, aioprometheus.Gauge, f"{PREFIX}_{name}")
+            collector.set(labels, value)
+        for collector in collectors.values():
+            registry.register(collector)
+        return aioprometheus.render(registry, accepts)
+
+    def _get(self, collectors: dict, kind: type, name: str):
+        if name not in collectors:
+            collectors[name] = kind(
+                name, name.replace("_", " "), const_labels=dict(self._labels)
+            )
+        return collectors[name]
--- /dev/null
+++ b/src/bramleystair/metrics/_server.py
@@ -0,0 +1,77 @@
+"""HTTP server of `/metrics` and `/healthz`."""
+
+import json
+import threading
+from collections.abc import Callable
+
+from cheroot.wsgi import Server
+from werkzeug import Request, Response
+
+from bramleystair.metrics._registry import Metrics
+
+THREADS = 2
+
+
+class MetricsServer:
+    """Serve the metrics and the health of this process.
+
+    Parameters
+    ----------
+    host : str
+        IP address to listen on.
+    port : int
+        TCP port; 0 picks a free one.
+    metrics : Metrics
+        What `/metrics` renders.
+    get_health : callable
+        Returns the process's state; `/healthz` answers 503 unless its value
+        ``"ready"`` is true.
+    before_render : callable, optional
+        Called before each response, to set gauges.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        metrics: Metrics,
+        get_health: Callable[[], dict],
+        before_render: Callable[[], None] | None = None,
+    ) -> None:
+        self._metrics = metrics
+        self._get_health = get_health
+        self._before_render = before_render
+        self._server = Server(
+            (host, port), self._respond, numthreads=THREADS, max=THREADS
+        )
+        self._thread = threading.Thread(
+            target=self._server.serve, name="metrics", daemon=True
+        )
+
+    def start(self) -> None:
+        """Open the port and serve on threads of its own."""
+        self._server.prepare()
+        self._thread.start()
+
+    @property
+    def port(self) -> int:
+        """Port that was opened."""
+        return self._server.bind_addr[1]
+
+    def close(self) -> None:
+        """Close the port and wait for the threads."""
+        self._server.stop()
+        self._thread.join()
+
+    @Request.application
+    def _respond(self, request: Request) -> Response:
+        if request.path == "/healthz":
+            health = self._get_health()
+            status = 200 if health.get("ready") else 503
+            return Response(json.dumps(health), status, mimetype="application/json")
+        if request.path != "/metrics":
+            return Response("not found\n", 404)
+        if self._before_render is not None:
+            self._before_render()
+        body, headers = self._metrics.render()
+        return Response(body, headers=headers)
