Reuse the constant part of encoded forwards

Encoding a Forward by the library takes most of the time that the balancer spends on a packet. The library places flow and packet last, so everything before them is the same for all packets of one length and is now kept. Before 4.9 us, after 0.56 us, both measured in one run of timeit with 600-byte packets: a ratio of 0.11.

--- a/src/bramleystair/wire/_codec.py
+++ b/src/bramleystair/wire/_codec.py
@@ -21,6 +21,10 @@
 # reader of the stream, and the traversal limit of the library bounds the rest.
 MAX_DATAGRAM_BYTES = 65_507
 
+# Some packet lengths for each service; a version change leaves old entries to expire.
+PREFIX_CACHE_SIZE = 16_384
+PADDING = tuple(bytes(-size % 8) for size in range(8))
+
 
 @attrs.frozen
 class _Field:
@@ -42,17 +46,54 @@
 
 def encode_forward(sender: str, incarnation: int, message: Forward) -> bytes:
     """Return the bytes of a forward; separate because it is sent for each packet."""
+    flow, packet = message.flow, message.packet
+    prefix = build_forward_prefix(
+        sender,
+        incarnation,
+        message.service_id,
+        message.table_version,
+        message.hops,
+        message.place,
+        len(flow),
+        len(packet),
+    )
+    return b"".join(
+        (prefix, flow, PADDING[len(flow) & 7], packet, PADDING[len(packet) & 7])
+    )
+
+
+@functools.lru_cache(maxsize=PREFIX_CACHE_SIZE)
+def build_forward_prefix(
+    sender: str,
+    incarnation: int,
+    service_id: int,
+    table_version: int,
+    hops: int,
+    place: bool,
+    flow_bytes: int,
+    packet_bytes: int,
+) -> bytes:
+    """Return what precedes flow and packet in the bytes of a forward.
+
+    The library places flow and packet last, each padded to 8 bytes, so everything
+    before them is the same for all packets of one length.
+    """
     envelope = _new_envelope()
     envelope.sender = sender
     envelope.incarnation = incarnation
     body = envelope.init("forward")
-    body.serviceId = message.service_id
-    body.tableVersion = message.table_version
-    body.flow = message.flow
-    body.hops = message.hops
-    body.place = message.place
-    body.packet = message.packet
-    return envelope.to_bytes()
+    body.serviceId = service_id
+    body.tableVersion = table_version
+    body.flow = bytes(flow_bytes)
+    body.hops = hops
+    body.place = place
+    body.packet = bytes(packet_bytes)
+    data = envelope.to_bytes()
+    return data[: len(data) - _round_up(flow_bytes) - _round_up(packet_bytes)]
+
+
+def _round_up(size: int) -> int:
+    return (size + 7) & ~7
 
 
 def decode(data: bytes, peer: str = "") -> Result[Envelope, StepError]:
