Read forwards without the library

Reading a Forward through the library's accessors costs more than the rest of an agent's work on a packet. Forwards in the library's own layout are now read with two struct calls; pointers are compared with the only values that the layout allows, and anything else is left to the library. A generated test compares both paths on forwards with changed bits.

--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bramleystair.wire import Envelope, Forward, Message, decode, encode
+from bramleystair.wire import Envelope, Forward, Message, _codec, decode, encode
 
 U8 = st.integers(0, 2**8 - 1)
 TEXT = st.text(st.characters(codec="utf-8", exclude_characters="\0"), max_size=20)
@@ -93,3 +93,47 @@
 def check_cut(context):
     assert context.results
     assert all(result.ok() != context.original for result in context.results)
+
+
+@when("generated forwards are encoded, changed by a few bits and decoded")
+def change_forwards(context):
+    context.encoded, context.read = [], []
+    positions = st.lists(st.tuples(st.integers(0, 200), st.integers(0, 7)), max_size=3)
+
+    @settings(max_examples=600)
+    @given(TEXT, build_strategy(Forward), positions)
+    def run(sender, message, changes):
+        data = bytearray(encode(sender, 7, message))
+        context.encoded.append((bytes(data), write_with_library(sender, message)))
+        for position, bit in changes:
+            data[position % len(data)] ^= 1 << bit
+        fast = _codec._read_forward(bytes(data))
+        if fast is not None:
+            context.read.append((fast, read_with_library(bytes(data))))
+
+    run()
+
+
+def write_with_library(sender, message):
+    envelope = _codec._new_envelope(sender=sender, incarnation=7)
+    envelope.init("forward").from_dict(_codec._build_dict(message))
+    return envelope.to_bytes()
+
+
+def read_with_library(data):
+    with _codec._schema.Envelope.from_bytes(data) as envelope:
+        return _codec._read_envelope(envelope)
+
+
+@then("the bytes equal the library's")
+def check_encoded(context):
+    assert context.encoded
+    for fast, library in context.encoded:
+        assert fast == library
+
+
+@then("what the fast path reads equals what the library reads")
+def check_read(context):
+    assert len(context.read) > 200
+    for fast, library in context.read:
+        assert fast == library, (fast, library)
--- a/features/wire.feature
+++ b/features/wire.feature
@@ -14,3 +14,10 @@
   Scenario: Truncated messages are refused
     When generated forwards are cut at every length
     Then no cut forward is decoded as the original
+
+  # Guards against a fast path for forwards that accepts or writes other bytes than the
+  # library of the format.
+  Scenario: Forwards are written and read as the library does
+    When generated forwards are encoded, changed by a few bits and decoded
+    Then the bytes equal the library's
+    And what the fast path reads equals what the library reads
--- a/src/bramleystair/wire/_codec.py
+++ b/src/bramleystair/wire/_codec.py
@@ -1,6 +1,7 @@
 """Conversion between typed messages and Cap'n Proto bytes."""
 
 import functools
+import struct
 import typing
 from pathlib import Path
 
@@ -25,6 +26,24 @@
 PREFIX_CACHE_SIZE = 16_384
 PADDING = tuple(bytes(-size % 8) for size in range(8))
 
+# Layout of a forward as the library writes it: the envelope (incarnation, kind, two
+# pointers), the sender's text, the body (service, version, flags, two pointers), the
+# flow and the packet. Pointers are as in the Cap'n Proto encoding: a list of bytes has
+# kind 1 and element size 2, and the length is in the upper bits.
+_ENVELOPE_START = struct.Struct("<IIQQQQQ")
+_BODY_STRUCT = struct.Struct("<QQQQQ")
+_ENVELOPE_BYTES = _ENVELOPE_START.size
+_FORWARD_MIN_BYTES = _ENVELOPE_BYTES + _BODY_STRUCT.size
+_OFFSET_SHIFT = 2
+_LENGTH_SHIFT = 35
+_LOW_BITS = (1 << _LENGTH_SHIFT) - 1
+_ROOT = 2 << 32 | 2 << 48
+_BODY = 3 << 32 | 2 << 48
+_BYTE_LIST = 2 << 32 | 1
+_FIRST_BYTE_LIST = _BYTE_LIST + (1 << _OFFSET_SHIFT)
+_HOPS_MASK = 0xFF
+_FLAGS_MASK = 0x1FF
+
 
 @attrs.frozen
 class _Field:
@@ -111,6 +130,9 @@
     Result of Envelope or StepError
         The error covers truncated, malformed and unknown messages.
     """
+    envelope = _read_forward(data)
+    if envelope is not None:
+        return Ok(envelope)
     try:
         with _schema.Envelope.from_bytes(data) as envelope:
             return Ok(_read_envelope(envelope))
@@ -119,6 +141,61 @@
         return Err(StepError("decode message", peer, detail))
 
 
+def _read_forward(data: bytes) -> Envelope | None:
+    """Return the envelope of a forward in the library's own layout.
+
+    Anything else, valid or not, gives None and is left to the library. Pointers are
+    compared with the only values that they have in that layout, so lengths that do not
+    fit the data are never followed.
+    """
+    if len(data) < _FORWARD_MIN_BYTES:
+        return None
+    segments, words, root, incarnation, kind, sender_pointer, body_pointer = (
+        _ENVELOPE_START.unpack_from(data)
+    )
+    if segments or 8 * words + 8 != len(data) or root != _ROOT or kind:
+        return None
+    sender_bytes = sender_pointer >> _LENGTH_SHIFT
+    sender_words = (sender_bytes + 7) >> 3
+    body = _ENVELOPE_BYTES + 8 * sender_words
+    if (
+        not sender_bytes
+        or sender_pointer & _LOW_BITS != _FIRST_BYTE_LIST
+        or body_pointer != _BODY | sender_words << _OFFSET_SHIFT
+        or body + _BODY_STRUCT.size > len(data)
+    ):
+        return None
+    service_id, version, flags, flow_pointer, packet_pointer = _BODY_STRUCT.unpack_from(
+        data, body
+    )
+    flow = body + _BODY_STRUCT.size
+    flow_bytes = flow_pointer >> _LENGTH_SHIFT
+    flow_words = (flow_bytes + 7) >> 3
+    packet = flow + 8 * flow_words
+    packet_bytes = packet_pointer >> _LENGTH_SHIFT
+    if (
+        flow_pointer & _LOW_BITS != _FIRST_BYTE_LIST
+        or packet_pointer & _LOW_BITS != _BYTE_LIST + (flow_words << _OFFSET_SHIFT)
+        or packet + ((packet_bytes + 7) & ~7) != len(data)
+        or flags & ~_FLAGS_MASK
+        or data[_ENVELOPE_BYTES + sender_bytes - 1]
+    ):
+        return None
+    try:
+        sender = data[_ENVELOPE_BYTES : _ENVELOPE_BYTES + sender_bytes - 1].decode()
+    except UnicodeDecodeError:
+        return None
+    message = Forward(
+        service_id,
+        version,
+        data[flow : flow + flow_bytes],
+        flags & _HOPS_MASK,
+        flags > _HOPS_MASK,
+        data[packet : packet + packet_bytes],
+    )
+    return Envelope(sender, incarnation, message)
+
+
 def _read_envelope(envelope) -> Envelope:
     union_name = str(envelope.which())
     body = getattr(envelope, union_name)
