--- a/src/bramleystair/backend/_delivery.py
+++ b/src/bramleystair/backend/_delivery.py
@@ -11,8 +11,8 @@
     build_datagram,
     format_endpoint,
     read_payload,
-    reverse_flow_key,
 )
+from bramleystair.packets import reverse_flow
 
 MAX_DATAGRAM_BYTES = 65_535
 POLL_S = 0.5
@@ -140,7 +140,7 @@
             except OSError:
                 connection.close()
                 return None
-            entry = _FlowSocket(connection, flow, reverse_flow_key(flow))
+            entry = _FlowSocket(connection, flow, reverse_flow(flow))
             self._flows[flow] = entry
             self._by_descriptor[connection.fileno()] = entry
         return entry
--- a/src/bramleystair/backend/_tun.py
+++ b/src/bramleystair/backend/_tun.py
@@ -8,8 +8,9 @@
 import threading
 
 from bramleystair.backend._delivery import POLL_S, ReplyHandler
-from bramleystair.fabric import compute_checksum, read_flow_key, reverse_flow_key
+from bramleystair.fabric import compute_checksum, read_flow_key
 from bramleystair.fabric._datagrams import IPV4_KEY_BYTES
+from bramleystair.packets import reverse_flow
 from bramleystair.tables import Protocol
 
 MAX_PACKET_BYTES = 65_535
@@ -103,7 +104,7 @@
         os.close(self._descriptor)
 
     def _get_reply_key(self, flow: bytes) -> bytes:
-        reverse = reverse_flow_key(flow)
+        reverse = reverse_flow(flow)
         if not self._address:
             return reverse
         return reverse[:1] + self._address + reverse[1 + ADDRESS_BYTES :]
--- a/src/bramleystair/fabric/__init__.py
+++ b/src/bramleystair/fabric/__init__.py
@@ -6,7 +6,6 @@
     compute_checksum,
     read_flow_key,
     read_payload,
-    reverse_flow_key,
 )
 from bramleystair.fabric._geneve import build_header, decapsulate, encapsulate
 from bramleystair.fabric._sockets import (
@@ -29,5 +28,4 @@
     "parse_endpoint",
     "read_flow_key",
     "read_payload",
-    "reverse_flow_key",
 ]
--- a/src/bramleystair/fabric/_datagrams.py
+++ b/src/bramleystair/fabric/_datagrams.py
@@ -3,6 +3,7 @@
 import ipaddress
 import struct
 
+from bramleystair.packets import read_headers
 from bramleystair.tables import Protocol
 
 IPV4_HEADER_BYTES = 20
@@ -45,40 +46,20 @@
     )
 
 
-def reverse_flow_key(flow: bytes) -> bytes:
-    """Return the key of the opposite direction."""
-    size = (len(flow) - 5) // 2
-    source, destination = flow[1 : 1 + size], flow[1 + size : 1 + 2 * size]
-    ports = flow[1 + 2 * size :]
-    return flow[:1] + destination + source + ports[2:] + ports[:2]
-
-
 def read_flow_key(packet: bytes) -> bytes | None:
-    """Return the flow key of an unfragmented TCP or UDP packet, or None."""
-    if not packet:
-        return None
-    if packet[0] >> 4 == 4:
-        start = (packet[0] & 0x0F) * 4
-        if start < IPV4_HEADER_BYTES or len(packet) < start + 4:
-            return None
-        if packet[6] & 0x3F or packet[7]:
-            return None
-        return packet[9:10] + packet[12:20] + packet[start : start + 4]
-    if packet[0] >> 4 == 6 and len(packet) >= IPV6_HEADER_BYTES + 4:
-        end = IPV6_HEADER_BYTES + 4
-        return packet[6:7] + packet[8:40] + packet[IPV6_HEADER_BYTES:end]
-    return None
+    """Return the flow key of a whole TCP or UDP packet, or None."""
+    headers = read_headers(packet).ok()
+    return None if headers is None else headers.flow
 
 
 def read_payload(packet: bytes) -> bytes | None:
     """Return the payload of an inner UDP packet, or None when it is malformed."""
-    if read_flow_key(packet) is None:
+    headers = read_headers(packet).ok()
+    if headers is None or headers.protocol != Protocol.UDP:
         return None
-    if packet[0] >> 4 == 4:
-        protocol, start = packet[9], (packet[0] & 0x0F) * 4
-    else:
-        protocol, start = packet[6], IPV6_HEADER_BYTES
-    if protocol != Protocol.UDP or len(packet) < start + UDP_HEADER_BYTES:
+    is_ipv4 = packet[0] >> 4 == 4
+    start = (packet[0] & 0x0F) * 4 if is_ipv4 else IPV6_HEADER_BYTES
+    if not is_ipv4 and packet[6] != Protocol.UDP:
         return None
     length = int.from_bytes(packet[start + 4 : start + 6], "big")
     if not UDP_HEADER_BYTES <= length <= len(packet) - start:
