--- a/src/bramleystair/settings/__init__.py
+++ b/src/bramleystair/settings/__init__.py
@@ -11,6 +11,9 @@
     BackendSettings,
     BalancerSettings,
     FabricSettings,
+    SeedSettings,
+    VersionSettings,
+    build_peers,
 )
 
 __all__ = [
@@ -18,7 +21,10 @@
     "BackendSettings",
     "BalancerSettings",
     "FabricSettings",
+    "SeedSettings",
     "SettingsError",
+    "VersionSettings",
+    "build_peers",
     "check_settings",
     "load_settings",
     "option",
--- a/src/bramleystair/settings/_schemas.py
+++ b/src/bramleystair/settings/_schemas.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from bramleystair.flows import FlowSettings
+from bramleystair.replicas import Peer, ReplicaSettings
 from bramleystair.settings._loader import option
 
 MAX_PORT = 65_535
@@ -55,6 +57,73 @@
     tun_device: str = option("bramley0")
 
 
+@attrs.frozen
+class SeedSettings:
+    """A balancer that is known before any announcement.
+
+    Parameters
+    ----------
+    name : str
+        Name of the balancer.
+    host : str
+        Its IP address.
+    port : int
+        Its UDP port for messages.
+    """
+
+    name: str = option()
+    host: str = option(is_ip_address=True)
+    port: int = option(minimum=1, maximum=MAX_PORT)
+
+
+@attrs.frozen
+class VersionSettings:
+    """Options of the spread of versions, of membership and of leases.
+
+    Parameters
+    ----------
+    fanout : int
+        Peers to which a new version is announced.
+    heartbeat_period_s : float
+        Interval between heartbeats.
+    digest_period_s : float
+        Interval between digests.
+    down_after_s : float
+        Silence after which a member is reported down.
+    lease_renew_s : float
+        Interval between lease renewals; a lease lasts three times as long.
+    watchers_per_zone : int
+        Balancers that watch the platform in each availability zone.
+    datagram_bytes : int
+        Size to which messages are filled; a larger object travels alone.
+    """
+
+    fanout: int = option(4, minimum=1)
+    heartbeat_period_s: float = option(1.0, minimum=0.1)
+    digest_period_s: float = option(1.0, minimum=0.1)
+    down_after_s: float = option(3.0, minimum=0.5)
+    lease_renew_s: float = option(120.0, minimum=1)
+    watchers_per_zone: int = option(2, minimum=1)
+    datagram_bytes: int = option(1_200, minimum=512, maximum=60_000)
+
+    def build(
+        self, host: str, port: int, seeds: tuple[SeedSettings, ...], http_port: int = 0
+    ) -> ReplicaSettings:
+        """Return the settings of a replica at an address."""
+        return ReplicaSettings(
+            host=host,
+            port=port,
+            http_port=http_port,
+            seeds=build_peers(seeds),
+            **attrs.asdict(self),
+        )
+
+
+def build_peers(seeds: tuple[SeedSettings, ...]) -> tuple[Peer, ...]:
+    """Return the seeds as the replicas name them."""
+    return tuple(Peer(seed.name, seed.host, seed.port) for seed in seeds)
+
+
 @attrs.frozen
 class BalancerSettings:
     """Options of `bramleystair-balancer`.
@@ -77,12 +146,14 @@
         TCP port of `/metrics` and `/healthz`.
     platform : str
         URL of the platform; empty to learn from peers only.
-    seeds : tuple of str
+    seeds : tuple of SeedSettings
         Balancers from which a new node learns when the platform is down.
     stop_limit_s : float
         Longest wait for requests in hand after SIGTERM.
     fabric : FabricSettings
         Connection with the network fabric.
+    versions : VersionSettings
+        Spread of versions, membership and leases.
     """
 
     node: str = option()
@@ -93,9 +164,10 @@
     http_port: int = option(8080, minimum=1, maximum=MAX_PORT)
     metrics_port: int = option(9100, minimum=0, maximum=MAX_PORT)
     platform: str = option("")
-    seeds: tuple[str, ...] = option((), is_endpoint=True)
+    seeds: tuple[SeedSettings, ...] = option(())
     stop_limit_s: float = option(30.0, minimum=0)
     fabric: FabricSettings = option(FabricSettings)
+    versions: VersionSettings = option(VersionSettings)
 
 
 @attrs.frozen
@@ -120,7 +192,7 @@
         TCP port of `/metrics` and `/healthz`.
     platform : str
         URL of the platform; empty to learn from peers only.
-    seeds : tuple of str
+    seeds : tuple of SeedSettings
         Balancers from which a new agent learns when the platform is down.
     drain_limit_s : float
         Longest wait for flows and requests to end after SIGTERM.
@@ -128,6 +200,10 @@
         Connection with the network fabric.
     backend : BackendSettings
         Connection with the backend server.
+    flows : FlowSettings
+        Limits and intervals of the flow decisions.
+    versions : VersionSettings
+        Spread of versions, membership and leases.
     """
 
     server: str = option()
@@ -138,7 +214,9 @@
     message_port: int = option(7947, minimum=1, maximum=MAX_PORT)
     metrics_port: int = option(9101, minimum=0, maximum=MAX_PORT)
     platform: str = option("")
-    seeds: tuple[str, ...] = option((), is_endpoint=True)
+    seeds: tuple[SeedSettings, ...] = option(())
     drain_limit_s: float = option(3600.0, minimum=0)
     fabric: FabricSettings = option(FabricSettings)
     backend: BackendSettings = option(BackendSettings)
+    flows: FlowSettings = option(FlowSettings)
+    versions: VersionSettings = option(VersionSettings)
