Repeat placements until one member has decided

Cause: a lost reply to a placement could leave a flow with two owners; a member without a fresh load report looked full; only three members were ever tried. Change: a refusal is remembered for as long as the home repeats the placement; a placement that the home gave up is withdrawn from a member that had accepted it; members without a report come after those with one; flows placed since the last report are added to it; up to six members are tried.

--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -8,7 +8,7 @@
 from bramleystair.flows._entries import FlowEntry, WaitingFlow
 from bramleystair.flows._events import FlowAction, FlowEvent
 from bramleystair.flows._outbox import Outbox
-from bramleystair.flows._placement import Load, rank_targets
+from bramleystair.flows._placement import Load, Placement
 from bramleystair.flows._redirects import Redirects
 from bramleystair.flows._services import Service, Services
 from bramleystair.flows._settings import FlowSettings
@@ -54,7 +54,6 @@
         self._server = server
         self._incarnation = incarnation
         self._settings = settings
-        self._random = random
         self._services = Services(server, zone, settings.change_window_s)
         self._cold_start = ColdStart(settings.initial_fraction, settings.warm_up_s)
         self._admission = Admission(settings, self._cold_start)
@@ -63,7 +62,8 @@
         self._redirects = Redirects()
         self._rotated_s: float | None = None
         self._waiting: dict[bytes, WaitingFlow] = {}
-        self._loads: dict[tuple[int, str], tuple[float, ServiceLoad]] = {}
+        self._placement = Placement(server, settings, random)
+        self._refusals: dict[bytes, tuple[float, str]] = {}
         self._now = 0.0
         self._outbox = Outbox()
 
@@ -120,8 +120,7 @@
             case RedirectDrop(service_id, flows, owner):
                 self._drop_redirects(service_id, flows, owner)
             case LoadReport(loads):
-                for load in loads:
-                    self._loads[load.service_id, sender] = (self._now, load)
+                self._placement.take_report(sender, loads, self._now)
 
     def _handle_forward(self, sender: str, message: Forward) -> None:
         result = read_headers(message.packet)
@@ -131,9 +130,7 @@
         headers = result.unwrap()
         entry = self._flows.get(message.flow)
         if entry is not None and entry.service_id == message.service_id:
-            self._deliver(entry, headers, message.packet)
-            if message.place:
-                self._reply_place(sender, message, "")
+            self._handle_owned(sender, entry, message, headers)
             return
         service = self._services.get(message.service_id)
         if service is None or service.row is None:
@@ -148,6 +145,16 @@
             return
         self._hold_unknown(sender, service, message, headers)
 
+    def _handle_owned(
+        self, sender: str, entry: FlowEntry, message: Forward, headers: PacketHeaders
+    ) -> None:
+        if message.place:
+            self._reply_place(sender, message, "")
+            if headers.protocol == Protocol.UDP:
+                # A repeated placement; the datagram was delivered with the first one.
+                return
+        self._deliver(entry, headers, message.packet)
+
     def _refuse_service(self, sender: str, message: Forward) -> None:
         self._outbox.count("flow_refused", "wrong_service")
         if message.place:
@@ -305,37 +312,20 @@
         self._outbox.count("packet_dropped", "unknown_reset")
 
     def _place_flow(self, flow: bytes, waiting: WaitingFlow) -> None:
+        service = self._services.get(waiting.service_id)
+        own = self._find_own_load(service)
         waiting.deadline_s = self._now + self._settings.place_timeout_s
-        waiting.targets = self._choose_targets(waiting.service_id)
+        waiting.targets = self._placement.rank(service, own, self._now)
         self._try_target(flow, waiting)
 
-    def _choose_targets(self, service_id: int) -> list[str]:
-        candidates = self._services.get(service_id).candidates
-        loads = [
-            self._read_load(service_id, candidate.server, candidate.weight)
-            for candidate in candidates
-        ]
-        others = [load.server for load in loads if load.server != self._server]
-        considered = self._random.sample(others, min(2, len(others)))
-        if len(others) < len(loads):
-            considered.append(self._server)
-        if not considered:
-            return []
-        return rank_targets(
-            self._server, considered, loads, self._settings.place_margin
-        )
-
-    def _read_load(self, service_id: int, server: str, weight: float) -> Load:
-        service = self._services.get(service_id)
-        member = service.table.get_member(server)
-        if server == self._server:
-            flows = self._flow_counts.get(service_id, 0)
-            return Load(server, weight, flows, self._compute_limit(service))
-        known = self._loads.get((service_id, server))
-        if known is None or self._now - known[0] > self._settings.load_fresh_s:
-            return Load(server, weight, member.max_flows, member.max_flows)
-        limit = min(member.max_flows, known[1].flow_limit)
-        return Load(server, weight, known[1].flows, limit)
+    def _find_own_load(self, service: Service) -> Load | None:
+        if service.row is None or service.row.weight <= 0:
+            return None
+        if self._admission.is_draining or not service.is_in_service:
+            return None
+        flows = self._flow_counts.get(service.service_id, 0)
+        limit = self._compute_limit(service)
+        return Load(self._server, service.row.weight, flows, limit)
 
     def _try_target(self, flow: bytes, waiting: WaitingFlow) -> None:
         while waiting.targets and waiting.targets[0] == self._server:
@@ -363,21 +353,54 @@
 
     def _take_waiting(self, flow: bytes, waiting: WaitingFlow) -> None:
         del self._waiting[flow]
-        entry = self._create_entry(self._services.get(waiting.service_id), flow)
+        entry = self._flows.get(flow)
+        if entry is None:
+            entry = self._create_entry(self._services.get(waiting.service_id), flow)
         for packet in waiting.packets:
             self._deliver(entry, read_headers(packet).unwrap(), packet)
 
     def _accept_placement(
         self, sender: str, message: Forward, headers: PacketHeaders
     ) -> None:
+        flow = message.flow
+        waiting = self._waiting.get(flow)
+        owner = self._redirects.get(message.service_id, flow)
+        if owner or (waiting is not None and waiting.is_placing):
+            # This agent places the flow, or has placed it, under another view.
+            self._reply_place(sender, message, "")
+            self._join_placement(owner, waiting, message)
+            return
         service = self._services.get(message.service_id)
-        reason = self._check_admission(service)
+        reason = self._decide_placement(service, flow)
         self._reply_place(sender, message, reason)
         if reason:
-            self._outbox.count("flow_refused", reason)
             return
-        entry = self._create_entry(service, message.flow)
+        entry = self._create_entry(service, flow)
         self._deliver(entry, headers, message.packet)
+        if waiting is not None:
+            self._take_waiting(flow, waiting)
+
+    def _join_placement(
+        self, owner: str, waiting: WaitingFlow | None, message: Forward
+    ) -> None:
+        if owner:
+            self._pass_on(owner, message)
+        elif message.packet not in waiting.packets:
+            self._queue_packet(waiting, message.packet)
+
+    def _decide_placement(self, service: Service, flow: bytes) -> str:
+        until_s, reason = self._refusals.get(flow, (0.0, ""))
+        if self._now < until_s:
+            return reason
+        reason = self._check_admission(service)
+        if not reason:
+            return ""
+        self._outbox.count("flow_refused", reason)
+        if len(self._refusals) < self._settings.queue_flows:
+            until_s = self._now + self._settings.place_timeout_s
+            self._refusals.pop(flow, None)
+            self._refusals[flow] = (until_s, reason)
+        return reason
 
     def _reply_place(self, sender: str, message: Forward, reason: str) -> None:
         self._outbox.send(
@@ -388,14 +411,28 @@
     def _handle_place_reply(self, sender: str, message: PlaceReply) -> None:
         flow = message.flow
         waiting = self._waiting.get(flow)
-        if waiting is None or waiting.targets[:1] != [sender]:
+        if waiting is not None and waiting.targets[:1] == [sender]:
+            self._end_placement(flow, waiting, sender, message.accepted)
             return
         if not message.accepted:
+            return
+        if self._redirects.get(message.service_id, flow) != sender:
+            # The placement was given up, or made elsewhere, before this answer.
+            self._abandon(sender, message.service_id, flow)
+
+    def _end_placement(
+        self, flow: bytes, waiting: WaitingFlow, target: str, accepted: bool
+    ) -> None:
+        if not accepted:
             waiting.targets.pop(0)
             self._try_target(flow, waiting)
             return
         waiting.packets.pop(0)
-        self._hand_over(flow, waiting, sender)
+        self._placement.record_placed(waiting.service_id, target)
+        self._hand_over(flow, waiting, target)
+
+    def _abandon(self, server: str, service_id: int, flow: bytes) -> None:
+        self._outbox.send(server, RedirectDrop(service_id, (flow,), server))
 
     def _put_redirects(
         self, service_id: int, flows: tuple[bytes, ...], owner: str
@@ -408,7 +445,19 @@
         self, service_id: int, flows: tuple[bytes, ...], owner: str
     ) -> None:
         for flow in flows:
-            self._redirects.drop(service_id, flow, owner)
+            if owner == self._server:
+                self._give_up_unused(service_id, flow)
+            else:
+                self._redirects.drop(service_id, flow, owner)
+
+    def _give_up_unused(self, service_id: int, flow: bytes) -> None:
+        # The home of a flow that it placed here has placed it elsewhere.
+        entry = self._flows.get(flow)
+        if entry is None or entry.service_id != service_id or entry.is_established:
+            return
+        self._end_flow(flow)
+        self._outbox.add(events.ResetServer(flow, b""))
+        self._outbox.count("flow_abandoned", "placed_elsewhere")
 
     def _check_admission(self, service: Service) -> str:
         flows = self._flow_counts.get(service.service_id, 0)
@@ -461,13 +510,20 @@
         for service in self._services.update(view, self._now):
             self._register_flows(service)
         self._redirects.drop_owners(lambda server: not view.is_live(server))
-        self._drop_waiting()
+        self._review_waiting()
+        self._placement.forget(lambda server: not view.is_live(server))
 
-    def _drop_waiting(self) -> None:
+    def _review_waiting(self) -> None:
         for flow, waiting in list(self._waiting.items()):
-            if self._services.get(waiting.service_id) is None:
+            service = self._services.get(waiting.service_id)
+            if service is None:
                 del self._waiting[flow]
                 self._outbox.count("flow_refused", "wrong_service")
+            elif not waiting.is_placing:
+                waiting.members.intersection_update(service.peers)
+            elif waiting.targets[0] not in service.live:
+                waiting.targets.pop(0)
+                self._try_target(flow, waiting)
 
     def _register_flows(self, service: Service) -> None:
         moved: dict[str, list[bytes]] = {}
@@ -490,12 +546,19 @@
                 self._run_placement(flow, waiting)
             else:
                 self._run_query(flow, waiting)
+        self._expire_refusals()
         if self._rotated_s is None:
             self._rotated_s = self._now
         if self._now - self._rotated_s >= self._settings.redirect_period_s:
             self._rotated_s = self._now
             self._redirects.rotate()
 
+    def _expire_refusals(self) -> None:
+        for flow, (until_s, _) in list(self._refusals.items()):
+            if self._now < until_s:
+                return
+            del self._refusals[flow]
+
     def _run_query(self, flow: bytes, waiting: WaitingFlow) -> None:
         live = self._services.get(waiting.service_id).live
         is_doubtful = waiting.members.isdisjoint(live)
@@ -514,6 +577,7 @@
     def _run_placement(self, flow: bytes, waiting: WaitingFlow) -> None:
         if self._now >= waiting.deadline_s:
             del self._waiting[flow]
+            self._abandon(waiting.targets[0], waiting.service_id, flow)
             self._reject_flow(flow, waiting.packets[0], "place_timeout")
             return
         if self._now >= waiting.retry_s:
--- a/src/bramleystair/flows/_placement.py
+++ b/src/bramleystair/flows/_placement.py
@@ -1,9 +1,17 @@
 """Choice of the member that takes a new flow."""
 
+import random as random_module
 from collections.abc import Sequence
 
 import attrs
 
+from bramleystair.flows._services import Service
+from bramleystair.flows._settings import FlowSettings
+from bramleystair.wire import ServiceLoad
+
+# Two random candidates beside the home suffice to keep loads close together.
+RANDOM_CANDIDATES = 2
+
 
 @attrs.frozen
 class Load:
@@ -33,37 +41,109 @@
         for load in full:
             shares[load.server] = load.limit
             rest -= load.limit
-        open_loads = [load for load in open_loads if load not in full]
+        open_loads = [load for load in open_loads if load.limit >= unit * load.weight]
     return shares
 
 
-def rank_targets(
-    home: str, considered: Sequence[str], loads: Sequence[Load], margin: float
-) -> list[str]:
-    """Return the members to try for one new flow, the preferred one first.
-
-    Parameters
-    ----------
-    home : str
-        Preferred unless another is lower by more than `margin`.
-    considered : sequence of str
-        The home, if it may take the flow, and the candidates drawn for comparison.
-    loads : sequence of Load
-        Loads of all members, from which the shares follow.
-    margin : float
-        Relative difference in flows per share that the home tolerates.
-    """
-    shares = compute_shares(loads, sum(load.flows for load in loads) + 1)
-    by_server = {load.server: load for load in loads}
-    ratios = {}
-    for server in considered:
-        load = by_server[server]
-        if load.flows >= load.limit or shares.get(server, 0) <= 0:
-            ratios[server] = float("inf")
-            continue
-        ratios[server] = (load.flows + 1) / shares[server]
-    ranked = sorted(considered, key=ratios.__getitem__)
-    if home in ratios and ratios[home] <= ratios[ranked[0]] * (1 + margin):
-        ranked.remove(home)
-        ranked.insert(0, home)
-    return ranked
+class Placement:
+    """Hold the members' loads and rank the members for a new flow."""
+
+    def __init__(
+        self, server: str, settings: FlowSettings, random: random_module.Random
+    ) -> None:
+        self._server = server
+        self._margin = settings.place_margin
+        self._fresh_s = settings.load_fresh_s
+        self._attempts = settings.place_attempts
+        self._random = random
+        self._reports: dict[tuple[int, str], tuple[float, ServiceLoad]] = {}
+        self._placed: dict[tuple[int, str], int] = {}
+
+    def take_report(
+        self, sender: str, loads: Sequence[ServiceLoad], now: float
+    ) -> None:
+        """Take over the load report of `sender`."""
+        for load in loads:
+            self._reports[load.service_id, sender] = (now, load)
+            self._placed.pop((load.service_id, sender), None)
+
+    def record_placed(self, service_id: int, server: str) -> None:
+        """Add a flow that `server` accepted after its last report."""
+        key = (service_id, server)
+        self._placed[key] = self._placed.get(key, 0) + 1
+
+    def forget(self, is_gone) -> None:
+        """Remove the reports of servers for which `is_gone` returns true."""
+        for key in [key for key in self._reports if is_gone(key[1])]:
+            del self._reports[key]
+            self._placed.pop(key, None)
+
+    def rank(self, service: Service, own: Load | None, now: float) -> list[str]:
+        """Return the members to try for one new flow, the preferred one first.
+
+        Parameters
+        ----------
+        service : Service
+            Service of the flow.
+        own : Load or None
+            Load of this server, or None when it may not take the flow.
+
+        Returns
+        -------
+        list of str
+            The home and two random candidates by flows per share, then members whose
+            load is not known, then the others.
+        """
+        loads = [] if own is None else [own]
+        unknown = []
+        for candidate in service.candidates:
+            if candidate.server == self._server:
+                continue
+            load = self._find_load(service, candidate.server, candidate.weight, now)
+            if load is None:
+                unknown.append(candidate.server)
+            else:
+                loads.append(load)
+        ratios = self._compute_ratios(loads)
+        others = [load.server for load in loads if load.server != self._server]
+        self._random.shuffle(others)
+        self._random.shuffle(unknown)
+        drawn, rest = others[:RANDOM_CANDIDATES], others[RANDOM_CANDIDATES:]
+        ranked = self._prefer_home(drawn, own, ratios)
+        rest.sort(key=ratios.__getitem__)
+        ordered = [*ranked, *unknown, *rest]
+        # Members known to be full come last; a report may be out of date.
+        ordered.sort(key=lambda server: ratios.get(server) == float("inf"))
+        return ordered[: self._attempts]
+
+    def _find_load(
+        self, service: Service, server: str, weight: float, now: float
+    ) -> Load | None:
+        key = (service.service_id, server)
+        reported_s, report = self._reports.get(key, (0.0, None))
+        if report is None or now - reported_s > self._fresh_s:
+            return None
+        member = service.table.get_member(server)
+        flows = report.flows + self._placed.get(key, 0)
+        return Load(server, weight, flows, min(member.max_flows, report.flow_limit))
+
+    def _compute_ratios(self, loads: Sequence[Load]) -> dict[str, float]:
+        shares = compute_shares(loads, sum(load.flows for load in loads) + 1)
+        ratios = {}
+        for load in loads:
+            is_full = load.flows >= load.limit or shares.get(load.server, 0) <= 0
+            ratios[load.server] = (
+                float("inf") if is_full else (load.flows + 1) / shares[load.server]
+            )
+        return ratios
+
+    def _prefer_home(
+        self, drawn: list[str], own: Load | None, ratios: dict[str, float]
+    ) -> list[str]:
+        ranked = sorted(drawn, key=ratios.__getitem__)
+        if own is None:
+            return ranked
+        best = ratios[ranked[0]] if ranked else float("inf")
+        if ratios[self._server] <= best * (1 + self._margin):
+            return [self._server, *ranked]
+        return sorted([*ranked, self._server], key=ratios.__getitem__)
--- a/src/bramleystair/flows/_settings.py
+++ b/src/bramleystair/flows/_settings.py
@@ -28,6 +28,15 @@
         Time after a change during which nodes may hold different views.
     queue_packets_per_flow, queue_flows : int
         Bounds of the packets and flows that wait for an answer.
+    load_fresh_s : float
+        Age up to which a load report is used.
+    place_margin : float
+        Relative difference in flows per share up to which the home keeps a new flow.
+    place_attempts : int
+        Most members that are tried for one flow.
+    place_retry_s, place_timeout_s : float
+        Interval between repeated placements, and time after which one is given up. A
+        refusal is remembered as long, so that each repetition gets the same answer.
     """
 
     max_hops: int = 4
@@ -40,12 +49,13 @@
     queue_flows: int = 4096
     load_fresh_s: float = 3.0
     place_margin: float = 0.03
+    place_attempts: int = 6
+    place_retry_s: float = 0.25
+    place_timeout_s: float = 3.0
     silence_s: float = 20.0
     silence_packets: int = 3
     initial_fraction: float = 0.1
     warm_up_s: float = 60.0
     max_new_flows_per_s: float = 200.0
-    place_retry_s: float = 0.25
-    place_timeout_s: float = 3.0
     half_open_idle_s: float = 60.0
     redirect_period_s: float = 3600.0
