Add a simulated fleet for flow histories

Cause: races among agents and balancers need lossy carriers and uneven views. Change: a carrier on a manual clock with loss, doubling and delay joins agents, routers, callers and backend servers, and records what must not happen.

--- /dev/null
+++ b/features/steps/flows_fleet.py
@@ -0,0 +1,318 @@
+"""Agents, balancers, callers and backend servers joined by a lossy carrier."""
+
+import heapq
+import itertools
+import random
+import struct
+
+import attrs
+
+from bramleystair.actions import Count, Send
+from bramleystair.flows import (
+    CloseFlow,
+    Deliver,
+    FlowController,
+    FlowSettings,
+    MessageArrived,
+    OutboundSeen,
+    ResetCaller,
+    ResetServer,
+    Tick,
+    ViewChanged,
+)
+from bramleystair.packets import build_segment, reverse_flow
+from bramleystair.routing import Route, Router
+from bramleystair.tables import (
+    AgentState,
+    Announcement,
+    Member,
+    Protocol,
+    Table,
+    ZoneMark,
+    compute_service_id,
+)
+from bramleystair.views import View
+from bramleystair.wire import Forward, LoadReport
+
+SYN, ACK, FIN, RST, PUSH = 2, 16, 1, 4, 8
+WARM = FlowSettings(initial_fraction=1.0)
+ENDPOINTS = {"feed": ("10.9.0.1", 80), "sheet": ("10.9.0.2", 81)}
+
+
+def build_udp(flow, payload=b"data"):
+    size = 28 + len(payload)
+    head = struct.pack("!BBHHHBBH", 0x45, 0, size, 0, 0, 64, 17, 0)
+    return head + flow[1:] + struct.pack("!HH", 8 + len(payload), 0) + payload
+
+
+def build_flow(number, protocol=Protocol.TCP, service="feed"):
+    address, port = ENDPOINTS[service]
+    destination = bytes(int(part) for part in address.split("."))
+    source = struct.pack("!I", 0x0A000000 + number)
+    ports = struct.pack("!HH", 1024 + number % 60000, port)
+    return bytes((protocol,)) + source + destination + ports
+
+
+@attrs.define(eq=False)
+class Caller:
+    flow: bytes
+    service: str
+    server: str = ""
+    state: str = "opening"
+    sent_s: float = 0.0
+    waits: bool = False
+
+
+class Fleet:
+    """Simulate a fleet on a manual clock; `broken` lists what must not happen."""
+
+    def __init__(self, seed, members, loss=0.0, doubled=0.0, uneven_s=2.0, **options):
+        self.random = random.Random(seed)
+        self.loss, self.doubled, self.uneven_s = loss, doubled, uneven_s
+        self.settings = options.get("settings", WARM)
+        self.protocol = options.get("protocol", Protocol.TCP)
+        self.now = 0.0
+        self.events, self.order = [], itertools.count()
+        self.members = {member.server: member for member in members}
+        self.zones, self.marked_s = {}, {}
+        self.announcements, self.agents, self.down = {}, {}, set()
+        self.routers = [Router() for _ in range(options.get("routers", 3))]
+        self.held, self.version, self.generation = {}, 1, 0
+        self.incarnations = itertools.count(1)
+        self.callers, self.connections = {}, {}
+        self.broken, self.counts, self.sent = [], {}, {}
+        for member in members:
+            self.start(member.server)
+        self.publish(uneven_s=0.0)
+        self.run(20.0)
+
+    # Changes.
+
+    def start(self, server):
+        member = self.members[server]
+        number = next(self.incarnations)
+        self.announcements[server] = Announcement(
+            server, member.zone, "127.0.0.1", 9000, number, services=("feed",)
+        )
+        self.agents[server] = FlowController(
+            server, member.zone, number, self.settings, random.Random(number)
+        )
+        self.held.pop(server, None)
+
+    def fail(self, server):
+        self.agents.pop(server)
+        self.connections = {
+            key: value for key, value in self.connections.items() if key[0] != server
+        }
+        for caller in self.callers.values():
+            if caller.server == server:
+                caller.state = "lost"
+        self.down.add((server, self.announcements[server].incarnation))
+        self.publish(delay_s=3.0)
+
+    def restart(self, server):
+        state = self.agents[server].export_state()
+        self.start(server)
+        self.agents[server].import_state(state).unwrap()
+        self.publish()
+
+    def announce(self, server, state):
+        known = self.announcements[server]
+        self.announcements[server] = attrs.evolve(known, state=state)
+        self.publish()
+
+    def change_row(self, server, **values):
+        self.members[server] = attrs.evolve(self.members[server], **values)
+        self.publish(new_table=True)
+
+    def mark_zone(self, zone, is_in):
+        self.zones[zone] = ZoneMark(zone, is_in)
+        self.marked_s[zone] = self.now
+        for caller in self.callers.values():
+            if not is_in and caller.server in self.announcements:
+                if self.announcements[caller.server].zone == zone:
+                    caller.state = "lost"
+        self.publish()
+
+    def publish(self, new_table=False, uneven_s=None, delay_s=0.0):
+        self.version += new_table
+        self.generation += 1
+        tables = {}
+        for service in ENDPOINTS:
+            members = tuple(self.members.values()) if service == "feed" else ()
+            tables[service] = Table(
+                service, *ENDPOINTS[service], self.protocol, members, self.version
+            )
+        view = View(
+            tables,
+            dict(self.zones),
+            dict(self.announcements),
+            {},
+            frozenset(self.down),
+            self.generation,
+        )
+        for node in [*self.agents, *range(len(self.routers))]:
+            limit = self.uneven_s if uneven_s is None else uneven_s
+            due = delay_s + self.random.uniform(0, limit)
+            self.schedule(due, lambda node=node: self.hold(node, view))
+
+    def hold(self, node, view):
+        if view.generation <= self.held.get(node, 0):
+            return
+        if isinstance(node, int):
+            self.held[node] = view.generation
+            self.routers[node].set_view(view)
+        elif node in self.agents:
+            self.held[node] = view.generation
+            self.handle(node, ViewChanged(view))
+
+    # Callers.
+
+    def open(self, count, start=None):
+        first = len(self.callers) if start is None else start
+        for number in range(first, first + count):
+            flow = build_flow(number, self.protocol)
+            caller = self.callers[flow] = Caller(flow, "feed")
+            self.send(caller)
+
+    def send(self, caller, flags=None):
+        caller.sent_s, caller.waits = self.now, True
+        if self.protocol is Protocol.UDP:
+            packet = build_udp(caller.flow)
+        elif caller.state == "opening":
+            packet = build_segment(caller.flow, 100, 0, SYN)
+        else:
+            packet = build_segment(caller.flow, 101, 201, flags or ACK | PUSH)
+        self.enter(packet)
+
+    def enter(self, packet, router=None):
+        router = router or self.random.choice(self.routers)
+        route = router.route(packet)
+        if not isinstance(route, Route):
+            return
+        forward = Forward(
+            route.service_id, route.table_version, route.flow, 0, False, packet
+        )
+        self.carry("balancer", route.server, forward)
+
+    def talk(self, fraction=0.3):
+        for caller in self.callers.values():
+            if caller.state == "open" and self.random.random() < fraction:
+                self.send(caller)
+
+    # Carrier.
+
+    def schedule(self, delay_s, call):
+        heapq.heappush(self.events, (self.now + delay_s, next(self.order), call))
+
+    def carry(self, sender, peer, message):
+        if isinstance(message, Forward):
+            self.check_zone(peer)
+        copies = 1 + (self.random.random() < self.doubled)
+        for _ in range(copies):
+            if self.random.random() < self.loss:
+                continue
+            delay_s = self.random.choice((0.001, 0.001, 0.001, 0.05, 0.3))
+            event = MessageArrived(sender, message)
+            self.schedule(delay_s, lambda: self.handle(peer, event))
+
+    def check_zone(self, peer):
+        zone = self.announcements[peer].zone
+        mark = self.zones.get(zone)
+        if mark and not mark.is_in_service and self.now > self.marked_s[zone] + 3:
+            self.broken.append(("packet into an out zone", peer, self.now))
+
+    def handle(self, server, event):
+        agent = self.agents.get(server)
+        if agent is None:
+            return
+        for action in agent.handle(event, self.now):
+            match action:
+                case Send(peer, message):
+                    kind = type(message).__name__
+                    self.sent[kind] = self.sent.get(kind, 0) + 1
+                    self.carry(server, peer, message)
+                case Count(name, reason, amount):
+                    key = (name, reason)
+                    self.counts[key] = self.counts.get(key, 0) + amount
+                case Deliver(service_id, flow, packet):
+                    self.receive(server, service_id, flow, packet)
+                case ResetCaller(flow):
+                    self.reset(server, flow)
+                case CloseFlow(flow) | ResetServer(flow):
+                    self.connections.pop((server, flow), None)
+
+    def run(self, seconds, period_s=0.5):
+        end = self.now + seconds
+        while self.now < end:
+            until = min(end, self.now + period_s)
+            while self.events and self.events[0][0] <= until:
+                due, _, call = heapq.heappop(self.events)
+                self.now = max(self.now, due)
+                call()
+            self.now = until
+            self.run_timers()
+            assert not self.broken, self.broken
+
+    def run_timers(self):
+        is_second = int(self.now) != int(self.now - 0.5)
+        for server in sorted(self.agents):
+            self.handle(server, Tick())
+            if is_second and server in self.agents:
+                report = LoadReport(self.agents[server].list_loads())
+                for peer in self.agents:
+                    if peer != server:
+                        self.carry(server, peer, report)
+        for caller in list(self.callers.values()):
+            is_due = caller.waits and self.now - caller.sent_s >= 1.0
+            if is_due and caller.state in ("opening", "open"):
+                self.send(caller)
+
+    # Backend servers.
+
+    def receive(self, server, service_id, flow, packet):
+        caller = self.callers.get(flow)
+        if service_id != compute_service_id("feed"):
+            self.broken.append(("wrong service", flow, server))
+        if caller is None:
+            return
+        key = (server, flow)
+        is_syn = self.protocol is Protocol.TCP and packet[33] & (SYN | ACK) == SYN
+        if is_syn or (self.protocol is Protocol.UDP and not caller.server):
+            self.connections.setdefault(key, True)
+            self.check_limit(server)
+        elif caller.state == "open" and caller.server != server:
+            self.broken.append(("split", server, caller, self.now))
+            return
+        if caller.state == "opening":
+            caller.state, caller.server = "open", server
+        caller.waits = False
+        if self.protocol is Protocol.UDP:
+            answer = build_udp(reverse_flow(flow))
+        else:
+            flags = SYN | ACK if is_syn else ACK
+            answer = build_segment(reverse_flow(flow), 200, 101, flags)
+        self.schedule(0, lambda: self.handle(server, OutboundSeen(flow, answer)))
+
+    def check_limit(self, server):
+        agent, row = self.agents[server], self.members.get(server)
+        if row is not None and agent.flow_count > row.max_flows:
+            self.broken.append(("over the cap", server, agent.flow_count))
+
+    def reset(self, server, flow):
+        caller = self.callers.get(flow)
+        if caller is None or caller.state == "lost":
+            return
+        if caller.state == "open":
+            self.broken.append(("reset", server, caller, self.now))
+        caller.state = "refused"
+
+
+def build_members(count, zones=("z1", "z2", "z3"), weights=(1.0,), cap=2000):
+    return [
+        Member(f"b{n}", zones[n % len(zones)], weights[n % len(weights)], cap, 9)
+        for n in range(count)
+    ]
+
+
+DRAINING, READY = AgentState.DRAINING, AgentState.READY
--- a/src/bramleystair/packets/__init__.py
+++ b/src/bramleystair/packets/__init__.py
@@ -7,11 +7,11 @@
     read_headers,
     reverse_flow,
 )
-from bramleystair.packets._reset import build_acknowledgement, build_reset
+from bramleystair.packets._reset import build_reset, build_segment
 
 __all__ = [
     "PacketHeaders",
-    "build_acknowledgement",
+    "build_segment",
     "build_reset",
     "get_endpoint",
     "pack_endpoint",
--- a/src/bramleystair/packets/_reset.py
+++ b/src/bramleystair/packets/_reset.py
@@ -32,13 +32,8 @@
         return b""
     flow = reverse_flow(headers.flow)
     if _has_acknowledgement(packet):
-        return _build_segment(flow, headers.acknowledgement, 0, RST)
-    return _build_segment(flow, 0, headers.next_sequence, RST | ACK)
-
-
-def build_acknowledgement(flow: bytes, sequence: int, acknowledgement: int) -> bytes:
-    """Return an empty segment of `flow` that carries the given numbers."""
-    return _build_segment(flow, sequence, acknowledgement, ACK)
+        return build_segment(flow, headers.acknowledgement, 0, RST)
+    return build_segment(flow, 0, headers.next_sequence, RST | ACK)
 
 
 def _has_acknowledgement(packet: bytes) -> bool:
@@ -46,9 +41,10 @@
     return bool(packet[start + SYN_ACK_NUMBER_OFFSET] & ACK)
 
 
-def _build_segment(
+def build_segment(
     flow: bytes, sequence: int, acknowledgement: int, flags: int
 ) -> bytes:
+    """Return a TCP segment of `flow` without options and payload."""
     addresses, ports = flow[1:-4], flow[-4:]
     offset = TCP_MIN_BYTES // 4 << 4
     body = _TCP.pack(sequence, acknowledgement, offset, flags, 0, 0, 0)
