Add the daemons and the caller stand-in

The thin path runs as separate processes: caller, fabric, 2 balancers, 3 agents with a backend server each, and back, with the table pushed to one balancer as the operator's client does.

--- /dev/null
+++ b/src/bramleystair/balancer/_daemon.py
@@ -0,0 +1,233 @@
+"""Process of a balancer: sockets, threads and timers around the decisions."""
+
+import random
+import threading
+from collections.abc import Callable
+
+from bramleystair.actions import Count, Send
+from bramleystair.balancer._forwarding import Forwarder
+from bramleystair.caller import CallerServer
+from bramleystair.daemons import Messenger, PlatformLink, Threads, create_incarnation
+from bramleystair.fabric import open_udp_socket
+from bramleystair.logs import get_log
+from bramleystair.metrics import Metrics, MetricsServer
+from bramleystair.replicas import (
+    BalancerReplica,
+    IncarnationRaised,
+    MessageArrived,
+    PlatformObjects,
+    RenewLease,
+    ReplicaAction,
+    ReplicaEvent,
+    Tick,
+    ViewUpdated,
+    WatchWanted,
+)
+from bramleystair.requests import Dispatcher
+from bramleystair.settings import BalancerSettings, build_peers
+from bramleystair.timers import Clock, MonotonicClock, TimerService
+from bramleystair.views import View
+from bramleystair.wire import Envelope, Heartbeat, StoredObject
+
+TICK_PERIOD_S = 0.1
+# Packets, messages, timers and watch, and platform calls that do not wait.
+THREADS = 12
+BUFFER_BYTES = 1_048_576
+ALL_PREFIXES = ("table/", "zone/", "agent/", "balancer/")
+
+log = get_log("balancer")
+
+
+class BalancerDaemon:
+    """Run one balancer.
+
+    Parameters
+    ----------
+    settings : BalancerSettings
+        Options of this node.
+    clock : Clock
+        Time of all decisions.
+    source : random.Random
+        Source of all random choices.
+    """
+
+    def __init__(
+        self, settings: BalancerSettings, clock: Clock, source: random.Random
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._lock = threading.RLock()
+        self._is_stopping = False
+        incarnation = create_incarnation()
+        self.metrics = Metrics({"node": settings.node})
+        self.timers = TimerService(clock)
+        self.threads = Threads(self.timers, THREADS)
+        self._replica = self._build_replica(incarnation, source)
+        self._messenger = Messenger(
+            settings.node,
+            incarnation,
+            open_udp_socket(settings.host, settings.message_port, BUFFER_BYTES),
+            self._replica.resolve,
+            self.metrics,
+        )
+        fabric = settings.fabric
+        self._forwarder = Forwarder(
+            settings.node,
+            incarnation,
+            open_udp_socket(settings.host, fabric.port, fabric.receive_buffer_bytes),
+            fabric.network_id,
+            self.metrics,
+        )
+        self._caller = self._build_caller(incarnation, source)
+        self._platform = PlatformLink(
+            settings.platform, self.threads, self.metrics, self._take_objects
+        )
+        self._metrics_server = MetricsServer(
+            settings.host,
+            settings.metrics_port,
+            self.metrics,
+            self.get_health,
+            self._set_gauges,
+        )
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._metrics_server.start()
+        self.threads.start("messages", self._messenger.run, self._take_envelope)
+        self._handle(Tick())
+        self.timers.subscribe_every(TICK_PERIOD_S, lambda now: self._handle(Tick()))
+        self._caller.start()
+        self.threads.start("packets", self._forwarder.run)
+        log.info("%s serves, incarnation %d", self._settings.node, self._incarnation)
+
+    def stop(self) -> None:
+        """Finish the requests in hand, then stop everything."""
+        self._is_stopping = True
+        log.info("stopping; requests in hand are finished first")
+        self._caller.stop()
+        self._forwarder.stop()
+        self._platform.close()
+        self._messenger.stop()
+        self._metrics_server.close()
+        self.threads.close()
+        log.info("stopped")
+
+    def get_health(self) -> dict:
+        """Return the state that `/healthz` publishes."""
+        view = self._get_view()
+        in_service = view.is_in_service(self._settings.zone)
+        return {
+            "ready": bool(view.tables) and in_service and not self._is_stopping,
+            "zone_in_service": in_service,
+            "stopping": self._is_stopping,
+            "versions": {
+                service: table.version for service, table in view.tables.items()
+            },
+            "zones": {zone: mark.version for zone, mark in view.zones.items()},
+            "agents": len(view.agents),
+            "down": sorted(server for server, _ in view.down),
+        }
+
+    @property
+    def _incarnation(self) -> int:
+        return self._messenger.incarnation
+
+    def _get_view(self) -> View:
+        with self._lock:
+            return self._replica.view
+
+    def _build_replica(
+        self, incarnation: int, source: random.Random
+    ) -> BalancerReplica:
+        settings = self._settings
+        return BalancerReplica(
+            settings.node,
+            settings.zone,
+            settings.region,
+            incarnation,
+            build_peers(settings.seeds),
+            settings.versions.build(
+                settings.host,
+                settings.message_port,
+                settings.seeds,
+                settings.http_port,
+            ),
+            source,
+        )
+
+    def _build_caller(self, incarnation: int, source: random.Random) -> CallerServer:
+        settings = self._settings
+        return CallerServer(
+            settings.host,
+            settings.http_port,
+            settings.node,
+            incarnation,
+            Dispatcher(settings.requests, source),
+            self.timers,
+            settings.caller,
+            self._count,
+        )
+
+    def _take_envelope(self, envelope: Envelope) -> None:
+        message = envelope.message
+        if isinstance(message, Heartbeat) and message.loads:
+            self._caller.set_loads(envelope.sender, message.loads)
+        self._handle(MessageArrived(envelope.sender, message))
+
+    def _take_objects(self, objects: tuple[StoredObject, ...]) -> None:
+        self._handle(PlatformObjects(objects))
+
+    def _handle(self, event: ReplicaEvent) -> None:
+        with self._lock:
+            for action in self._replica.handle(event, self._clock.now()):
+                self._carry_out(action)
+
+    def _carry_out(self, action: ReplicaAction) -> None:
+        match action:
+            case Send(peer, message):
+                self._messenger.send(peer, message)
+            case Count():
+                self._count(action)
+            case ViewUpdated(view):
+                self._forwarder.set_view(view)
+                self._caller.set_view(view)
+            case WatchWanted(is_wanted):
+                self._platform.set_watch(ALL_PREFIXES if is_wanted else ())
+            case RenewLease(announcement):
+                lease_s = self._settings.versions.lease_s
+                self._platform.renew(announcement, lease_s)
+            case IncarnationRaised(incarnation):
+                log.warning("lease expired; incarnation %d begins", incarnation)
+                self._messenger.incarnation = incarnation
+
+    def _count(self, action: Count) -> None:
+        self.metrics.count(action.name, action.reason, action.amount)
+
+    def _set_gauges(self) -> None:
+        view = self._get_view()
+        self.metrics.set_gauge("packets_received", self._forwarder.packet_count)
+        self.metrics.set_gauge("last_packet_s", self._forwarder.last_packet_s)
+        for service, table in view.tables.items():
+            self.metrics.set_gauge("table_version", table.version, service)
+
+
+def run_balancer(
+    settings: BalancerSettings, wait: Callable[[Threads], None] | None = None
+) -> int:
+    """Run a balancer until SIGTERM and return the exit status.
+
+    Parameters
+    ----------
+    settings : BalancerSettings
+        Options of this node.
+    wait : callable, optional
+        Waits for the stop; by default for a signal.
+    """
+    daemon = BalancerDaemon(settings, MonotonicClock(), random.SystemRandom())
+    if wait is None:
+        daemon.threads.handle_signals()
+        wait = Threads.wait_for_stop
+    daemon.start()
+    wait(daemon.threads)
+    daemon.stop()
+    return int(daemon.threads.has_failed)
--- a/src/bramleystair/balancer/_forwarding.py
+++ b/src/bramleystair/balancer/_forwarding.py
@@ -51,6 +51,7 @@
         self._new_view: View | None = None
         self._is_running = True
         self.packet_count = 0
+        self.last_packet_s = 0.0
 
     def set_view(self, view: View) -> None:
         """Use `view` from the next packets on."""
--- /dev/null
+++ b/src/bramleystair/balancer/_main.py
@@ -0,0 +1,32 @@
+"""Command line of `bramleystair-balancer`."""
+
+import logging
+from pathlib import Path
+
+import defopt
+
+from bramleystair.balancer._daemon import run_balancer
+from bramleystair.daemons import read_settings
+from bramleystair.logs import set_up_logs
+from bramleystair.settings import BalancerSettings
+
+
+def serve(settings: Path, *, verbose: bool = False) -> None:
+    """Run a balancer until SIGTERM.
+
+    Parameters
+    ----------
+    settings : Path
+        File of JSON with comments.
+    verbose : bool
+        Whether debug messages are logged too.
+    """
+    values = read_settings(settings, BalancerSettings)
+    level = logging.DEBUG if verbose else logging.INFO
+    set_up_logs(values.node, level)
+    raise SystemExit(run_balancer(values))
+
+
+def main() -> None:
+    """Run the command line."""
+    defopt.run(serve)
--- a/src/bramleystair/daemons/__init__.py
+++ b/src/bramleystair/daemons/__init__.py
@@ -1,7 +1,14 @@
 """What the balancer's and the agent's processes have in common."""
 
 from bramleystair.daemons._messenger import Messenger
+from bramleystair.daemons._platform_link import PlatformLink
 from bramleystair.daemons._start import create_incarnation, read_settings
 from bramleystair.daemons._threads import Threads
 
-__all__ = ["Messenger", "Threads", "create_incarnation", "read_settings"]
+__all__ = [
+    "Messenger",
+    "PlatformLink",
+    "Threads",
+    "create_incarnation",
+    "read_settings",
+]
--- a/src/bramleystair/settings/_schemas.py
+++ b/src/bramleystair/settings/_schemas.py
@@ -2,8 +2,10 @@
 
 import attrs
 
+from bramleystair.caller._settings import CallerSettings
 from bramleystair.flows import FlowSettings
 from bramleystair.replicas import Peer, ReplicaSettings
+from bramleystair.requests import DispatcherSettings, LedgerSettings
 from bramleystair.settings._loader import option
 
 MAX_PORT = 65_535
@@ -48,6 +50,9 @@
         How packets reach it: a UDP socket per flow, or a TUN device.
     tun_device : str
         Name of the TUN device, which the operator has created.
+    keep_destination : bool
+        Whether packets on the TUN device keep the service's address as destination
+        instead of `host`.
     """
 
     host: str = option("127.0.0.1", is_ip_address=True)
@@ -55,6 +60,7 @@
     http_port: int = option(8000, minimum=1, maximum=MAX_PORT)
     delivery: str = option("udp", choices=("udp", "tun"))
     tun_device: str = option("bramley0")
+    keep_destination: bool = option(False)
 
 
 @attrs.frozen
@@ -106,6 +112,11 @@
     watchers_per_zone: int = option(2, minimum=1)
     datagram_bytes: int = option(1_200, minimum=512, maximum=60_000)
 
+    @property
+    def lease_s(self) -> float:
+        """Return the time in seconds for which a lease lasts."""
+        return 3 * self.lease_renew_s
+
     def build(
         self, host: str, port: int, seeds: tuple[SeedSettings, ...], http_port: int = 0
     ) -> ReplicaSettings:
@@ -154,6 +165,10 @@
         Connection with the network fabric.
     versions : VersionSettings
         Spread of versions, membership and leases.
+    caller : CallerSettings
+        Connection with callers over HTTP.
+    requests : DispatcherSettings
+        Times and budgets of requests.
     """
 
     node: str = option()
@@ -168,6 +183,8 @@
     stop_limit_s: float = option(30.0, minimum=0)
     fabric: FabricSettings = option(FabricSettings)
     versions: VersionSettings = option(VersionSettings)
+    caller: CallerSettings = option(CallerSettings)
+    requests: DispatcherSettings = option(DispatcherSettings)
 
 
 @attrs.frozen
@@ -202,6 +219,8 @@
         Connection with the backend server.
     flows : FlowSettings
         Limits and intervals of the flow decisions.
+    requests : LedgerSettings
+        Lifetimes and limits of tickets and responses.
     versions : VersionSettings
         Spread of versions, membership and leases.
     """
@@ -219,4 +238,5 @@
     fabric: FabricSettings = option(FabricSettings)
     backend: BackendSettings = option(BackendSettings)
     flows: FlowSettings = option(FlowSettings)
+    requests: LedgerSettings = option(LedgerSettings)
     versions: VersionSettings = option(VersionSettings)
--- /dev/null
+++ b/src/bramleystair/standins/_main.py
@@ -0,0 +1,20 @@
+"""Command line of `bramleystair-standin`."""
+
+import defopt
+
+from bramleystair.logs import set_up_logs
+from bramleystair.standins._backend import run_backend
+from bramleystair.standins._caller import run_caller
+from bramleystair.standins._fabric import run_fabric
+
+
+def main() -> None:
+    """Run the stand-in that the first argument names."""
+    set_up_logs("standin")
+    defopt.run(
+        {
+            "fabric": run_fabric,
+            "backend": run_backend,
+            "caller": run_caller,
+        }
+    )
