--- a/src/bramleystair/settings/_loader.py
+++ b/src/bramleystair/settings/_loader.py
@@ -185,7 +185,7 @@
         if len(self.errors) > count:
             return None
         items = read if isinstance(read, tuple) else (read,)
-        checks = field.metadata.get("checks", ())
+        checks = _get_checks(field, kind)
         if not all(check(item) for check in checks for item in items):
             return self._refuse(name, value, _describe(field, kind))
         return read
@@ -213,9 +213,17 @@
         self.errors.append(SettingsError(self.file, name, value, allowed))
 
 
+def _get_checks(field: attrs.Attribute, kind: Any) -> tuple:
+    if kind in (int, float) and "checks" not in field.metadata:
+        # Schemas of other packages declare no bounds; no number is below 0 there.
+        return (lambda value: value >= 0,)
+    return field.metadata.get("checks", ())
+
+
 def _describe(field: attrs.Attribute, kind: Any) -> str:
     name = _TYPE_NAMES.get(kind, "an object" if attrs.has(kind) else "a list")
-    allowed = field.metadata.get("allowed", "")
+    default = "at least 0" if kind in (int, float) else ""
+    allowed = field.metadata.get("allowed", default)
     return f"{name}, {allowed}" if allowed else name
 
 
--- a/src/bramleystair/settings/_schemas.py
+++ b/src/bramleystair/settings/_schemas.py
@@ -159,8 +159,6 @@
         URL of the platform; empty to learn from peers only.
     seeds : tuple of SeedSettings
         Balancers from which a new node learns when the platform is down.
-    stop_limit_s : float
-        Longest wait for requests in hand after SIGTERM.
     fabric : FabricSettings
         Connection with the network fabric.
     versions : VersionSettings
@@ -180,7 +178,6 @@
     metrics_port: int = option(9100, minimum=0, maximum=MAX_PORT)
     platform: str = option("")
     seeds: tuple[SeedSettings, ...] = option(())
-    stop_limit_s: float = option(30.0, minimum=0)
     fabric: FabricSettings = option(FabricSettings)
     versions: VersionSettings = option(VersionSettings)
     caller: CallerSettings = option(CallerSettings)
