--- /dev/null
+++ b/features/delivery.feature
@@ -0,0 +1,38 @@
+Feature: Delivery to the backend server
+
+  Guards against packets or replies that change on their way, reach another flow, or
+  stop the agent, and against a dead backend server that is taken for a silent one.
+
+  Scenario: Datagrams reach the backend server and replies reach the caller
+    Given a UDP backend server that answers each datagram
+    When 20 flows each deliver 5 datagrams
+    Then each flow receives its 5 answers from the service's address
+    And every flow has had a source port of its own
+
+  Scenario: A refused datagram is reported
+    Given a UDP backend server that answers each datagram
+    And the backend server is closed
+    When a flow delivers a datagram and waits for a refusal
+    Then the refusal names the flow
+
+  Scenario: Packets that are no datagrams are counted
+    Given a UDP backend server that answers each datagram
+    When a flow delivers malformed packets
+    Then 4 drops with the reason "not_a_datagram" are counted
+
+  Scenario: A TCP trace passes the TUN device with the destination replaced
+    Given a TUN delivery that replaces the destination by "10.7.0.1"
+    When the segments of a TCP trace are delivered and answered
+    Then the backend server saw them with destination "10.7.0.1" and valid checksums
+    And the caller saw the answers from the service with valid checksums
+
+  Scenario: A TCP trace passes the TUN device unchanged
+    Given a TUN delivery that keeps the destination
+    When the segments of a TCP trace are delivered and answered
+    Then the backend server saw the segments unchanged
+    And the caller saw the answers from the service with valid checksums
+
+  Scenario: Replies of unknown flows
+    Given a TUN delivery that keeps the destination
+    When the backend server sends a packet of a flow that was closed
+    Then 1 drop with the reason "unknown_reply" is counted
--- /dev/null
+++ b/features/steps/delivery_steps.py
@@ -0,0 +1,257 @@
+import collections
+import os
+import socket
+import struct
+import threading
+
+from behave import given, then, when
+
+from bramleystair.backend import TunDelivery, UdpDelivery
+from bramleystair.fabric import (
+    build_datagram,
+    build_flow_key,
+    compute_checksum,
+    read_flow_key,
+    read_payload,
+)
+from bramleystair.packets import reverse_flow
+
+WAIT_S = 20.0
+SERVICE = "10.1.0.1"
+CALLER = "10.9.0.1"
+# Flags and payloads of one connection: handshake, request, response, end.
+TRACE = [(0x02, b""), (0x10, b""), (0x18, b"GET sheet"), (0x11, b"")]
+
+
+class Recorder:
+    """Collect what a delivery reports, and let steps wait for it."""
+
+    def __init__(self):
+        self.replies = collections.defaultdict(list)
+        self.refusals = []
+        self.drops = collections.Counter()
+        self._changed = threading.Condition()
+
+    def handle_reply(self, flow, packet):
+        self._record(lambda: self.replies[flow].append(packet))
+
+    def handle_refusal(self, flow):
+        self._record(lambda: self.refusals.append(flow))
+
+    def count_drop(self, reason):
+        self._record(lambda: self.drops.update([reason]))
+
+    def wait_until(self, is_met):
+        with self._changed:
+            assert self._changed.wait_for(is_met, WAIT_S), vars(self)
+
+    def _record(self, change):
+        with self._changed:
+            change()
+            self._changed.notify_all()
+
+
+class EchoServer:
+    """Answer each datagram with its own payload and its source port."""
+
+    def __init__(self):
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind(("127.0.0.1", 0))
+        self.port = self.socket.getsockname()[1]
+        self.socket.settimeout(0.1)
+        self.is_open = True
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        while self.is_open:
+            try:
+                data, address = self.socket.recvfrom(2048)
+            except TimeoutError:
+                continue
+            self.socket.sendto(b"%d " % address[1] + data, address)
+
+    def close(self):
+        self.is_open = False
+        self.thread.join()
+        self.socket.close()
+
+
+def build_udp_flow(number):
+    return build_flow_key(17, CALLER, 2000 + number, SERVICE, 53)
+
+
+@given("a UDP backend server that answers each datagram")
+def start_echo(context):
+    context.server = EchoServer()
+    context.add_cleanup(context.server.close)
+    context.recorder = Recorder()
+    context.delivery = UdpDelivery("127.0.0.1", context.server.port, context.recorder)
+    context.add_cleanup(context.delivery.close)
+
+
+@given("the backend server is closed")
+def close_echo(context):
+    context.server.close()
+
+
+@when("{flows:d} flows each deliver {count:d} datagrams")
+def deliver_datagrams(context, flows, count):
+    context.flows = [build_udp_flow(number) for number in range(flows)]
+    for index in range(count):
+        for flow in context.flows:
+            packet = build_datagram(flow, b"beat %d" % index)
+            context.delivery.deliver(flow, packet)
+            # One answer at a time keeps the small queue of the socket from overflowing.
+            context.recorder.wait_until(
+                lambda flow=flow, index=index: (
+                    len(context.recorder.replies[flow]) > index
+                )
+            )
+
+
+@then("each flow receives its {count:d} answers from the service's address")
+def check_answers(context, count):
+    for flow in context.flows:
+        replies = context.recorder.replies[flow]
+        assert {read_flow_key(reply) for reply in replies} == {reverse_flow(flow)}
+        beats = [read_payload(reply).split(b" ", 1)[1] for reply in replies]
+        assert beats == [b"beat %d" % index for index in range(count)]
+
+
+@then("every flow has had a source port of its own")
+def check_ports(context):
+    ports = {
+        flow: {read_payload(reply).split()[0] for reply in replies}
+        for flow, replies in context.recorder.replies.items()
+    }
+    assert all(len(found) == 1 for found in ports.values())
+    assert len(set.union(*ports.values())) == len(context.flows)
+
+
+@when("a flow delivers a datagram and waits for a refusal")
+def deliver_refused(context):
+    flow = build_udp_flow(1)
+    context.delivery.deliver(flow, build_datagram(flow, b"beat"))
+    context.recorder.wait_until(lambda: context.recorder.refusals)
+
+
+@then("the refusal names the flow")
+def check_refusal(context):
+    assert set(context.recorder.refusals) == {build_udp_flow(1)}
+
+
+@when("a flow delivers malformed packets")
+def deliver_malformed(context):
+    flow = build_udp_flow(1)
+    whole = build_datagram(flow, b"beat")
+    too_long = whole[:24] + struct.pack("!H", 60_000) + whole[26:]
+    for packet in (b"", whole[:20], too_long, build_segments()[0]):
+        context.delivery.deliver(flow, packet)
+
+
+@then('{count:d} drops with the reason "{reason}" are counted')
+@then('{count:d} drop with the reason "{reason}" is counted')
+def check_drops(context, count, reason):
+    assert context.recorder.drops == {reason: count}, context.recorder.drops
+
+
+def build_segments(reverse=False):
+    """Return the segments of a TCP trace, from the caller or from the service."""
+    flow = build_flow_key(6, CALLER, 4000, SERVICE, 443)
+    flow = reverse_flow(flow) if reverse else flow
+    sequence = 1000 if reverse else 5
+    segments = []
+    for flags, payload in TRACE:
+        body = struct.pack("!IIBBHHH", sequence, 77, 0x50, flags, 500, 0, 0)
+        segments.append(build_segment(flow, body + payload))
+        sequence += len(payload) + bool(flags & 0x03)
+    return segments
+
+
+def build_segment(flow, body):
+    ports, addresses = flow[-4:], flow[1:9]
+    tcp = ports + body[:12] + bytes(2) + body[14:]
+    pseudo = addresses + struct.pack("!HH", 6, len(tcp))
+    checksum = compute_checksum(pseudo + tcp)
+    tcp = tcp[:16] + struct.pack("!H", checksum) + tcp[18:]
+    head = struct.pack("!BBHHHBBH", 0x45, 0, 20 + len(tcp), 0, 0x4000, 64, 6, 0)
+    checksum = compute_checksum(head + addresses)
+    return head[:10] + struct.pack("!H", checksum) + addresses + tcp
+
+
+def has_valid_checksums(packet):
+    pseudo = packet[12:20] + struct.pack("!HH", packet[9], len(packet) - 20)
+    # The checksum over data that includes a valid checksum comes out as all ones.
+    sums = compute_checksum(packet[:20]), compute_checksum(pseudo + packet[20:])
+    return sums == (0xFFFF, 0xFFFF)
+
+
+@given('a TUN delivery that replaces the destination by "{address}"')
+def start_rewriting(context, address):
+    start_tun(context, address)
+
+
+@given("a TUN delivery that keeps the destination")
+def start_keeping(context):
+    start_tun(context, "")
+
+
+def start_tun(context, rewrite_to):
+    near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_DGRAM)
+    far.settimeout(WAIT_S)
+    context.far = far
+    context.add_cleanup(far.close)
+    context.recorder = Recorder()
+    context.delivery = TunDelivery(near.detach(), context.recorder, rewrite_to)
+    context.add_cleanup(context.delivery.close)
+
+
+@when("the segments of a TCP trace are delivered and answered")
+def deliver_trace(context):
+    context.seen = []
+    answers = build_segments(reverse=True)
+    for segment, answer in zip(build_segments(), answers, strict=True):
+        context.delivery.deliver(read_flow_key(segment), segment)
+        seen = context.far.recv(2048)
+        context.seen.append(seen)
+        # The backend server answers from the address at which it was reached.
+        reply = build_segment(reverse_flow(read_flow_key(seen)), answer[24:])
+        os.write(context.far.fileno(), reply)
+    context.flow = read_flow_key(build_segments()[0])
+    context.recorder.wait_until(
+        lambda: len(context.recorder.replies[context.flow]) == len(answers)
+    )
+
+
+@then('the backend server saw them with destination "{address}" and valid checksums')
+def check_seen(context, address):
+    for seen, sent in zip(context.seen, build_segments(), strict=True):
+        assert has_valid_checksums(sent)
+        assert socket.inet_ntoa(seen[16:20]) == address
+        assert has_valid_checksums(seen)
+        assert seen[12:16] + seen[40:] == sent[12:16] + sent[40:]
+
+
+@then("the backend server saw the segments unchanged")
+def check_unchanged(context):
+    assert context.seen == build_segments()
+
+
+@then("the caller saw the answers from the service with valid checksums")
+def check_trace_answers(context):
+    replies = context.recorder.replies[context.flow]
+    assert replies == build_segments(reverse=True)
+    assert all(has_valid_checksums(reply) for reply in replies)
+    assert not context.recorder.drops
+
+
+@when("the backend server sends a packet of a flow that was closed")
+def send_closed(context):
+    segment = build_segments()[0]
+    flow = read_flow_key(segment)
+    context.delivery.deliver(flow, segment)
+    context.far.recv(2048)
+    context.delivery.close_flow(flow)
+    os.write(context.far.fileno(), build_segments(reverse=True)[0])
+    context.recorder.wait_until(lambda: context.recorder.drops)
