Register moved flows in paced, confirmed batches

Cause: a lost RedirectPut let a later datagram be placed again; recomputing all homes in one event stalls the agent; a repeated first packet could register a second owner. Change: homes are recomputed in parts per tick, registrations are limited to 8 KB/s, confirmed through a sequence number (new last fields of RedirectPut) and repeated; flows that are not established are not moved, and FlowQueryReply says whether the sender holds an established flow (new last field), which ends a lookup at once. Servers that announce a service are queried too, because a new member does not know whose row was removed earlier.

--- a/features/steps/flows_fleet.py
+++ b/features/steps/flows_fleet.py
@@ -129,9 +129,9 @@
         self.zones[zone] = ZoneMark(zone, is_in)
         self.marked_s[zone] = self.now
         for caller in self.callers.values():
-            if not is_in and caller.server in self.announcements:
-                if self.announcements[caller.server].zone == zone:
-                    caller.state = "lost"
+            owner = self.announcements.get(caller.server)
+            if not is_in and owner is not None and owner.zone == zone:
+                caller.state = "lost"
         self.publish()
 
     def publish(self, new_table=False, uneven_s=None, delay_s=0.0):
@@ -208,12 +208,12 @@
     def carry(self, sender, peer, message):
         if isinstance(message, Forward):
             self.check_zone(peer)
+        event = MessageArrived(sender, message)
         copies = 1 + (self.random.random() < self.doubled)
         for _ in range(copies):
             if self.random.random() < self.loss:
                 continue
             delay_s = self.random.choice((0.001, 0.001, 0.001, 0.05, 0.3))
-            event = MessageArrived(sender, message)
             self.schedule(delay_s, lambda: self.handle(peer, event))
 
     def check_zone(self, peer):
--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -2,6 +2,8 @@
 
 import random as random_module
 
+import attrs
+
 from bramleystair.flows import _events as events
 from bramleystair.flows._admission import Admission
 from bramleystair.flows._cold_start import ColdStart
@@ -10,6 +12,7 @@
 from bramleystair.flows._outbox import Outbox
 from bramleystair.flows._placement import Load, Placement
 from bramleystair.flows._redirects import Redirects
+from bramleystair.flows._registration import Registrar
 from bramleystair.flows._services import Service, Services
 from bramleystair.flows._settings import FlowSettings
 from bramleystair.packets import PacketHeaders, read_headers
@@ -60,6 +63,7 @@
         self._flows: dict[bytes, FlowEntry] = {}
         self._flow_counts: dict[int, int] = {}
         self._redirects = Redirects()
+        self._registrar = Registrar(server, settings)
         self._rotated_s: float | None = None
         self._waiting: dict[bytes, WaitingFlow] = {}
         self._placement = Placement(server, settings, random)
@@ -115,8 +119,8 @@
                 self._answer_query(sender, service_id, flow)
             case FlowQueryReply():
                 self._handle_query_reply(sender, message)
-            case RedirectPut(service_id, flows, owner):
-                self._put_redirects(service_id, flows, owner)
+            case RedirectPut():
+                self._handle_registration(sender, message)
             case RedirectDrop(service_id, flows, owner):
                 self._drop_redirects(service_id, flows, owner)
             case LoadReport(loads):
@@ -165,10 +169,19 @@
         entry.unanswered = 0
         self._outbox.add(events.Deliver(entry.service_id, headers.flow, packet))
         if headers.protocol == Protocol.TCP and not headers.is_first:
-            entry.is_established = True
+            self._establish(headers.flow, entry)
         if headers.is_reset:
             self._end_flow(headers.flow)
 
+    def _establish(self, flow: bytes, entry: FlowEntry) -> None:
+        if entry.is_established:
+            return
+        entry.is_established = True
+        service = self._services.get(entry.service_id)
+        if entry.home is None and service is not None:
+            entry.home = service.find_home(flow)
+            self._registrar.enqueue(flow)
+
     def _pass_on(self, owner: str, message: Forward) -> None:
         if message.hops >= self._settings.max_hops:
             # Redirects form a loop; without this one, the next packet is looked up.
@@ -242,18 +255,18 @@
             self._end_query(flow, waiting)
 
     def _ask(self, flow: bytes, waiting: WaitingFlow, server: str) -> None:
-        waiting.asked.add(server)
         waiting.members.add(server)
         self._outbox.send(server, FlowQuery(waiting.service_id, flow))
 
     def _answer_query(self, sender: str, service_id: int, flow: bytes) -> None:
-        owner = self._find_owner(sender, service_id, flow)
-        self._outbox.send(sender, FlowQueryReply(service_id, flow, owner))
-
-    def _find_owner(self, sender: str, service_id: int, flow: bytes) -> str:
         entry = self._flows.get(flow)
         if entry is not None and entry.service_id == service_id:
-            return self._server
+            is_owner, owner = entry.is_established, self._server
+        else:
+            is_owner, owner = False, self._find_owner(sender, service_id, flow)
+        self._outbox.send(sender, FlowQueryReply(service_id, flow, owner, is_owner))
+
+    def _find_owner(self, sender: str, service_id: int, flow: bytes) -> str:
         waiting = self._waiting.get(flow)
         if waiting is None or waiting.service_id != service_id:
             return self._redirects.get(service_id, flow)
@@ -281,22 +294,35 @@
         waiting = self._waiting.get(flow)
         if waiting is None or sender not in waiting.members:
             return
-        if message.owner == sender:
+        if waiting.is_placing:
+            self._take_late_reply(sender, waiting, message)
+            return
+        if message.is_owner:
             self._hand_over(flow, waiting, sender)
             return
         waiting.members.discard(sender)
-        if message.owner and message.owner != self._server:
+        if message.owner == sender:
+            waiting.claims.append(sender)
+        elif message.owner not in ("", self._server, *waiting.hints):
+            # Its own answer may have preceded the event that the sender knows of.
             waiting.hints.append(message.owner)
-            if message.owner not in waiting.asked:
-                self._ask(flow, waiting, message.owner)
+            self._ask(flow, waiting, message.owner)
         if not waiting.members:
             self._end_query(flow, waiting)
 
+    def _take_late_reply(
+        self, sender: str, waiting: WaitingFlow, message: FlowQueryReply
+    ) -> None:
+        if message.is_owner and waiting.targets[0] != sender:
+            self._abandon(waiting.targets[0], waiting.service_id, message.flow)
+            self._hand_over(message.flow, waiting, sender)
+
     def _end_query(self, flow: bytes, waiting: WaitingFlow) -> None:
-        for hint in waiting.hints:
-            if hint in waiting.members:
-                self._hand_over(flow, waiting, hint)
-                return
+        unconfirmed = [hint for hint in waiting.hints if hint in waiting.members]
+        owners = [*waiting.claims, *unconfirmed]
+        if owners:
+            self._hand_over(flow, waiting, owners[0])
+            return
         if waiting.is_opening:
             self._place_flow(flow, waiting)
             return
@@ -355,7 +381,8 @@
         del self._waiting[flow]
         entry = self._flows.get(flow)
         if entry is None:
-            entry = self._create_entry(self._services.get(waiting.service_id), flow)
+            service = self._services.get(waiting.service_id)
+            entry = self._create_entry(service, flow, self._server)
         for packet in waiting.packets:
             self._deliver(entry, read_headers(packet).unwrap(), packet)
 
@@ -375,7 +402,7 @@
         self._reply_place(sender, message, reason)
         if reason:
             return
-        entry = self._create_entry(service, flow)
+        entry = self._create_entry(service, flow, sender)
         self._deliver(entry, headers, message.packet)
         if waiting is not None:
             self._take_waiting(flow, waiting)
@@ -434,12 +461,34 @@
     def _abandon(self, server: str, service_id: int, flow: bytes) -> None:
         self._outbox.send(server, RedirectDrop(service_id, (flow,), server))
 
-    def _put_redirects(
-        self, service_id: int, flows: tuple[bytes, ...], owner: str
-    ) -> None:
-        for flow in flows:
-            if flow not in self._flows and owner != self._server:
-                self._redirects.put(service_id, flow, owner)
+    def _handle_registration(self, sender: str, message: RedirectPut) -> None:
+        if message.is_reply:
+            self._registrar.confirm(message.sequence)
+            return
+        for flow in message.flows:
+            self._put_redirect(message.service_id, flow, message.owner)
+        if message.sequence:
+            self._outbox.send(sender, attrs.evolve(message, flows=(), is_reply=True))
+
+    def _put_redirect(self, service_id: int, flow: bytes, owner: str) -> None:
+        if owner == self._server:
+            return
+        entry = self._flows.get(flow)
+        if entry is not None and entry.is_established:
+            return
+        if entry is not None:
+            # The flow was placed here for a repeated first packet.
+            self._give_up_unused(service_id, flow)
+        self._redirects.put(service_id, flow, owner)
+        waiting = self._waiting.get(flow)
+        if waiting is None or waiting.service_id != service_id:
+            return
+        if waiting.targets[:1] == [owner]:
+            # The answer to the placement is still to come.
+            return
+        if waiting.is_placing:
+            self._abandon(waiting.targets[0], service_id, flow)
+        self._hand_over(flow, waiting, owner)
 
     def _drop_redirects(
         self, service_id: int, flows: tuple[bytes, ...], owner: str
@@ -470,10 +519,12 @@
             return 0
         return self._cold_start.compute_limit(service.row.max_flows, self._now)
 
-    def _create_entry(self, service: Service, flow: bytes) -> FlowEntry:
+    def _create_entry(self, service: Service, flow: bytes, placed_by: str) -> FlowEntry:
         service_id = service.service_id
         entry = FlowEntry(service_id, service.find_home(flow), self._now)
         self._flows[flow] = entry
+        if entry.home is not None and entry.home[0] != placed_by:
+            self._registrar.enqueue(flow)
         self._redirects.remove(flow)
         self._flow_counts[service_id] = self._flow_counts.get(service_id, 0) + 1
         return entry
@@ -496,7 +547,7 @@
             return
         entry.last_seen_s = self._now
         if flow[0] == Protocol.UDP:
-            entry.is_established = True
+            self._establish(flow, entry)
         entry.unanswered += 1
 
     def _fail_delivery(self, flow: bytes) -> None:
@@ -508,7 +559,7 @@
 
     def _change_view(self, view: View) -> None:
         for service in self._services.update(view, self._now):
-            self._register_flows(service)
+            self._registrar.start_scan(service.service_id, self._flows)
         self._redirects.drop_owners(lambda server: not view.is_live(server))
         self._review_waiting()
         self._placement.forget(lambda server: not view.is_live(server))
@@ -525,21 +576,6 @@
                 waiting.targets.pop(0)
                 self._try_target(flow, waiting)
 
-    def _register_flows(self, service: Service) -> None:
-        moved: dict[str, list[bytes]] = {}
-        for flow, entry in self._flows.items():
-            if entry.service_id != service.service_id:
-                continue
-            home = service.find_home(flow)
-            if home == entry.home:
-                continue
-            entry.home = home
-            if home is not None and home[0] != self._server:
-                moved.setdefault(home[0], []).append(flow)
-        for home, flows in moved.items():
-            put = RedirectPut(service.service_id, tuple(flows), self._server)
-            self._outbox.send(home, put)
-
     def _run_timers(self) -> None:
         for flow, waiting in list(self._waiting.items()):
             if waiting.is_placing:
@@ -547,6 +583,7 @@
             else:
                 self._run_query(flow, waiting)
         self._expire_refusals()
+        self._registrar.run(self._now, self._flows, self._services, self._outbox)
         if self._rotated_s is None:
             self._rotated_s = self._now
         if self._now - self._rotated_s >= self._settings.redirect_period_s:
--- a/src/bramleystair/flows/_entries.py
+++ b/src/bramleystair/flows/_entries.py
@@ -12,7 +12,8 @@
     Parameters
     ----------
     home : tuple of (str, int) or None
-        Server and incarnation at which the owner is registered.
+        Server and incarnation at which the owner is registered; None as well for a
+        flow that is not established and whose home has changed.
     last_seen_s : float
         Time of the last packet in either direction.
     is_established : bool
@@ -41,10 +42,12 @@
         Whether the flow is placed when no member knows it.
     started_s, deadline_s, retry_s : float
         Start and end of the present step, and time of the next repetition.
-    asked, members : set of str
-        Members that were queried, and those whose answer is outstanding.
+    members : set of str
+        Members whose answer to a query is outstanding.
+    claims : list of str
+        Members that hold or place the flow, of which none is established yet.
     hints : list of str
-        Owners that other members named and that have not confirmed it.
+        Owners that other members named; each is queried once more.
     targets : list of str
         Members to try during a placement; the first one has been asked.
     """
@@ -55,8 +58,8 @@
     deadline_s: float = 0.0
     retry_s: float = 0.0
     packets: list[bytes] = attrs.field(factory=list)
-    asked: set[str] = attrs.field(factory=set)
     members: set[str] = attrs.field(factory=set)
+    claims: list[str] = attrs.field(factory=list)
     hints: list[str] = attrs.field(factory=list)
     targets: list[str] = attrs.field(factory=list)
 
--- a/src/bramleystair/flows/_services.py
+++ b/src/bramleystair/flows/_services.py
@@ -21,8 +21,8 @@
     is_in_service : bool
         Whether the row's and the agent's availability zones are in service.
     peers : tuple of str
-        Other members that may own flows, including those reported down and those
-        whose row was removed.
+        Other servers that may own flows: members, including those reported down,
+        servers whose row was removed, and others that announce the service.
     live : frozenset of str
         The peers not reported down.
     former : frozenset of (str, int)
@@ -95,9 +95,15 @@
         former = _list_former(table, known, view)
         peers = [m.server for m in table.members if view.is_in_service(m.zone)]
         peers += sorted(server for server, _ in former)
+        # A member that has just joined does not know whose row was removed earlier.
+        peers += sorted(
+            agent.server
+            for agent in view.agents.values()
+            if table.service in agent.services
+        )
         peers = tuple(
             server
-            for server in peers
+            for server in dict.fromkeys(peers)
             if server != self._server
             and server in view.agents
             and view.is_in_service(view.agents[server].zone)
--- a/src/bramleystair/flows/_settings.py
+++ b/src/bramleystair/flows/_settings.py
@@ -37,11 +37,18 @@
     place_retry_s, place_timeout_s : float
         Interval between repeated placements, and time after which one is given up. A
         refusal is remembered as long, so that each repetition gets the same answer.
+    register_bytes_per_s : int
+        Budget for registrations at new homes, part of the 11 KB/s for control. It
+        moves 2,000 IPv4 flows in 8 s, within the change window.
+    register_retry_s : float
+        Time after which an unconfirmed registration is repeated.
+    scan_flows_per_tick : int
+        Flows whose home is recomputed per tick after a change.
     """
 
     max_hops: int = 4
     query_timeout_s: float = 3.0
-    first_query_timeout_s: float = 0.5
+    first_query_timeout_s: float = 1.0
     doubt_s: float = 0.5
     query_retry_s: float = 0.2
     change_window_s: float = 10.0
@@ -52,6 +59,9 @@
     place_attempts: int = 6
     place_retry_s: float = 0.25
     place_timeout_s: float = 3.0
+    register_bytes_per_s: int = 8_000
+    register_retry_s: float = 1.0
+    scan_flows_per_tick: int = 1_000
     silence_s: float = 20.0
     silence_packets: int = 3
     initial_fraction: float = 0.1
--- a/src/bramleystair/wire/_messages.py
+++ b/src/bramleystair/wire/_messages.py
@@ -27,11 +27,16 @@
 
 @attrs.frozen
 class RedirectPut:
-    """Register `owner` as the owner of flows at their home."""
+    """Register `owner` as the owner of flows at their home.
+
+    The home returns the message without flows and with `is_reply` set.
+    """
 
     service_id: int = 0
     flows: tuple[bytes, ...] = ()
     owner: str = ""
+    sequence: int = 0
+    is_reply: bool = False
 
 
 @attrs.frozen
@@ -53,11 +58,16 @@
 
 @attrs.frozen
 class FlowQueryReply:
-    """Name the owner of a flow; empty when it is not known."""
+    """Name the owner of a flow; empty when it is not known.
+
+    `is_owner` is set when the sender holds the flow and it is established, as opposed
+    to a redirect, an open placement or a flow that may be a repetition.
+    """
 
     service_id: int = 0
     flow: bytes = b""
     owner: str = ""
+    is_owner: bool = False
 
 
 @attrs.frozen
--- a/src/bramleystair/wire/messages.capnp
+++ b/src/bramleystair/wire/messages.capnp
@@ -23,6 +23,8 @@
   serviceId @0 :UInt64;
   flows @1 :List(Data);
   owner @2 :Text;
+  sequence @3 :UInt32;
+  isReply @4 :Bool;
 }
 
 struct RedirectDrop {
@@ -40,6 +42,7 @@
   serviceId @0 :UInt64;
   flow @1 :Data;
   owner @2 :Text;
+  isOwner @3 :Bool;
 }
 
 struct ServiceLoad {
