Apply availability zone marks to flows

Cause: agents ignored the mark of their own and of other zones. Change: on out, an agent gives up its flows with resets to both sides, counted apart from broken flows, and refuses all work without resetting flows that others may own; no packet, query or registration is sent into the zone, and redirects and placements to it end. On in, the cold-start ramp starts again.

--- a/src/bramleystair/flows/_admission.py
+++ b/src/bramleystair/flows/_admission.py
@@ -16,7 +16,7 @@
         self.is_draining = False
 
     def check(
-        self, member: Member | None, in_service: bool, flows: int, now: float
+        self, member: Member | None, is_zone_out: bool, flows: int, now: float
     ) -> str:
         """Return the reason for a refusal, or an empty string.
 
@@ -24,14 +24,14 @@
         ----------
         member : Member or None
             The server's row in the service's table.
-        in_service : bool
-            Whether the server's availability zone is in service.
+        is_zone_out : bool
+            Whether the server's availability zone is out of service.
         flows : int
             Flows that the server holds for the service.
         """
         if member is None:
             return "wrong_service"
-        if not in_service:
+        if is_zone_out:
             return "zone_out"
         if self.is_draining or member.weight <= 0:
             return "draining"
--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -11,7 +11,7 @@
 from bramleystair.flows._events import FlowAction, FlowEvent
 from bramleystair.flows._outbox import Outbox
 from bramleystair.flows._placement import Load, Placement
-from bramleystair.flows._redirects import Redirects
+from bramleystair.flows._redirects import Owner, Redirects
 from bramleystair.flows._registration import Registrar
 from bramleystair.flows._services import Service, Services
 from bramleystair.flows._settings import FlowSettings
@@ -55,6 +55,7 @@
         random: random_module.Random,
     ) -> None:
         self._server = server
+        self._zone = zone
         self._incarnation = incarnation
         self._settings = settings
         self._services = Services(server, zone, settings.change_window_s)
@@ -69,6 +70,7 @@
         self._placement = Placement(server, settings, random)
         self._refusals: dict[bytes, tuple[float, str]] = {}
         self._now = 0.0
+        self._is_zone_out = False
         self._outbox = Outbox()
 
     @property
@@ -147,6 +149,10 @@
         if owner:
             self._pass_on(owner, message)
             return
+        if service.is_zone_out:
+            # No reset: a member elsewhere may own the flow.
+            self._outbox.count("flow_refused", "zone_out")
+            return
         self._hold_unknown(sender, service, message, headers)
 
     def _handle_owned(
@@ -347,7 +353,7 @@
     def _find_own_load(self, service: Service) -> Load | None:
         if service.row is None or service.row.weight <= 0:
             return None
-        if self._admission.is_draining or not service.is_in_service:
+        if self._admission.is_draining or service.is_zone_out:
             return None
         flows = self._flow_counts.get(service.service_id, 0)
         limit = self._compute_limit(service)
@@ -510,12 +516,10 @@
 
     def _check_admission(self, service: Service) -> str:
         flows = self._flow_counts.get(service.service_id, 0)
-        return self._admission.check(
-            service.row, service.is_in_service, flows, self._now
-        )
+        return self._admission.check(service.row, service.is_zone_out, flows, self._now)
 
     def _compute_limit(self, service: Service) -> int:
-        if self._admission.is_draining or not service.is_in_service:
+        if self._admission.is_draining or service.is_zone_out:
             return 0
         return self._cold_start.compute_limit(service.row.max_flows, self._now)
 
@@ -529,10 +533,14 @@
         self._flow_counts[service_id] = self._flow_counts.get(service_id, 0) + 1
         return entry
 
-    def _end_flow(self, flow: bytes) -> None:
+    def _remove_flow(self, flow: bytes) -> FlowEntry:
         entry = self._flows.pop(flow)
         self._flow_counts[entry.service_id] -= 1
         self._outbox.add(events.CloseFlow(flow))
+        return entry
+
+    def _end_flow(self, flow: bytes) -> None:
+        entry = self._remove_flow(flow)
         if entry.home is not None and entry.home[0] != self._server:
             drop = RedirectDrop(entry.service_id, (flow,), self._server)
             self._outbox.send(entry.home[0], drop)
@@ -560,16 +568,58 @@
     def _change_view(self, view: View) -> None:
         for service in self._services.update(view, self._now):
             self._registrar.start_scan(service.service_id, self._flows)
-        self._redirects.drop_owners(lambda server: not view.is_live(server))
+        self._outbox.blocked = frozenset(
+            server
+            for server, agent in view.agents.items()
+            if not view.is_in_service(agent.zone)
+        )
+        self._redirects.drop_owners(lambda owner: self._is_gone(owner, view))
+        self._change_zone(view)
         self._review_waiting()
         self._placement.forget(lambda server: not view.is_live(server))
 
+    def _is_gone(self, owner: Owner, view: View) -> bool:
+        service_id, server = owner
+        table = view.tables_by_id.get(service_id)
+        row = table.get_member(server) if table else None
+        if row is not None and not view.is_in_service(row.zone):
+            return True
+        return server in self._outbox.blocked or not view.is_live(server)
+
+    def _change_zone(self, view: View) -> None:
+        was_out, self._is_zone_out = (
+            self._is_zone_out,
+            not view.is_in_service(self._zone),
+        )
+        if was_out and not self._is_zone_out:
+            self._cold_start.restart(self._now)
+        out = {
+            service.service_id
+            for service in self._services.list_member_services()
+            if service.is_zone_out
+        }
+        if not (out or self._is_zone_out):
+            return
+        for flow, entry in list(self._flows.items()):
+            if self._is_zone_out or entry.service_id in out:
+                self._give_up_flow(flow)
+
+    def _give_up_flow(self, flow: bytes) -> None:
+        # Homes drop their redirects by the mark, so none is notified.
+        self._remove_flow(flow)
+        self._outbox.add(events.ResetCaller(flow, b""))
+        self._outbox.add(events.ResetServer(flow, b""))
+        self._outbox.count("zone_given_up", self._zone)
+
     def _review_waiting(self) -> None:
         for flow, waiting in list(self._waiting.items()):
             service = self._services.get(waiting.service_id)
             if service is None:
                 del self._waiting[flow]
                 self._outbox.count("flow_refused", "wrong_service")
+            elif service.is_zone_out:
+                del self._waiting[flow]
+                self._outbox.count("flow_refused", "zone_out")
             elif not waiting.is_placing:
                 waiting.members.intersection_update(service.peers)
             elif waiting.targets[0] not in service.live:
--- a/src/bramleystair/flows/_outbox.py
+++ b/src/bramleystair/flows/_outbox.py
@@ -2,7 +2,7 @@
 
 from bramleystair.actions import Count, Send
 from bramleystair.flows._events import FlowAction
-from bramleystair.wire import Message
+from bramleystair.wire import FlowQuery, Forward, Message, RedirectPut
 
 
 class Outbox:
@@ -10,13 +10,21 @@
 
     def __init__(self) -> None:
         self._actions: list[FlowAction] = []
+        self.blocked: frozenset[str] = frozenset()
 
     def add(self, action: FlowAction) -> None:
         """Append an action."""
         self._actions.append(action)
 
     def send(self, peer: str, message: Message) -> None:
-        """Append the sending of a message."""
+        """Append the sending of a message.
+
+        Servers in an availability zone that is out of service are sent answers only,
+        which their agents need until they hold the mark themselves.
+        """
+        if peer in self.blocked and not _is_answer(message):
+            self.count("message_dropped", "zone_out")
+            return
         self._actions.append(Send(peer, message))
 
     def count(self, name: str, reason: str, amount: int = 1) -> None:
@@ -28,3 +36,9 @@
         actions = self._actions
         self._actions = []
         return actions
+
+
+def _is_answer(message: Message) -> bool:
+    if isinstance(message, RedirectPut):
+        return message.is_reply
+    return not isinstance(message, (Forward, FlowQuery))
--- a/src/bramleystair/flows/_redirects.py
+++ b/src/bramleystair/flows/_redirects.py
@@ -47,9 +47,9 @@
         if self.get(service_id, flow) == server:
             self.remove(flow)
 
-    def drop_owners(self, is_gone: Callable[[str], bool]) -> None:
-        """Remove all redirects to servers for which `is_gone` returns true."""
-        gone = {owner for owner in self._owners if is_gone(owner[1])}
+    def drop_owners(self, is_gone: Callable[[Owner], bool]) -> None:
+        """Remove all redirects to owners for which `is_gone` returns true."""
+        gone = {owner for owner in self._owners if is_gone(owner)}
         if not gone:
             return
         self._recent = _exclude(self._recent, gone)
--- a/src/bramleystair/flows/_services.py
+++ b/src/bramleystair/flows/_services.py
@@ -18,8 +18,8 @@
     ----------
     row : Member or None
         This server's row.
-    is_in_service : bool
-        Whether the row's and the agent's availability zones are in service.
+    is_zone_out : bool
+        Whether the row's or the agent's availability zone is out of service.
     peers : tuple of str
         Other servers that may own flows: members, including those reported down,
         servers whose row was removed, and others that announce the service.
@@ -34,7 +34,7 @@
     service_id: int
     table: Table
     row: Member | None
-    is_in_service: bool
+    is_zone_out: bool
     candidates: tuple[Candidate, ...]
     homes: dict[str, Home]
     peers: tuple[str, ...]
@@ -112,9 +112,8 @@
             service_id,
             table,
             row,
-            row is not None
-            and view.is_in_service(row.zone)
-            and view.is_in_service(self._zone),
+            not view.is_in_service(self._zone)
+            or (row is not None and not view.is_in_service(row.zone)),
             candidates,
             {c.server: (c.server, c.incarnation) for c in candidates},
             peers,
@@ -147,5 +146,5 @@
         or known.candidates != service.candidates
         or known.peers != service.peers
         or known.live != service.live
-        or known.is_in_service != service.is_in_service
+        or known.is_zone_out != service.is_zone_out
     )
