Track the end and the silence of flows

Cause: entries never ended on FIN, by expiry or when their path was lost. Change: a table of flows ends an entry on a reset or on FIN of both sides, keeps it 10 s for late segments, and expires half-open and idle flows; a part of the flows is swept per tick. A flow with three unanswered segments after 20 s is registered again, and a TCP flow that stays unanswered for 20 s after that is reset on both sides with the numbers that they expect. Only segments that call for an acknowledgement and were not acknowledged already count as unanswered, so that a quiet feed is never reset.

--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -9,6 +9,7 @@
 from bramleystair.flows._cold_start import ColdStart
 from bramleystair.flows._entries import FlowEntry, WaitingFlow
 from bramleystair.flows._events import FlowAction, FlowEvent
+from bramleystair.flows._flow_table import FlowTable
 from bramleystair.flows._outbox import Outbox
 from bramleystair.flows._placement import Load, Placement
 from bramleystair.flows._redirects import Owner, Redirects
@@ -61,8 +62,8 @@
         self._services = Services(server, zone, settings.change_window_s)
         self._cold_start = ColdStart(settings.initial_fraction, settings.warm_up_s)
         self._admission = Admission(settings, self._cold_start)
-        self._flows: dict[bytes, FlowEntry] = {}
-        self._flow_counts: dict[int, int] = {}
+        self._outbox = Outbox()
+        self._flows = FlowTable(server, settings, self._outbox)
         self._redirects = Redirects()
         self._registrar = Registrar(server, settings)
         self._rotated_s: float | None = None
@@ -71,23 +72,22 @@
         self._refusals: dict[bytes, tuple[float, str]] = {}
         self._now = 0.0
         self._is_zone_out = False
-        self._outbox = Outbox()
 
     @property
     def flow_count(self) -> int:
         """Number of flows owned."""
-        return len(self._flows)
+        return self._flows.open_count
 
     def list_flows(self) -> tuple[bytes, ...]:
         """Return the keys of the flows owned."""
-        return tuple(self._flows)
+        return self._flows.list_open()
 
     def list_loads(self) -> tuple[ServiceLoad, ...]:
         """Return flows and present limit for each service of this server."""
         return tuple(
             ServiceLoad(
                 service.service_id,
-                flows=self._flow_counts.get(service.service_id, 0),
+                flows=self._flows.count(service.service_id),
                 flow_limit=self._compute_limit(service),
             )
             for service in self._services.list_member_services()
@@ -134,8 +134,12 @@
             self._outbox.count("packet_dropped", "malformed")
             return
         headers = result.unwrap()
-        entry = self._flows.get(message.flow)
-        if entry is not None and entry.service_id == message.service_id:
+        entry = self._flows.get(message.service_id, message.flow)
+        if entry is not None and entry.ended_s is not None and headers.is_first:
+            # The caller uses its port again for a new flow.
+            self._flows.end(message.flow)
+            entry = None
+        if entry is not None:
             self._handle_owned(sender, entry, message, headers)
             return
         service = self._services.get(message.service_id)
@@ -171,13 +175,10 @@
             self._reply_place(sender, message, "wrong_service")
 
     def _deliver(self, entry: FlowEntry, headers: PacketHeaders, packet: bytes) -> None:
-        entry.last_seen_s = self._now
-        entry.unanswered = 0
+        self._flows.record_inbound(entry, headers, self._now)
         self._outbox.add(events.Deliver(entry.service_id, headers.flow, packet))
         if headers.protocol == Protocol.TCP and not headers.is_first:
             self._establish(headers.flow, entry)
-        if headers.is_reset:
-            self._end_flow(headers.flow)
 
     def _establish(self, flow: bytes, entry: FlowEntry) -> None:
         if entry.is_established:
@@ -265,8 +266,8 @@
         self._outbox.send(server, FlowQuery(waiting.service_id, flow))
 
     def _answer_query(self, sender: str, service_id: int, flow: bytes) -> None:
-        entry = self._flows.get(flow)
-        if entry is not None and entry.service_id == service_id:
+        entry = self._flows.get(service_id, flow)
+        if entry is not None:
             is_owner, owner = entry.is_established, self._server
         else:
             is_owner, owner = False, self._find_owner(sender, service_id, flow)
@@ -355,7 +356,7 @@
             return None
         if self._admission.is_draining or service.is_zone_out:
             return None
-        flows = self._flow_counts.get(service.service_id, 0)
+        flows = self._flows.count(service.service_id)
         limit = self._compute_limit(service)
         return Load(self._server, service.row.weight, flows, limit)
 
@@ -385,7 +386,7 @@
 
     def _take_waiting(self, flow: bytes, waiting: WaitingFlow) -> None:
         del self._waiting[flow]
-        entry = self._flows.get(flow)
+        entry = self._flows.get(waiting.service_id, flow)
         if entry is None:
             service = self._services.get(waiting.service_id)
             entry = self._create_entry(service, flow, self._server)
@@ -479,7 +480,7 @@
     def _put_redirect(self, service_id: int, flow: bytes, owner: str) -> None:
         if owner == self._server:
             return
-        entry = self._flows.get(flow)
+        entry = self._flows.get(service_id, flow)
         if entry is not None and entry.is_established:
             return
         if entry is not None:
@@ -507,15 +508,15 @@
 
     def _give_up_unused(self, service_id: int, flow: bytes) -> None:
         # The home of a flow that it placed here has placed it elsewhere.
-        entry = self._flows.get(flow)
-        if entry is None or entry.service_id != service_id or entry.is_established:
+        entry = self._flows.get(service_id, flow)
+        if entry is None or entry.is_established:
             return
-        self._end_flow(flow)
-        self._outbox.add(events.ResetServer(flow, b""))
+        self._flows.reset_server(flow, entry)
+        self._flows.end(flow)
         self._outbox.count("flow_abandoned", "placed_elsewhere")
 
     def _check_admission(self, service: Service) -> str:
-        flows = self._flow_counts.get(service.service_id, 0)
+        flows = self._flows.count(service.service_id)
         return self._admission.check(service.row, service.is_zone_out, flows, self._now)
 
     def _compute_limit(self, service: Service) -> int:
@@ -526,48 +527,36 @@
     def _create_entry(self, service: Service, flow: bytes, placed_by: str) -> FlowEntry:
         service_id = service.service_id
         entry = FlowEntry(service_id, service.find_home(flow), self._now)
-        self._flows[flow] = entry
+        self._flows.add(flow, entry)
         if entry.home is not None and entry.home[0] != placed_by:
             self._registrar.enqueue(flow)
         self._redirects.remove(flow)
-        self._flow_counts[service_id] = self._flow_counts.get(service_id, 0) + 1
-        return entry
-
-    def _remove_flow(self, flow: bytes) -> FlowEntry:
-        entry = self._flows.pop(flow)
-        self._flow_counts[entry.service_id] -= 1
-        self._outbox.add(events.CloseFlow(flow))
         return entry
 
-    def _end_flow(self, flow: bytes) -> None:
-        entry = self._remove_flow(flow)
-        if entry.home is not None and entry.home[0] != self._server:
-            drop = RedirectDrop(entry.service_id, (flow,), self._server)
-            self._outbox.send(entry.home[0], drop)
-
     def _reject_flow(self, flow: bytes, packet: bytes, reason: str) -> None:
         self._outbox.count("flow_rejected", reason)
         self._outbox.add(events.ResetCaller(flow, packet))
 
     def _record_outbound(self, flow: bytes, packet: bytes) -> None:
-        entry = self._flows.get(flow)
+        entry = self._flows.entries.get(flow)
         if entry is None:
             return
-        entry.last_seen_s = self._now
+        self._flows.record_outbound(entry, packet, self._now)
         if flow[0] == Protocol.UDP:
             self._establish(flow, entry)
-        entry.unanswered += 1
 
     def _fail_delivery(self, flow: bytes) -> None:
-        if flow not in self._flows:
+        entry = self._flows.entries.get(flow)
+        if entry is None:
             return
-        self._end_flow(flow)
-        self._outbox.add(events.ResetCaller(flow, b""))
-        self._outbox.count("flow_broken", "delivery_failed")
+        if entry.ended_s is None:
+            self._flows.reset_caller(flow, entry)
+            self._outbox.count("flow_broken", "delivery_failed")
+        self._flows.end(flow)
 
     def _change_view(self, view: View) -> None:
         for service in self._services.update(view, self._now):
-            self._registrar.start_scan(service.service_id, self._flows)
+            self._registrar.start_scan(service.service_id, self._flows.entries)
         self._outbox.blocked = frozenset(
             server
             for server, agent in view.agents.items()
@@ -600,16 +589,11 @@
         }
         if not (out or self._is_zone_out):
             return
-        for flow, entry in list(self._flows.items()):
+        for flow, entry in list(self._flows.entries.items()):
             if self._is_zone_out or entry.service_id in out:
-                self._give_up_flow(flow)
-
-    def _give_up_flow(self, flow: bytes) -> None:
-        # Homes drop their redirects by the mark, so none is notified.
-        self._remove_flow(flow)
-        self._outbox.add(events.ResetCaller(flow, b""))
-        self._outbox.add(events.ResetServer(flow, b""))
-        self._outbox.count("zone_given_up", self._zone)
+                # Homes drop their redirects by the mark, so none is notified.
+                self._flows.break_off(flow, entry, notify=False)
+                self._outbox.count("zone_given_up", self._zone)
 
     def _review_waiting(self) -> None:
         for flow, waiting in list(self._waiting.items()):
@@ -633,7 +617,11 @@
             else:
                 self._run_query(flow, waiting)
         self._expire_refusals()
-        self._registrar.run(self._now, self._flows, self._services, self._outbox)
+        for flow, _ in self._flows.sweep(self._now):
+            self._registrar.enqueue(flow)
+        self._registrar.run(
+            self._now, self._flows.entries, self._services, self._outbox
+        )
         if self._rotated_s is None:
             self._rotated_s = self._now
         if self._now - self._rotated_s >= self._settings.redirect_period_s:
--- a/src/bramleystair/flows/_entries.py
+++ b/src/bramleystair/flows/_entries.py
@@ -19,8 +19,15 @@
     is_established : bool
         Whether the caller sent more than the opening segment or, for datagrams, the
         backend server answered.
-    unanswered : int
-        Outbound packets since the last inbound one.
+    unanswered, unanswered_s : int, float
+        Outbound packets since the last inbound one or repair, and time of the first.
+    repairs : int
+        Repairs of the registration since the last inbound packet.
+    caller_next, caller_ack, server_next : int
+        TCP numbers: the next one of the caller, its last acknowledgement and the next
+        one of the backend server.
+    ended_s : float or None
+        Time at which the flow ended; the entry is kept for late segments.
     """
 
     service_id: int
@@ -30,6 +37,12 @@
     has_caller_fin: bool = False
     has_server_fin: bool = False
     unanswered: int = 0
+    unanswered_s: float = 0.0
+    repairs: int = 0
+    caller_next: int = 0
+    caller_ack: int = 0
+    server_next: int = 0
+    ended_s: float | None = None
 
 
 @attrs.define(eq=False)
--- /dev/null
+++ b/src/bramleystair/flows/_flow_table.py
@@ -0,0 +1,222 @@
+"""Flows that an agent owns, from their first packet to their end."""
+
+import itertools
+import math
+from collections.abc import Iterator
+
+from bramleystair.flows import _events as events
+from bramleystair.flows._entries import FlowEntry
+from bramleystair.flows._outbox import Outbox
+from bramleystair.flows._settings import FlowSettings
+from bramleystair.packets import (
+    PacketHeaders,
+    build_segment,
+    is_before,
+    read_headers,
+    reverse_flow,
+)
+from bramleystair.tables import Protocol
+from bramleystair.wire import RedirectDrop
+
+ACK = 0x10
+
+
+class FlowTable:
+    """Hold flow entries and count the open ones per service.
+
+    An entry whose flow has ended stays for `linger_s`, so that late segments reach the
+    backend server instead of being taken for segments of an unknown flow.
+    """
+
+    def __init__(self, server: str, settings: FlowSettings, outbox: Outbox) -> None:
+        self._server = server
+        self._settings = settings
+        self._outbox = outbox
+        self._counts: dict[int, int] = {}
+        self._sweep: Iterator[bytes] = iter(())
+        self._swept_s = 0.0
+        self.entries: dict[bytes, FlowEntry] = {}
+
+    @property
+    def open_count(self) -> int:
+        """Number of flows that have not ended."""
+        return sum(self._counts.values())
+
+    def list_open(self) -> tuple[bytes, ...]:
+        """Return the keys of the flows that have not ended."""
+        return tuple(
+            flow for flow, entry in self.entries.items() if entry.ended_s is None
+        )
+
+    def count(self, service_id: int) -> int:
+        """Return the number of open flows of a service."""
+        return self._counts.get(service_id, 0)
+
+    def get(self, service_id: int, flow: bytes) -> FlowEntry | None:
+        """Return the entry of `flow` if it belongs to the service."""
+        entry = self.entries.get(flow)
+        if entry is None or entry.service_id != service_id:
+            return None
+        return entry
+
+    def add(self, flow: bytes, entry: FlowEntry) -> None:
+        """Add an open flow."""
+        self.entries[flow] = entry
+        self._counts[entry.service_id] = self.count(entry.service_id) + 1
+
+    def remove(self, flow: bytes) -> FlowEntry:
+        """Remove a flow without any notice to its home."""
+        entry = self.entries.pop(flow)
+        if entry.ended_s is None:
+            self._counts[entry.service_id] -= 1
+        self._outbox.add(events.CloseFlow(flow))
+        return entry
+
+    def end(self, flow: bytes) -> None:
+        """Remove a flow and its redirect at the home."""
+        entry = self.remove(flow)
+        if entry.home is not None and entry.home[0] != self._server:
+            drop = RedirectDrop(entry.service_id, (flow,), self._server)
+            self._outbox.send(entry.home[0], drop)
+
+    def break_off(self, flow: bytes, entry: FlowEntry, notify: bool = True) -> None:
+        """Remove a flow and reset both of its sides.
+
+        Parameters
+        ----------
+        notify : bool
+            Whether the home is told to remove its redirect.
+        """
+        self.reset_caller(flow, entry)
+        self.reset_server(flow, entry)
+        if notify:
+            self.end(flow)
+        else:
+            self.remove(flow)
+
+    def reset_caller(self, flow: bytes, entry: FlowEntry) -> None:
+        """Reset the caller with the number that it expects next."""
+        packet = b""
+        if flow[0] == Protocol.TCP:
+            number = entry.server_next or entry.caller_ack
+            packet = build_segment(flow, entry.caller_next, number, ACK)
+        self._outbox.add(events.ResetCaller(flow, packet))
+
+    def reset_server(self, flow: bytes, entry: FlowEntry) -> None:
+        """Reset the backend server with the number that it expects next."""
+        packet = b""
+        if flow[0] == Protocol.TCP:
+            packet = build_segment(
+                reverse_flow(flow), entry.server_next, entry.caller_next, ACK
+            )
+        self._outbox.add(events.ResetServer(flow, packet))
+
+    def record_inbound(
+        self, entry: FlowEntry, headers: PacketHeaders, now: float
+    ) -> None:
+        """Take note of a packet from the caller."""
+        entry.last_seen_s = now
+        entry.unanswered = 0
+        entry.repairs = 0
+        if headers.protocol != Protocol.TCP:
+            return
+        entry.caller_next = headers.next_sequence
+        entry.caller_ack = headers.acknowledgement
+        if headers.is_fin:
+            entry.has_caller_fin = True
+        if headers.is_reset or (entry.has_caller_fin and entry.has_server_fin):
+            self._close(entry, now)
+
+    def record_outbound(self, entry: FlowEntry, packet: bytes, now: float) -> None:
+        """Take note of a packet from the backend server."""
+        entry.last_seen_s = now
+        headers = read_headers(packet).ok()
+        if entry.ended_s is not None:
+            return
+        if headers is None or headers.protocol != Protocol.TCP:
+            self._record_unanswered(entry, now)
+            return
+        if headers.is_reset:
+            self._close(entry, now)
+            return
+        if headers.is_fin:
+            entry.has_server_fin = True
+        if not (
+            entry.server_next and is_before(headers.next_sequence, entry.server_next)
+        ):
+            entry.server_next = headers.next_sequence
+        # An empty segment is not acknowledged, so no answer to it can be missed.
+        is_empty = headers.next_sequence == headers.sequence
+        if is_empty:
+            return
+        if not entry.caller_ack or is_before(entry.caller_ack, headers.next_sequence):
+            self._record_unanswered(entry, now)
+
+    def sweep(self, now: float) -> list[tuple[bytes, FlowEntry]]:
+        """Check a part of the flows, all of them once per `sweep_period_s`.
+
+        Returns
+        -------
+        list of (bytes, FlowEntry)
+            Silent flows whose registration is to be repeated.
+        """
+        elapsed = min(now - self._swept_s, self._settings.sweep_period_s)
+        self._swept_s = now
+        part = len(self.entries) * elapsed / self._settings.sweep_period_s
+        flows = list(itertools.islice(self._sweep, math.ceil(part)))
+        if len(flows) < part:
+            self._sweep = iter(list(self.entries))
+        silent = []
+        for flow in flows:
+            entry = self.entries.get(flow)
+            if entry is not None and self._check(flow, entry, now):
+                silent.append((flow, entry))
+        return silent
+
+    def _close(self, entry: FlowEntry, now: float) -> None:
+        if entry.ended_s is None:
+            entry.ended_s = now
+            self._counts[entry.service_id] -= 1
+
+    def _record_unanswered(self, entry: FlowEntry, now: float) -> None:
+        if not entry.unanswered:
+            entry.unanswered_s = now
+        entry.unanswered += 1
+
+    def _check(self, flow: bytes, entry: FlowEntry, now: float) -> bool:
+        if entry.ended_s is not None:
+            if now - entry.ended_s >= self._settings.linger_s:
+                self.end(flow)
+            return False
+        if self._is_expired(entry, now):
+            reason = "idle" if entry.is_established else "half_open"
+            self._outbox.count("flow_expired", reason)
+            self.end(flow)
+            return False
+        return bool(entry.unanswered) and self._check_silence(flow, entry, now)
+
+    def _is_expired(self, entry: FlowEntry, now: float) -> bool:
+        limit_s = self._settings.half_open_idle_s
+        if entry.is_established:
+            limit_s = self._settings.established_idle_s
+        return now - entry.last_seen_s >= limit_s
+
+    def _check_silence(self, flow: bytes, entry: FlowEntry, now: float) -> bool:
+        settings = self._settings
+        is_tcp = flow[0] == Protocol.TCP
+        wait_s = settings.silence_s
+        if not is_tcp:
+            # A one-way feed stays silent; it is repaired at growing intervals.
+            wait_s *= 2 ** min(entry.repairs, settings.max_silence_doublings)
+        if now - entry.unanswered_s < wait_s:
+            return False
+        if is_tcp and entry.repairs:
+            self._outbox.count("flow_reset", "silent")
+            self.break_off(flow, entry)
+            return False
+        if entry.unanswered < settings.silence_packets:
+            return False
+        entry.repairs += 1
+        entry.unanswered = 0
+        self._outbox.count("flow_repaired", "silent")
+        return True
--- a/src/bramleystair/flows/_settings.py
+++ b/src/bramleystair/flows/_settings.py
@@ -44,6 +44,23 @@
         Time after which an unconfirmed registration is repeated.
     scan_flows_per_tick : int
         Flows whose home is recomputed per tick after a change.
+    silence_s, silence_packets : float, int
+        Time and outbound packets without an inbound one after which a flow is silent.
+    max_silence_doublings : int
+        How often the interval between repairs of a silent datagram flow doubles.
+    initial_fraction, warm_up_s : float
+        Fraction of each cap admitted at first, and time until the whole is admitted.
+    max_new_flows_per_s : float
+        Rate of new flows of which a cold backend server admits the same fraction.
+    half_open_idle_s, established_idle_s : float
+        Time without packets in either direction after which a flow is removed. A quiet
+        feed may pause for many hours.
+    linger_s : float
+        How long the entry of a flow that has ended is kept for late segments.
+    sweep_period_s : float
+        Time in which all flows are checked once for silence and expiry.
+    redirect_period_s : float
+        A redirect unused for two such periods is removed.
     """
 
     max_hops: int = 4
@@ -64,8 +81,12 @@
     scan_flows_per_tick: int = 1_000
     silence_s: float = 20.0
     silence_packets: int = 3
+    max_silence_doublings: int = 5
     initial_fraction: float = 0.1
     warm_up_s: float = 60.0
     max_new_flows_per_s: float = 200.0
     half_open_idle_s: float = 60.0
+    established_idle_s: float = 86_400.0
+    linger_s: float = 10.0
+    sweep_period_s: float = 2.0
     redirect_period_s: float = 3600.0
--- a/src/bramleystair/packets/__init__.py
+++ b/src/bramleystair/packets/__init__.py
@@ -3,6 +3,7 @@
 from bramleystair.packets._headers import (
     PacketHeaders,
     get_endpoint,
+    is_before,
     pack_endpoint,
     read_headers,
     reverse_flow,
@@ -14,6 +15,7 @@
     "build_segment",
     "build_reset",
     "get_endpoint",
+    "is_before",
     "pack_endpoint",
     "read_headers",
     "reverse_flow",
--- a/src/bramleystair/packets/_headers.py
+++ b/src/bramleystair/packets/_headers.py
@@ -89,6 +89,11 @@
     )
 
 
+def is_before(first: int, second: int) -> bool:
+    """Return whether the TCP sequence number `first` precedes `second`."""
+    return 0 < (second - first) & 0xFFFFFFFF < 0x80000000
+
+
 def get_endpoint(flow: bytes) -> bytes:
     """Return protocol, destination address and port of `flow`."""
     size = (len(flow) - 5) // 2
