--- a/src/bramleystair/flows/__init__.py
+++ b/src/bramleystair/flows/__init__.py
@@ -10,6 +10,7 @@
     DrainRequested,
     FlowAction,
     FlowEvent,
+    LimitAdvised,
     MessageArrived,
     OutboundSeen,
     OutcomeSeen,
@@ -18,13 +19,15 @@
     Tick,
     ViewChanged,
 )
-from bramleystair.flows._settings import FlowSettings
+from bramleystair.flows._settings import TICK_PERIOD_S, FlowSettings
 
 __all__ = [
+    "TICK_PERIOD_S",
     "Admission",
     "ColdStart",
     "FlowController",
     "FlowSettings",
+    "LimitAdvised",
     "CloseFlow",
     "Deliver",
     "DeliveryFailed",
--- a/src/bramleystair/flows/_cold_start.py
+++ b/src/bramleystair/flows/_cold_start.py
@@ -12,31 +12,59 @@
         Fraction of each cap admitted at the start, above 0 and at most 1.
     warm_up_s : float
         Seconds until the whole cap is admitted.
+    advice_fresh_s : float
+        Age up to which the load endpoint's advice is used.
     """
 
-    def __init__(self, initial_fraction: float, warm_up_s: float) -> None:
+    def __init__(
+        self, initial_fraction: float, warm_up_s: float, advice_fresh_s: float = 3.0
+    ) -> None:
         self._initial_fraction = initial_fraction
         self._warm_up_s = warm_up_s
+        self._advice_fresh_s = advice_fresh_s
+        self._advice = (0.0, 1.0)
         self._started_at_s: float | None = None
+        self._age_s = 0.0
 
     def restart(self, now: float) -> None:
         """Return to the cold state."""
         self._started_at_s = now
 
+    def resume(self, age_s: float) -> None:
+        """Go on from `age_s` seconds after the start, at the next use."""
+        self._started_at_s = None
+        self._age_s = age_s
+
+    def compute_age(self, now: float) -> float:
+        """Return the seconds since the start."""
+        if self._started_at_s is None:
+            self._started_at_s = now - self._age_s
+        return max(0.0, now - self._started_at_s)
+
+    def advise(self, fraction: float, now: float) -> None:
+        """Lower the limit for a short time, at most to `initial_fraction`.
+
+        A load endpoint that misleads cannot stop a backend server's work.
+        """
+        self._advice = (now, max(fraction, self._initial_fraction))
+
     def is_warm(self, now: float) -> bool:
         """Return whether the whole cap is admitted."""
         return self.compute_fraction(now) >= 1.0
 
     def compute_fraction(self, now: float) -> float:
         """Return the admitted fraction of each cap at `now`."""
-        if self._started_at_s is None:
-            self._started_at_s = now
+        age_s = self.compute_age(now)
         if self._warm_up_s <= 0:
             return 1.0
-        elapsed = max(0.0, now - self._started_at_s) / self._warm_up_s
+        elapsed = age_s / self._warm_up_s
         fraction = self._initial_fraction + (1 - self._initial_fraction) * elapsed
         return min(1.0, fraction)
 
     def compute_limit(self, cap: int, now: float) -> int:
         """Return the number that may be held of a cap of `cap`."""
-        return min(cap, max(1, math.floor(cap * self.compute_fraction(now))))
+        fraction = self.compute_fraction(now)
+        advised_s, advised = self._advice
+        if now - advised_s <= self._advice_fresh_s:
+            fraction = min(fraction, advised)
+        return min(cap, max(1, math.floor(cap * fraction)))
--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -11,6 +11,7 @@
 from bramleystair.flows._events import FlowAction, FlowEvent
 from bramleystair.flows._flow_table import FlowTable
 from bramleystair.flows._outbox import Outbox
+from bramleystair.flows._outcomes import OutcomeMonitor
 from bramleystair.flows._placement import Load, Placement
 from bramleystair.flows._redirects import Owner, Redirects
 from bramleystair.flows._registration import Registrar
@@ -61,6 +62,7 @@
         self._settings = settings
         self._services = Services(server, zone, settings.change_window_s)
         self._cold_start = ColdStart(settings.initial_fraction, settings.warm_up_s)
+        self._outcomes = OutcomeMonitor()
         self._admission = Admission(settings, self._cold_start)
         self._outbox = Outbox()
         self._flows = FlowTable(server, settings, self._outbox)
@@ -103,6 +105,10 @@
                 self._record_outbound(flow, packet)
             case events.DeliveryFailed(flow):
                 self._fail_delivery(flow)
+            case events.OutcomeSeen(latency_s, is_shed):
+                self._record_outcome(latency_s, is_shed)
+            case events.LimitAdvised(fraction):
+                self._cold_start.advise(fraction, now)
             case events.ViewChanged(view):
                 self._change_view(view)
             case events.DrainRequested():
@@ -545,6 +551,13 @@
         if flow[0] == Protocol.UDP:
             self._establish(flow, entry)
 
+    def _record_outcome(self, latency_s: float, is_shed: bool) -> None:
+        is_warm = self._cold_start.is_warm(self._now)
+        reason = self._outcomes.record(latency_s, is_shed, is_warm, self._now)
+        if reason:
+            self._cold_start.restart(self._now)
+            self._outbox.count("cold_return", reason)
+
     def _fail_delivery(self, flow: bytes) -> None:
         entry = self._flows.entries.get(flow)
         if entry is None:
--- a/src/bramleystair/flows/_events.py
+++ b/src/bramleystair/flows/_events.py
@@ -46,6 +46,19 @@
     is_shed: bool
 
 
+@attrs.frozen
+class LimitAdvised:
+    """The backend server's load endpoint asks for a lower limit.
+
+    Parameters
+    ----------
+    fraction : float
+        Fraction of each cap; it is never taken to raise a limit.
+    """
+
+    fraction: float
+
+
 @attrs.frozen
 class ViewChanged:
     """The agent holds a new view."""
@@ -108,6 +121,7 @@
     | OutboundSeen
     | DeliveryFailed
     | OutcomeSeen
+    | LimitAdvised
     | ViewChanged
     | DrainRequested
     | Tick
