Export and import flows for a planned upgrade

Cause: an agent's flow table has to outlive its process during an upgrade. Conclusion: the upgrade keeps flows; damaged bytes give an error.

--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -3,7 +3,9 @@
 import random as random_module
 
 import attrs
+from result import Err, Ok, Result
 
+from bramleystair.errors import StepError
 from bramleystair.flows import _events as events
 from bramleystair.flows._admission import Admission
 from bramleystair.flows._cold_start import ColdStart
@@ -17,6 +19,12 @@
 from bramleystair.flows._registration import Registrar
 from bramleystair.flows._services import Service, Services
 from bramleystair.flows._settings import FlowSettings
+from bramleystair.flows._state import (
+    SavedRedirect,
+    SavedState,
+    pack_state,
+    unpack_state,
+)
 from bramleystair.packets import PacketHeaders, read_headers
 from bramleystair.tables import Protocol
 from bramleystair.views import View
@@ -95,6 +103,34 @@
             for service in self._services.list_member_services()
         )
 
+    def export_state(self) -> bytes:
+        """Return what a planned upgrade preserves: flows, redirects, cold start."""
+        redirects = tuple(
+            SavedRedirect(service_id, flow, owner)
+            for flow, (service_id, owner) in self._redirects.list_items()
+        )
+        age_s = self._cold_start.compute_age(self._now)
+        return pack_state(SavedState(age_s, self._flows.save(), redirects))
+
+    def import_state(self, data: bytes) -> Result[int, StepError]:
+        """Take over exported state before the first event.
+
+        Returns
+        -------
+        Result of int or StepError
+            Number of flows; the error covers damaged and unknown bytes.
+        """
+        result = unpack_state(data)
+        if result.is_err():
+            return Err(result.unwrap_err())
+        state = result.unwrap()
+        self._cold_start.resume(state.age_s)
+        for saved in state.flows:
+            self._flows.restore(saved)
+        for saved in state.redirects:
+            self._redirects.put(saved.service_id, saved.flow, saved.owner)
+        return Ok(len(state.flows))
+
     def handle(self, event: FlowEvent, now: float) -> list[FlowAction]:
         """Return the actions that `event` at time `now` in seconds calls for."""
         self._now = now
--- a/src/bramleystair/flows/_flow_table.py
+++ b/src/bramleystair/flows/_flow_table.py
@@ -8,6 +8,12 @@
 from bramleystair.flows._entries import FlowEntry
 from bramleystair.flows._outbox import Outbox
 from bramleystair.flows._settings import FlowSettings
+from bramleystair.flows._state import (
+    CALLER_FIN,
+    ESTABLISHED,
+    SERVER_FIN,
+    SavedFlow,
+)
 from bramleystair.packets import (
     PacketHeaders,
     build_segment,
@@ -111,6 +117,38 @@
             )
         self._outbox.add(events.ResetServer(flow, packet))
 
+    def save(self) -> tuple[SavedFlow, ...]:
+        """Return the open flows."""
+        return tuple(
+            SavedFlow(
+                entry.service_id,
+                flow,
+                ESTABLISHED * entry.is_established
+                | CALLER_FIN * entry.has_caller_fin
+                | SERVER_FIN * entry.has_server_fin,
+                entry.caller_next,
+                entry.caller_ack,
+                entry.server_next,
+            )
+            for flow, entry in self.entries.items()
+            if entry.ended_s is None
+        )
+
+    def restore(self, saved: SavedFlow) -> None:
+        """Add a saved flow; its home and last packet are not known."""
+        entry = FlowEntry(
+            saved.service_id,
+            None,
+            math.inf,
+            bool(saved.flags & ESTABLISHED),
+            bool(saved.flags & CALLER_FIN),
+            bool(saved.flags & SERVER_FIN),
+            caller_next=saved.caller_next,
+            caller_ack=saved.caller_ack,
+            server_next=saved.server_next,
+        )
+        self.add(saved.flow, entry)
+
     def record_inbound(
         self, entry: FlowEntry, headers: PacketHeaders, now: float
     ) -> None:
@@ -184,6 +222,8 @@
         entry.unanswered += 1
 
     def _check(self, flow: bytes, entry: FlowEntry, now: float) -> bool:
+        # The time of the last packet before a restart is not known.
+        entry.last_seen_s = min(entry.last_seen_s, now)
         if entry.ended_s is not None:
             if now - entry.ended_s >= self._settings.linger_s:
                 self.end(flow)
