Count a balancer's own requests against the cap, not old reports

Cause: at twice the capacity a load report of up to 1 s ago kept requests away from places that had become free, with a service time of 50 ms. Change: only the balancer's own requests and the reported limit exclude an agent; the reported load is smoothed and only ranks the two choices. Conclusion: the agent alone decides what it can take.

--- a/src/bramleystair/requests/_selection.py
+++ b/src/bramleystair/requests/_selection.py
@@ -4,12 +4,22 @@
 import random
 from collections.abc import Set
 
+import attrs
 from result import Err, Ok, Result
 
 from bramleystair.views import Candidate, View
 from bramleystair.wire import ServiceLoad
 
 LOAD_FRESH_S = 3.0
+# Requests end many times between two reports, so a single one says little.
+REPORT_GAIN = 0.3
+
+
+@attrs.define
+class _Report:
+    time_s: float
+    requests: float
+    limit: int
 
 
 class Selector:
@@ -24,7 +34,7 @@
     def __init__(self, source: random.Random) -> None:
         self._source = source
         self._own: collections.Counter[tuple[str, int]] = collections.Counter()
-        self._reported: dict[tuple[str, int], tuple[float, ServiceLoad]] = {}
+        self._reports: dict[tuple[str, int], _Report] = {}
 
     def add(self, server: str, service_id: int) -> None:
         """Count a request sent to `server`."""
@@ -41,7 +51,12 @@
     ) -> None:
         """Use the loads that `server` reported."""
         for load in loads:
-            self._reported[server, load.service_id] = (now, load)
+            key = (server, load.service_id)
+            known = self._reports.get(key)
+            requests = load.requests
+            if known is not None:
+                requests = known.requests + REPORT_GAIN * (requests - known.requests)
+            self._reports[key] = _Report(now, requests, load.request_limit)
 
     def choose(
         self, view: View, service_id: int, tried: Set[str], now: float
@@ -57,23 +72,24 @@
         table = view.tables_by_id[service_id]
         loads = {}
         for candidate in untried:
-            load, limit = self._estimate(candidate.server, service_id, now)
+            key = (candidate.server, service_id)
+            own = self._own[key]
+            reported, limit = self._get_report(key, now)
             member = table.get_member(candidate.server)
-            if load < min(limit, member.max_requests):
-                loads[candidate] = load
+            # The agent knows its present load; a report of the past must not keep
+            # requests away from places that have become free.
+            if own < min(limit, member.max_requests):
+                loads[candidate] = own + reported
         if not loads:
             return Err("cap")
         return Ok(self._choose_of_two(loads))
 
-    def _estimate(
-        self, server: str, service_id: int, now: float
-    ) -> tuple[float, float]:
-        own = self._own[server, service_id]
-        time_s, load = self._reported.get((server, service_id), (0.0, None))
-        if load is None or now - time_s > LOAD_FRESH_S:
-            return own, float("inf")
-        # Neither the count of one balancer nor a report of some time ago is whole.
-        return max(own, load.requests), load.request_limit
+    def _get_report(self, key: tuple[str, int], now: float) -> tuple[float, float]:
+        """Return the smoothed reported requests and the reported limit."""
+        report = self._reports.get(key)
+        if report is None or now - report.time_s > LOAD_FRESH_S:
+            return 0.0, float("inf")
+        return report.requests, report.limit
 
     def _choose_of_two(self, loads: dict[Candidate, float]) -> Candidate:
         first = self._pick(list(loads))
