Bound runs by deadline, cold start and kept bytes; export the ledger

Cause: a run could outlast its deadline, responses were kept without a bound, a cold backend server received its full cap, and a planned upgrade of the agent forgot what ran.

--- a/src/bramleystair/requests/__init__.py
+++ b/src/bramleystair/requests/__init__.py
@@ -19,7 +19,9 @@
     PeerLost,
     Reply,
     StartBackend,
+    StopRequested,
 )
+from bramleystair.requests._export import export_ledger, import_ledger
 from bramleystair.requests._ledger import RequestLedger
 from bramleystair.requests._settings import DispatcherSettings, LedgerSettings
 from bramleystair.requests._tickets import (
@@ -54,9 +56,12 @@
     "RequestLedger",
     "RetryBudget",
     "StartBackend",
+    "StopRequested",
     "Ticket",
     "TicketFault",
+    "export_ledger",
     "format_ticket",
+    "import_ledger",
     "parse_ticket",
     "read_ticket",
 ]
--- a/src/bramleystair/requests/_admission.py
+++ b/src/bramleystair/requests/_admission.py
@@ -1,14 +1,27 @@
 """Admission of requests at the agent."""
 
 import collections
+import math
+import statistics
 
 import attrs
 
+from bramleystair.requests._entries import Entry
 from bramleystair.requests._settings import LedgerSettings
-from bramleystair.requests._tickets import Ticket, parse_ticket
+from bramleystair.requests._tickets import Ticket
+from bramleystair.tables import Member
 from bramleystair.views import View
 from bramleystair.wire import Run, ServiceLoad
 
+# Outcomes from which a cold backend server is recognised.
+OUTCOME_WINDOW = 20
+COLD_LATENCY_FACTOR = 4.0
+COLD_SHED_FRACTION = 0.2
+BASELINE_GAIN = 0.1
+LATENCY_GAIN = 0.2
+# An estimate that refuses every request would never be corrected, so it fades.
+ESTIMATE_HALF_LIFE_S = 5.0
+
 
 @attrs.define
 class _Hold:
@@ -16,6 +29,103 @@
     until_s: float
 
 
+@attrs.define
+class _Estimate:
+    latency_s: float
+    time_s: float
+
+
+class WarmLimit:
+    """Limit the requests of a backend server that is cold.
+
+    Parameters
+    ----------
+    initial_fraction : float
+        Share of the cap right after the start.
+    warm_up_s : float
+        Time in which the share rises to 1.
+    """
+
+    def __init__(self, initial_fraction: float, warm_up_s: float) -> None:
+        self._initial_fraction = initial_fraction
+        self._warm_up_s = warm_up_s
+        self.started_s: float | None = None
+        self._baseline_s: float | None = None
+        self._latencies: collections.deque[float] = collections.deque()
+        self._sheds: collections.deque[bool] = collections.deque(maxlen=OUTCOME_WINDOW)
+
+    def compute_fraction(self, now: float) -> float:
+        """Return the admitted share of the cap."""
+        if self.started_s is None:
+            self.started_s = now
+        if not self._warm_up_s:
+            return 1.0
+        age = min(1.0, (now - self.started_s) / self._warm_up_s)
+        return self._initial_fraction + (1 - self._initial_fraction) * age
+
+    def limit(self, cap: int, now: float) -> int:
+        """Return the number of requests admitted under `cap`."""
+        if cap <= 0:
+            return 0
+        return max(1, math.floor(cap * self.compute_fraction(now)))
+
+    def observe(self, latency_s: float, is_shed: bool, now: float) -> bool:
+        """Take an outcome; return whether it starts a new warm-up."""
+        self._sheds.append(is_shed)
+        if not is_shed:
+            self._latencies.append(latency_s)
+        is_cold = self._is_shedding() or self._is_slow(now)
+        if is_cold and self.compute_fraction(now) >= 1.0:
+            self.started_s = now
+            self._sheds.clear()
+            self._latencies.clear()
+            return True
+        return False
+
+    def _is_shedding(self) -> bool:
+        is_full = len(self._sheds) == OUTCOME_WINDOW
+        return is_full and sum(self._sheds) >= COLD_SHED_FRACTION * OUTCOME_WINDOW
+
+    def _is_slow(self, now: float) -> bool:
+        if len(self._latencies) < OUTCOME_WINDOW:
+            return False
+        median_s = statistics.median(self._latencies)
+        self._latencies.clear()
+        if self.compute_fraction(now) < 1.0:
+            return False
+        if self._baseline_s is None:
+            self._baseline_s = median_s
+        if median_s > COLD_LATENCY_FACTOR * self._baseline_s:
+            return True
+        self._baseline_s += BASELINE_GAIN * (median_s - self._baseline_s)
+        return False
+
+
+class LatencyEstimate:
+    """Estimate how long a request takes from those that met the same load."""
+
+    def __init__(self) -> None:
+        self._estimates: dict[tuple[int, int], _Estimate] = {}
+
+    def observe(self, service_id: int, load: int, latency_s: float, now: float) -> None:
+        """Take the latency of a request that started as the `load`-th at once."""
+        known = self._estimates.get((service_id, load))
+        if known is None:
+            self._estimates[service_id, load] = _Estimate(latency_s, now)
+            return
+        known.latency_s += LATENCY_GAIN * (latency_s - known.latency_s)
+        known.time_s = now
+
+    def estimate(self, service_id: int, load: int, now: float) -> float:
+        """Return the expected latency in seconds; 0 when nothing is known."""
+        for level in range(load, 0, -1):
+            known = self._estimates.get((service_id, level))
+            if known is not None:
+                age_s = now - known.time_s
+                return known.latency_s * 0.5 ** (age_s / ESTIMATE_HALF_LIFE_S)
+        return 0.0
+
+
 class Admission:
     """Decide whether the backend server takes another request.
 
@@ -38,6 +148,8 @@
         self._running: collections.Counter[int] = collections.Counter()
         self._held: collections.Counter[int] = collections.Counter()
         self._holds: collections.OrderedDict[bytes, _Hold] = collections.OrderedDict()
+        self._latency = LatencyEstimate()
+        self.warm_limit = WarmLimit(settings.initial_fraction, settings.warm_up_s)
 
     def set_view(self, view: View) -> None:
         """Use `view` from now on."""
@@ -52,19 +164,32 @@
         return self._view.tables_by_id[service_id].service
 
     def check(self, service_id: int, deadline_s: float, now: float) -> str:
-        """Return why a new request is refused; empty if it is admitted."""
-        self._drop_old_holds(now)
-        table = self._view.tables_by_id.get(service_id)
-        member = table.get_member(self._server) if table else None
-        if member is None:
-            return "wrong_service"
-        if self._is_zone_out(member.zone):
-            return "zone_out"
+        """Return why a new request is refused; empty if it is admitted.
+
+        Parameters
+        ----------
+        service_id : int
+            Service of the request.
+        deadline_s : float
+            Time left for it in seconds; 0 when it is not known yet.
+        now : float
+            Current time in seconds.
+        """
+        self.drop_old_holds(now)
+        reason = self._check_placement(service_id)
+        if reason:
+            return reason
         if self._is_draining:
             return "draining"
+        cap = self._get_member(service_id).max_requests
         used = self._running[service_id] + self._held[service_id]
-        if used >= member.max_requests:
+        if used >= cap:
             return "cap"
+        if used >= self.warm_limit.limit(cap, now):
+            return "cold"
+        load = self.count_running() + 1
+        if 0 < deadline_s < self._latency.estimate(service_id, load, now):
+            return "infeasible"
         return ""
 
     def check_run(
@@ -73,59 +198,70 @@
         """Return why the request of a valid ticket is refused."""
         if len(message.body) > self._settings.max_body_bytes:
             return "too_large"
-        self._drop_old_holds(now)
-        if ticket.nonce not in self._holds:
-            return self.check(ticket.service_id, deadline_s, now)
-        table = self._view.tables_by_id.get(ticket.service_id)
-        member = table.get_member(self._server) if table else None
-        if member is None:
-            return "wrong_service"
-        return "zone_out" if self._is_zone_out(member.zone) else ""
+        self.drop_old_holds(now)
+        if ticket.nonce in self._holds:
+            return self._check_placement(ticket.service_id)
+        return self.check(ticket.service_id, deadline_s, now)
 
-    def hold(self, service_id: int, data: bytes, now: float) -> None:
+    def hold(self, service_id: int, nonce: bytes, now: float) -> None:
         """Hold a place for a new ticket."""
-        nonce = parse_ticket(data).ok().nonce
         self._holds[nonce] = _Hold(service_id, now + self._settings.hold_s)
         self._held[service_id] += 1
 
-    def drop_hold(self, ticket: Ticket) -> None:
+    def drop_hold(self, nonce: bytes) -> None:
         """Release the place held for a ticket."""
-        held = self._holds.pop(ticket.nonce, None)
+        held = self._holds.pop(nonce, None)
         if held is not None:
             self._held[held.service_id] -= 1
 
-    def start(self, service_id: int) -> None:
-        """Count a request that goes to the backend server."""
+    def drop_old_holds(self, now: float) -> None:
+        """Release the places of tickets that were not used in time."""
+        while self._holds:
+            nonce, held = next(iter(self._holds.items()))
+            if held.until_s > now:
+                return
+            self.drop_hold(nonce)
+
+    def start(self, service_id: int) -> int:
+        """Count a request that starts and return how many run, itself included."""
         self._running[service_id] += 1
+        return self._running.total()
 
-    def finish(self, service_id: int) -> None:
-        """Count a request that left the backend server."""
-        self._running[service_id] -= 1
+    def finish(self, entry: Entry, is_shed: bool, now: float) -> bool:
+        """Count a request that left; return whether a new warm-up starts."""
+        self._running[entry.service_id] -= 1
+        latency_s = now - entry.started_s
+        if not is_shed:
+            load = entry.load_at_start
+            self._latency.observe(entry.service_id, load, latency_s, now)
+        return self.warm_limit.observe(latency_s, is_shed, now)
 
     def count_running(self) -> int:
-        """Return the number of requests at the backend server."""
-        return sum(self._running.values())
+        """Return the number of requests that run or hold a place."""
+        return self._running.total() + len(self._holds)
 
     def list_loads(self, now: float) -> tuple[ServiceLoad, ...]:
         """Return the present requests and limits by service."""
         loads = []
-        for service_id, table in self._view.tables_by_id.items():
-            member = table.get_member(self._server)
+        for service_id in self._view.tables_by_id:
+            member = self._get_member(service_id)
             if member is None:
                 continue
             requests = self._running[service_id] + self._held[service_id]
-            loads.append(ServiceLoad(service_id, 0, requests, 0, member.max_requests))
+            limit = self.warm_limit.limit(member.max_requests, now)
+            loads.append(ServiceLoad(service_id, 0, requests, 0, limit))
         return tuple(loads)
 
-    def _is_zone_out(self, zone: str) -> bool:
-        agent = self._view.agents.get(self._server)
-        zones = {zone, agent.zone} if agent else {zone}
-        return not all(self._view.is_in_service(name) for name in zones)
+    def _get_member(self, service_id: int) -> Member | None:
+        table = self._view.tables_by_id.get(service_id)
+        return table.get_member(self._server) if table else None
 
-    def _drop_old_holds(self, now: float) -> None:
-        while self._holds:
-            nonce, held = next(iter(self._holds.items()))
-            if held.until_s > now:
-                return
-            del self._holds[nonce]
-            self._held[held.service_id] -= 1
+    def _check_placement(self, service_id: int) -> str:
+        member = self._get_member(service_id)
+        if member is None:
+            return "wrong_service"
+        agent = self._view.agents.get(self._server)
+        zones = {member.zone, agent.zone} if agent else {member.zone}
+        if not all(self._view.is_in_service(zone) for zone in zones):
+            return "zone_out"
+        return ""
--- a/src/bramleystair/requests/_dispatcher.py
+++ b/src/bramleystair/requests/_dispatcher.py
@@ -62,10 +62,12 @@
 UNKNOWN_STATUSES = {
     "cancelled": CONFLICT,
     "done": CONFLICT,
+    "body_mismatch": CONFLICT,
     "not_started": NOT_FOUND,
     "deadline": TIMED_OUT,
 }
 MAX_RESEND_FACTOR = 8
+RETRY_AFTER_SPREAD = 3.0
 # The fence must leave most of a short deadline to the request itself.
 MAX_FENCE_SHARE = 0.25
 MAX_DEADLINE_MS = 2**32 - 1
@@ -430,14 +432,18 @@
             return "incarnation_gone"
         if (pending.peer, pending.incarnation) in self._view.down:
             return "agent_down"
-        return "" if self._view.is_in_service(agent.zone) else "zone_out"
+        table = self._view.tables_by_id.get(pending.service_id)
+        member = table.get_member(pending.peer) if table else None
+        zones = {agent.zone, member.zone} if member else {agent.zone}
+        is_in_service = all(self._view.is_in_service(zone) for zone in zones)
+        return "" if is_in_service else "zone_out"
 
     # Retries and replies
 
     def _retry(
         self, pending: Pending, reason: str, retry_after_s: float, now: float
     ) -> list[DispatcherAction]:
-        """Try another agent after an attempt that can't run twice."""
+        """Try another agent unless something forbids it; else reply."""
         limit_s = self._settings.backoff_s * 2**pending.retries
         delay_s = self._source.uniform(0, min(limit_s, self._settings.backoff_max_s))
         obstacle = self._find_retry_obstacle(pending, now + delay_s, now)
@@ -469,6 +475,8 @@
             return self._end_unknown(pending, reason)
         status = NOT_RUN_STATUSES.get(reason, UNAVAILABLE)
         retry_after_s = retry_after_s or self._settings.retry_after_s
+        # Callers that were refused together must not return together.
+        retry_after_s *= self._source.uniform(1.0, RETRY_AFTER_SPREAD)
         return self._end(pending, status, Outcome.NOT_RUN, reason, retry_after_s)
 
     def _end_unknown(self, pending: Pending, reason: str) -> list[DispatcherAction]:
@@ -495,7 +503,9 @@
             pending.ticket,
         )
         self._forget(pending)
-        return [reply, Count(f"requests_{outcome or 'reserved'}", reason)]
+        is_query = pending.call.call in (Call.GET, Call.DELETE)
+        subject = "queries" if is_query else "requests"
+        return [reply, Count(f"{subject}_{outcome or 'reserved'}", reason)]
 
     def _forget(self, pending: Pending) -> None:
         self._end_attempt(pending)
--- a/src/bramleystair/requests/_events.py
+++ b/src/bramleystair/requests/_events.py
@@ -53,6 +53,11 @@
     reason: str
 
 
+@attrs.frozen
+class StopRequested:
+    """The agent stops: running requests are cancelled, their outcome is unknown."""
+
+
 @attrs.frozen
 class StartBackend:
     """Run a request at the backend server.
@@ -183,6 +188,7 @@
     | BackendFailed
     | ViewChanged
     | DrainRequested
+    | StopRequested
     | Tick
 )
 LedgerAction = Send | StartBackend | CancelBackend | Count
--- a/src/bramleystair/requests/_ledger.py
+++ b/src/bramleystair/requests/_ledger.py
@@ -1,17 +1,14 @@
 """The agent's ledger: which requests ran, run, or can never run."""
 
-import collections
-import enum
 import hashlib
-import heapq
 import random
 
-import attrs
-from result import Err, Ok, Result
+import xxhash
 
 from bramleystair.actions import Count, Send
 from bramleystair.flows import DrainRequested, MessageArrived, Tick, ViewChanged
 from bramleystair.requests._admission import Admission
+from bramleystair.requests._entries import Entry, EntryStore, State, Waiter
 from bramleystair.requests._events import (
     BackendAnswered,
     BackendFailed,
@@ -20,9 +17,10 @@
     LedgerAction,
     LedgerEvent,
     StartBackend,
+    StopRequested,
 )
 from bramleystair.requests._settings import LedgerSettings
-from bramleystair.requests._tickets import KeyRing, Ticket, TicketFault
+from bramleystair.requests._tickets import KeyRing, Ticket, parse_ticket
 from bramleystair.wire import (
     Answer,
     Cancel,
@@ -40,39 +38,8 @@
 MAX_DEADLINE_S = 3600.0
 
 
-class State(enum.IntEnum):
-    """State of an entry; a valid ticket without an entry is reserved."""
-
-    RUNNING = 1
-    DONE = 2
-    FENCED = 3
-    CANCELLED = 4
-
-
-@attrs.frozen
-class Waiter:
-    """A balancer that waits for the outcome of a request."""
-
-    peer: str
-    request_id: int
-
-
-@attrs.define
-class Entry:
-    """What the ledger holds of one request."""
-
-    state: State
-    service_id: int
-    expiry_s: float
-    not_run: bool = False
-    reason: str = ""
-    is_at_backend: bool = False
-    started_s: float = 0.0
-    waiters: tuple[Waiter, ...] = ()
-    status: int = 0
-    body: bytes = b""
-    content_type: str = ""
-    digest: bytes = b""
+# The backend server keeps the deadline itself; this covers its answer to a miss.
+DEADLINE_GRACE_S = 0.5
 
 
 class RequestLedger:
@@ -101,9 +68,8 @@
         self.incarnation = incarnation
         self.settings = settings
         self.keys = KeyRing(server, incarnation, source)
-        self._admission = Admission(server, settings)
-        self._entries: dict[bytes, Entry] = {}
-        self._expiries: list[tuple[float, bytes]] = []
+        self.admission = Admission(server, settings)
+        self.entries = EntryStore(settings.max_kept_bytes)
 
     def handle(self, event: LedgerEvent, now: float) -> list[LedgerAction]:
         """Take one event and return the actions that it causes."""
@@ -118,27 +84,31 @@
             case BackendFailed():
                 return self._record_failure(event, now)
             case ViewChanged(view):
-                self._admission.set_view(view)
+                self.admission.set_view(view)
                 return []
             case DrainRequested():
-                self._admission.start_drain()
+                self.admission.start_drain()
                 return []
+            case StopRequested():
+                self.admission.start_drain()
+                return self._stop_all(self.entries.list_running(), "stopping")
             case Tick():
-                self._drop_expired(now)
-                return []
+                self.admission.drop_old_holds(now)
+                self.entries.drop_expired(now, self.settings.retention_s)
+                return self._stop_all(self.entries.pop_overdue(now), "deadline")
         return []
 
     def count_running(self) -> int:
-        """Return the number of requests at the backend server."""
-        return self._admission.count_running()
+        """Return the number of requests that run or are about to start."""
+        return self.admission.count_running()
 
     def count_entries(self) -> int:
         """Return the number of entries."""
-        return len(self._entries)
+        return len(self.entries)
 
     def list_loads(self, now: float) -> tuple[ServiceLoad, ...]:
         """Return the present requests and limits by service."""
-        return self._admission.list_loads(now)
+        return self.admission.list_loads(now)
 
     def _handle_message(
         self, peer: str, message: Message, now: float
@@ -152,13 +122,13 @@
 
     def _reserve(self, peer: str, message: Reserve, now: float) -> list[LedgerAction]:
         deadline_s = message.deadline_ms / 1000
-        reason = self._admission.check(message.service_id, deadline_s, now)
+        reason = self.admission.check(message.service_id, deadline_s, now)
         if reason:
             refusal = self._refuse(message, b"", reason, not_run=True)
             return [Send(peer, refusal), Count("requests_refused", reason)]
         expiry_s = now + self.settings.ticket_lifetime_s
         data = self.keys.issue(message.service_id, expiry_s)
-        self._admission.hold(message.service_id, data, now)
+        self.admission.hold(message.service_id, parse_ticket(data).ok().nonce, now)
         return [
             Send(peer, Reserved(message.request_id, data)),
             Count("requests_reserved", ""),
@@ -175,7 +145,7 @@
                 Count("tickets_rejected", reason),
             ]
         ticket = verified.ok()
-        entry = self._entries.get(ticket.nonce)
+        entry = self.entries.get(ticket.nonce)
         if entry is None:
             return self._handle_reserved(peer, message, ticket, now)
         return self._handle_entry(peer, message, ticket, entry)
@@ -213,7 +183,7 @@
         self, peer: str, message: Run, ticket: Ticket, now: float
     ) -> list[LedgerAction]:
         deadline_s = min(message.deadline_ms / 1000, MAX_DEADLINE_S)
-        reason = self._admission.check_run(ticket, message, deadline_s, now)
+        reason = self.admission.check_run(ticket, message, deadline_s, now)
         if reason:
             self._add(ticket, State.FENCED, reason, not_run=True)
             return self._reject(peer, message, reason, not_run=True)
@@ -221,10 +191,13 @@
         entry.waiters = (Waiter(peer, message.request_id),)
         entry.is_at_backend = True
         entry.started_s = now
-        self._admission.start(ticket.service_id)
+        entry.body_hash = xxhash.xxh3_64_intdigest(message.body)
+        entry.load_at_start = self.admission.start(ticket.service_id)
+        limit_s = now + deadline_s + DEADLINE_GRACE_S
+        self.entries.set_limit(ticket.nonce, message.ticket, limit_s)
         start = StartBackend(
             message.ticket,
-            self._admission.get_service(ticket.service_id),
+            self.admission.get_service(ticket.service_id),
             ticket.request_name,
             message.body,
             message.content_type,
@@ -240,6 +213,8 @@
         entry: Entry,
     ) -> list[LedgerAction]:
         match message, entry.state:
+            case Run(), _ if _has_other_body(message, entry):
+                return self._reject(peer, message, "body_mismatch", not_run=False)
             case ((Run() | Fetch()), State.RUNNING):
                 waiter = Waiter(peer, message.request_id)
                 if waiter not in entry.waiters:
@@ -261,9 +236,8 @@
     ) -> list[LedgerAction]:
         entry.state = State.CANCELLED
         entry.reason = "cancelled"
-        waiters = (*entry.waiters, Waiter(peer, message.request_id))
-        actions = self._tell(waiters, message.ticket, entry)
-        entry.waiters = ()
+        entry.waiters += (Waiter(peer, message.request_id),)
+        actions = self._finish(message.ticket, entry)
         return [
             CancelBackend(message.ticket, ticket.request_name),
             *actions,
@@ -271,7 +245,7 @@
         ]
 
     def _record_answer(self, event: BackendAnswered, now: float) -> list[LedgerAction]:
-        entry = self._release(event.ticket, now).ok()
+        entry = self._release(event.ticket, now, is_shed=False)
         if entry is None:
             return [Count("outcomes_dropped", "late")]
         entry.state = State.DONE
@@ -279,60 +253,76 @@
         entry.body = event.body
         entry.content_type = event.content_type
         entry.digest = hashlib.sha256(event.body).digest()
-        return [
-            *self._finish(event.ticket, entry),
-            Count("requests_done", str(event.status)),
-        ]
+        nonce = parse_ticket(event.ticket).ok().nonce
+        actions = self._finish(event.ticket, entry)
+        dropped = self.entries.keep_response(nonce, entry)
+        if dropped:
+            actions.append(Count("responses_dropped", "kept_bytes", dropped))
+        return [*actions, Count("requests_done", str(event.status))]
 
     def _record_shed(self, event: BackendShed, now: float) -> list[LedgerAction]:
-        entry = self._release(event.ticket, now).ok()
+        entry = self._release(event.ticket, now, is_shed=True)
         if entry is None:
             return [Count("outcomes_dropped", "late")]
         entry.state = State.FENCED
         entry.reason = event.reason
         entry.not_run = True
         return [
-            *self._finish(event.ticket, entry),
+            *self._finish(event.ticket, entry, event.retry_after_s),
             Count("requests_refused", event.reason),
         ]
 
     def _record_failure(self, event: BackendFailed, now: float) -> list[LedgerAction]:
-        entry = self._release(event.ticket, now).ok()
+        entry = self._release(event.ticket, now, is_shed=False)
         if entry is None:
             return [Count("outcomes_dropped", "late")]
-        entry.state = State.DONE
-        entry.reason = event.reason
-        return [
-            *self._finish(event.ticket, entry),
-            Count("requests_unknown", event.reason),
-        ]
+        return self._end_without_response(event.ticket, entry, event.reason)
 
-    def _release(self, data: bytes, now: float) -> Result[Entry, TicketFault]:
-        """Return the entry whose request has left the backend server."""
-        verified = self.keys.verify(data)
-        if verified.is_err():
-            return verified
-        entry = self._entries.get(verified.ok().nonce)
+    def _release(self, data: bytes, now: float, is_shed: bool) -> Entry | None:
+        """Return the entry whose request has left the backend server.
+
+        None when the outcome is reported twice or nobody waits for it any more.
+        """
+        entry = self.entries.get(parse_ticket(data).ok().nonce)
         if entry is None or not entry.is_at_backend:
-            return Err(TicketFault.MALFORMED)
+            return None
         entry.is_at_backend = False
-        self._admission.finish(entry.service_id)
-        if entry.state is not State.RUNNING:
-            return Err(TicketFault.MALFORMED)
-        return Ok(entry)
-
-    def _finish(self, data: bytes, entry: Entry) -> list[LedgerAction]:
-        waiters, entry.waiters = entry.waiters, ()
-        return self._tell(waiters, data, entry)
+        self.admission.finish(entry, is_shed, now)
+        if entry.state is State.RUNNING:
+            return entry
+        # A request that was cancelled while it waited for a slot has not run.
+        entry.not_run = entry.not_run or is_shed
+        return None
+
+    def _stop_all(
+        self, running: list[tuple[bytes, Entry]], reason: str
+    ) -> list[LedgerAction]:
+        actions = []
+        for data, entry in running:
+            name = parse_ticket(data).ok().request_name
+            actions.append(CancelBackend(data, name))
+            actions += self._end_without_response(data, entry, reason)
+        return actions
+
+    def _end_without_response(
+        self, data: bytes, entry: Entry, reason: str
+    ) -> list[LedgerAction]:
+        entry.state = State.DONE
+        entry.reason = reason
+        return [*self._finish(data, entry), Count("requests_unknown", reason)]
 
-    def _tell(
-        self, waiters: tuple[Waiter, ...], data: bytes, entry: Entry
+    def _finish(
+        self, data: bytes, entry: Entry, retry_after_s: float = 0.0
     ) -> list[LedgerAction]:
+        waiters, entry.waiters = entry.waiters, ()
         return [
-            Send(waiter.peer, self._report(waiter, data, entry)) for waiter in waiters
+            Send(waiter.peer, self._report(waiter, data, entry, retry_after_s))
+            for waiter in waiters
         ]
 
-    def _report(self, waiter: Waiter, data: bytes, entry: Entry) -> Message:
+    def _report(
+        self, waiter: Waiter, data: bytes, entry: Entry, retry_after_s: float = 0.0
+    ) -> Message:
         if entry.state is State.DONE and not entry.reason:
             return Answer(
                 waiter.request_id,
@@ -348,7 +338,7 @@
             data,
             entry.reason,
             entry.not_run,
-            self._get_retry_after_ms(),
+            int(max(retry_after_s, self.settings.retry_after_s) * 1000),
         )
 
     def _reject(
@@ -360,32 +350,22 @@
     def _refuse(
         self, message: Message, data: bytes, reason: str, not_run: bool
     ) -> Refused:
-        retry_after_ms = self._get_retry_after_ms()
+        retry_after_ms = int(self.settings.retry_after_s * 1000)
         return Refused(message.request_id, data, reason, not_run, retry_after_ms)
 
-    def _get_retry_after_ms(self) -> int:
-        return int(self.settings.retry_after_s * 1000)
-
     def _add(self, ticket: Ticket, state: State, reason: str, not_run: bool) -> Entry:
-        self._admission.drop_hold(ticket)
-        entry = Entry(state, ticket.service_id, ticket.expiry_s, not_run, reason)
-        self._entries[ticket.nonce] = entry
-        due = ticket.expiry_s + self.settings.retention_s
-        heapq.heappush(self._expiries, (due, ticket.nonce))
+        self.admission.drop_hold(ticket.nonce)
+        entry = Entry(state, ticket.service_id, not_run, reason)
+        until_s = ticket.expiry_s + self.settings.retention_s
+        self.entries.add(ticket.nonce, entry, until_s)
         return entry
 
-    def _drop_expired(self, now: float) -> None:
-        running = collections.deque()
-        while self._expiries and self._expiries[0][0] <= now:
-            _, nonce = heapq.heappop(self._expiries)
-            if self._entries[nonce].is_at_backend:
-                running.append(nonce)
-                continue
-            del self._entries[nonce]
-        for nonce in running:
-            due = now + self.settings.retention_s
-            heapq.heappush(self._expiries, (due, nonce))
-
     def _rotate_keys(self, now: float) -> None:
         keep_s = self.settings.ticket_lifetime_s + self.settings.retention_s
         self.keys.rotate(now, self.settings.key_period_s, keep_s)
+
+
+def _has_other_body(message: Run, entry: Entry) -> bool:
+    if not entry.body_hash:
+        return False
+    return entry.body_hash != xxhash.xxh3_64_intdigest(message.body)
--- a/src/bramleystair/requests/_settings.py
+++ b/src/bramleystair/requests/_settings.py
@@ -21,6 +21,8 @@
         Time to retry that refusals name.
     max_body_bytes : int
         Longest request body and response body that are accepted.
+    max_kept_bytes : int
+        Most bytes of responses that are kept for repeated fetches.
     initial_fraction : float
         Share of the cap that is admitted right after the start.
     warm_up_s : float
@@ -33,8 +35,9 @@
     hold_s: float = 1.0
     retry_after_s: float = 1.0
     max_body_bytes: int = 8 * 2**20
-    initial_fraction: float = 1.0
-    warm_up_s: float = 0.0
+    max_kept_bytes: int = 64 * 2**20
+    initial_fraction: float = 0.2
+    warm_up_s: float = 30.0
 
 
 @attrs.frozen
--- a/src/bramleystair/requests/_tickets.py
+++ b/src/bramleystair/requests/_tickets.py
@@ -68,8 +68,10 @@
         return self.nonce.hex()
 
 
-@attrs.define
-class _Key:
+@attrs.frozen
+class Key:
+    """Key that authenticates tickets."""
+
     number: int
     secret: bytes
     created_s: float
@@ -92,7 +94,7 @@
         self.server = server
         self.incarnation = incarnation
         self._source = source
-        self._keys: list[_Key] = []
+        self._keys: list[Key] = []
 
     def rotate(self, now: float, period_s: float, keep_s: float) -> None:
         """Add a key when the newest is older than `period_s`; drop the old ones.
@@ -103,11 +105,19 @@
         if not self._keys or now - self._keys[0].created_s >= period_s:
             number = (self._keys[0].number + 1) & MAX_KEY_NUMBER if self._keys else 1
             secret = self._source.randbytes(KEY_BYTES)
-            self._keys.insert(0, _Key(number, secret, now))
+            self._keys.insert(0, Key(number, secret, now))
         successors = zip(self._keys, self._keys[1:], strict=False)
         kept = [key for newer, key in successors if now - newer.created_s < keep_s]
         self._keys = [self._keys[0], *kept]
 
+    def list_keys(self) -> list[Key]:
+        """Return the keys, newest first."""
+        return list(self._keys)
+
+    def set_keys(self, keys: list[Key]) -> None:
+        """Use the keys of a predecessor of the same incarnation."""
+        self._keys = list(keys)
+
     def issue(self, service_id: int, expiry_s: float) -> bytes:
         """Return a new ticket that expires at `expiry_s` on the agent's clock."""
         key = self._keys[0]
