--- /dev/null
+++ b/features/steps/requests_history.py
@@ -0,0 +1,414 @@
+"""Callers, balancers, agents and a lossy carrier on a manual clock."""
+
+import collections
+import heapq
+import itertools
+import random
+
+import attrs
+
+from bramleystair.actions import Count, Send
+from bramleystair.flows import DrainRequested, MessageArrived, Tick, ViewChanged
+from bramleystair.requests import (
+    BackendAnswered,
+    BackendFailed,
+    BackendShed,
+    Call,
+    CallArrived,
+    CallerGone,
+    CancelBackend,
+    Dispatcher,
+    DispatcherSettings,
+    LedgerSettings,
+    LoadSeen,
+    Outcome,
+    PeerLost,
+    Reply,
+    RequestLedger,
+    StartBackend,
+)
+from bramleystair.tables import (
+    AgentState,
+    Announcement,
+    Member,
+    Protocol,
+    Table,
+    ZoneMark,
+)
+from bramleystair.views import View
+
+SERVICE = "sheets"
+TICK_S = 0.02
+# Requests a second, below and above what the simulated backend servers can run.
+RATES = (40, 100, 400)
+PLANS = [
+    (Call.PUT,),
+    (Call.PUT, Call.PUT),
+    (Call.PUT, Call.GET),
+    (Call.PUT, Call.DELETE),
+    (Call.PUT, Call.PUT, Call.DELETE, Call.PUT),
+]
+
+
+@attrs.frozen
+class Faults:
+    """Probabilities of each fault for a message, run or second."""
+
+    lost: float = 0.0
+    doubled: float = 0.0
+    late: float = 0.0
+    damaged: float = 0.0
+    backend_failed: float = 0.0
+    backend_shed: float = 0.0
+    agent_restarts: float = 0.0
+    balancer_restarts: float = 0.0
+    drains: float = 0.0
+    zone_outs: float = 0.0
+    callers_gone: float = 0.0
+
+
+ALL_FAULTS = Faults(0.02, 0.02, 0.02, 0.02, 0.01, 0.02, 0.3, 0.1, 0.2, 0.1, 0.02)
+
+
+@attrs.define(eq=False)
+class SimulatedAgent:
+    name: str
+    zone: str
+    ledger: RequestLedger
+    incarnation: int = 1
+    is_draining: bool = False
+    running: int = 0
+    cancelled: set = attrs.field(factory=set)
+    waiting: collections.deque = attrs.field(factory=collections.deque)
+
+
+class World:
+    """One history; `check` compares replies with what the backend servers ran."""
+
+    def __init__(
+        self,
+        seed,
+        faults,
+        agents=4,
+        balancers=2,
+        slots=3,
+        cap=6,
+        service_time_s=0.05,
+        ledger_settings=None,
+        dispatcher_settings=None,
+        has_load_reports=False,
+    ):
+        self.source = random.Random(seed)
+        self.faults = faults
+        self.slots = slots
+        self.service_time_s = service_time_s
+        self.ledger_settings = ledger_settings or LedgerSettings(
+            ticket_lifetime_s=4.0,
+            retention_s=20.0,
+            key_period_s=3.0,
+            initial_fraction=0.5,
+            warm_up_s=2.0,
+        )
+        self.dispatcher_settings = dispatcher_settings or DispatcherSettings(
+            resend_s=0.2
+        )
+        self.now = 0.0
+        self.events = []
+        self.order = itertools.count()
+        self.runs = collections.Counter()
+        self.counts = collections.Counter()
+        self.calls = {}
+        self.call_ids = itertools.count(1)
+        self.replies = []
+        self.violations = []
+        self.down = set()
+        self.zones_out = set()
+        names = [f"s{number}" for number in range(agents)]
+        self.agents = {
+            name: SimulatedAgent(name, f"z{number % 2}", self.build_ledger(name, 1))
+            for number, name in enumerate(names)
+        }
+        members = tuple(
+            Member(agent.name, agent.zone, 1.0, 100, cap)
+            for agent in self.agents.values()
+        )
+        self.table = Table(SERVICE, "127.0.0.1", 80, Protocol.TCP, members)
+        self.balancers = [self.build_dispatcher() for _ in range(balancers)]
+        self.spread_view(is_at_once=True)
+        self.every(TICK_S, self.tick)
+        self.every(1.0, self.cause_faults)
+        if has_load_reports:
+            self.every(1.0, self.report_loads)
+
+    # Time
+
+    def after(self, delay_s, run, *values):
+        entry = (self.now + delay_s, next(self.order), run, values)
+        heapq.heappush(self.events, entry)
+
+    def every(self, period_s, run):
+        def repeat():
+            run()
+            self.after(period_s, repeat)
+
+        self.after(period_s, repeat)
+
+    def run_until(self, end_s):
+        while self.events and self.events[0][0] <= end_s:
+            self.now, _, run, values = heapq.heappop(self.events)
+            run(*values)
+        self.now = end_s
+
+    def happens(self, probability):
+        return self.source.random() < probability
+
+    def tick(self):
+        for number in range(len(self.balancers)):
+            self.submit_balancer(number, Tick())
+        for agent in self.agents.values():
+            self.submit_agent(agent, Tick())
+
+    # Parts
+
+    def build_ledger(self, name, incarnation):
+        seed = random.Random(self.source.getrandbits(32))
+        return RequestLedger(name, incarnation, self.ledger_settings, seed)
+
+    def build_dispatcher(self):
+        seed = random.Random(self.source.getrandbits(32))
+        return Dispatcher(self.dispatcher_settings, seed)
+
+    def submit_balancer(self, number, event):
+        dispatcher = self.balancers[number]
+        for action in dispatcher.handle(event, self.now):
+            match action:
+                case Send(peer, message):
+                    agent = self.agents[peer]
+                    event = MessageArrived(f"b{number}", message)
+                    self.carry(self.submit_agent, agent, event)
+                case Reply():
+                    self.take_reply(action)
+                case Count():
+                    self.counts[action.name, action.reason] += action.amount
+
+    def submit_agent(self, agent, event):
+        for action in agent.ledger.handle(event, self.now):
+            match action:
+                case Send(peer, message):
+                    event = MessageArrived(agent.name, self.damage(message))
+                    self.carry(self.submit_balancer, int(peer[1:]), event)
+                case StartBackend():
+                    self.start_backend(agent, action)
+                case CancelBackend(_, request_name):
+                    agent.cancelled.add(request_name)
+                case Count():
+                    self.counts[action.name, action.reason] += action.amount
+
+    def carry(self, deliver, target, event):
+        copies = 1 + self.happens(self.faults.doubled) - self.happens(self.faults.lost)
+        for _ in range(copies):
+            delay_s = self.source.uniform(0.0002, 0.003)
+            if self.happens(self.faults.late):
+                delay_s = self.source.uniform(0.0, 3.0)
+            self.after(delay_s, deliver, target, event)
+
+    def damage(self, message):
+        if not getattr(message, "body", b"") or not self.happens(self.faults.damaged):
+            return message
+        self.counts["damaged", ""] += 1
+        return self.source.choice(
+            [
+                attrs.evolve(message, body=message.body[:-1]),
+                attrs.evolve(message, body=b"?" + message.body[1:]),
+                attrs.evolve(message, ticket=b"?" + message.ticket[1:]),
+            ]
+        )
+
+    # Backend servers
+
+    def start_backend(self, agent, action):
+        if self.happens(self.faults.backend_shed) or len(agent.waiting) > 50:
+            self.report(agent, agent.ledger, BackendShed(action.ticket))
+        elif agent.running < self.slots:
+            self.run_backend(agent, agent.ledger, action)
+        else:
+            agent.waiting.append((agent.ledger, action, self.now + action.deadline_s))
+
+    def run_backend(self, agent, ledger, action):
+        if action.request_name in agent.cancelled:
+            self.report(agent, ledger, BackendFailed(action.ticket, "cancelled"))
+            return
+        if self.happens(self.faults.backend_failed / 2):
+            event = BackendFailed(action.ticket, "backend_connection_lost")
+            self.report(agent, ledger, event)
+            return
+        self.runs[action.body] += 1
+        agent.running += 1
+        time_s = self.service_time_s * self.source.uniform(0.5, 1.5)
+        self.after(time_s, self.finish_backend, agent, ledger, action)
+
+    def finish_backend(self, agent, ledger, action):
+        agent.running -= 1
+        event = BackendAnswered(action.ticket, 200, b"ran " + action.body)
+        if self.happens(self.faults.backend_failed / 2):
+            event = BackendFailed(action.ticket, "backend_connection_lost")
+        self.report(agent, ledger, event)
+        while agent.waiting and agent.running < self.slots:
+            ledger, action, limit_s = agent.waiting.popleft()
+            if self.now < limit_s:
+                self.run_backend(agent, ledger, action)
+            else:
+                self.report(agent, ledger, BackendShed(action.ticket))
+
+    def report(self, agent, ledger, event):
+        self.after(0.0001, self.take_outcome, agent, ledger, event)
+
+    def take_outcome(self, agent, ledger, event):
+        if agent.ledger is ledger:
+            self.submit_agent(agent, event)
+
+    # Faults and views
+
+    def cause_faults(self):
+        agent = self.source.choice(list(self.agents.values()))
+        if self.happens(self.faults.agent_restarts):
+            self.restart_agent(agent)
+        if self.happens(self.faults.drains) and not agent.is_draining:
+            agent.is_draining = True
+            self.submit_agent(agent, DrainRequested())
+            self.after(2.0, self.restart_agent, agent)
+            self.spread_view()
+        if self.happens(self.faults.zone_outs) and not self.zones_out:
+            self.zones_out.add(agent.zone)
+            self.after(2.0, self.zones_out.clear)
+            self.after(2.0, self.spread_view)
+            self.spread_view()
+        if self.happens(self.faults.balancer_restarts):
+            self.restart_balancer(self.source.randrange(len(self.balancers)))
+
+    def restart_agent(self, agent):
+        self.down.add((agent.name, agent.incarnation))
+        agent.incarnation += 1
+        agent.is_draining = False
+        agent.ledger = self.build_ledger(agent.name, agent.incarnation)
+        self.submit_agent(agent, ViewChanged(self.build_view()))
+        for number in range(len(self.balancers)):
+            if self.happens(0.5):
+                self.carry(self.submit_balancer, number, PeerLost(agent.name))
+        self.after(self.source.uniform(0.0, 3.0), self.spread_view)
+
+    def restart_balancer(self, number):
+        self.balancers[number] = self.build_dispatcher()
+        self.submit_balancer(number, ViewChanged(self.build_view()))
+        for call_id, record in list(self.calls.items()):
+            if record["balancer"] == number:
+                del self.calls[call_id]
+
+    def build_view(self):
+        agents = {
+            agent.name: Announcement(
+                agent.name,
+                agent.zone,
+                "127.0.0.1",
+                1,
+                agent.incarnation,
+                AgentState.DRAINING if agent.is_draining else AgentState.READY,
+                (SERVICE,),
+            )
+            for agent in self.agents.values()
+        }
+        zones = {zone: ZoneMark(zone, False) for zone in self.zones_out}
+        return View({SERVICE: self.table}, zones, agents, {}, frozenset(self.down))
+
+    def spread_view(self, is_at_once=False):
+        event = ViewChanged(self.build_view())
+        for number in range(len(self.balancers)):
+            delay_s = 0.0 if is_at_once else self.source.uniform(0.0, 2.0)
+            self.after(delay_s, self.submit_balancer, number, event)
+        for agent in self.agents.values():
+            delay_s = 0.0 if is_at_once else self.source.uniform(0.0, 2.0)
+            self.after(delay_s, self.submit_agent, agent, event)
+
+    def report_loads(self):
+        for agent in self.agents.values():
+            event = LoadSeen(agent.name, agent.ledger.list_loads(self.now))
+            for number in range(len(self.balancers)):
+                self.after(0.001, self.submit_balancer, number, event)
+
+    # Callers
+
+    def call(self, call, body=b"", ticket=b"", then=None, deadline_s=None, **values):
+        call_id = next(self.call_ids)
+        number = self.source.randrange(len(self.balancers))
+        deadline_s = deadline_s or self.source.choice([0.3, 1.0, 3.0])
+        self.calls[call_id] = {
+            "balancer": number,
+            "body": body,
+            "then": then,
+            "sent_s": self.now,
+            "limit_s": self.now + deadline_s + 2 * TICK_S,
+        }
+        event = CallArrived(
+            call_id, call, SERVICE, ticket, body, "", deadline_s=deadline_s, **values
+        )
+        self.submit_balancer(number, event)
+        if call is Call.POST and self.happens(self.faults.callers_gone):
+            self.after(self.source.uniform(0.0, 0.1), self.hang_up, number, call_id)
+
+    def hang_up(self, number, call_id):
+        if self.calls.pop(call_id, None) is not None:
+            self.submit_balancer(number, CallerGone(call_id))
+
+    def take_reply(self, reply):
+        record = self.calls.pop(reply.call_id, None)
+        if record is None:
+            self.violations.append(("second reply", reply))
+            return
+        if self.now > record["limit_s"]:
+            self.violations.append(("late reply", self.now, record, reply))
+        is_response = reply.outcome is None and reply.status == 200
+        if is_response and record["body"] and reply.body != b"ran " + record["body"]:
+            self.violations.append(("wrong response", record, reply))
+        self.replies.append((record["body"], reply, self.now - record["sent_s"]))
+        if record["then"] is not None:
+            record["then"](reply)
+
+    def start_requests(self, count):
+        """Start `count` requests at changing rates; return when all have ended."""
+        time_s = 0.0
+        for number in range(count):
+            time_s += 1 / RATES[number // 100 % len(RATES)]
+            self.after(time_s, self.start_request, number)
+        return time_s + 40.0
+
+    def start_request(self, number):
+        """Start one request that is not idempotent, in one step or in two."""
+        body = b"%d" % number
+        if self.happens(0.1):
+            self.call(Call.POST, b"idempotent " + body, is_idempotent=True)
+        if self.happens(0.6):
+            self.call(Call.POST, body)
+            return
+        self.call(Call.RESERVE, then=lambda reply: self.use_ticket(body, reply.ticket))
+
+    def use_ticket(self, body, ticket):
+        """Send the body once or twice, at times early, late, or after a cancel."""
+        if not ticket:
+            return
+        for call in self.source.choice(PLANS):
+            delay_s = self.source.choice([0.0, 0.0, 0.02, 0.1, 2.0, 5.0, 30.0])
+            self.after(delay_s, self.call, call, body, ticket)
+
+    def check(self):
+        """Return every violation of the promises about requests."""
+        found = [str(violation) for violation in self.violations]
+        for body, count in self.runs.items():
+            if count > 1 and not body.startswith(b"idempotent"):
+                found.append(f"{body} ran {count} times")
+        for body, reply, _ in self.replies:
+            if reply.outcome is Outcome.NOT_RUN and body and self.runs[body]:
+                found.append(f"{body} ran, but the reply was {reply}")
+            if reply.outcome is None and reply.status == 200 and not self.runs[body]:
+                found.append(f"{body} did not run, but the reply was {reply}")
+        found += [f"no reply: {record}" for record in self.calls.values()]
+        return found
