Bound bodies with a JSON error and cancel runs on a stop

Cause: an oversized body was answered by the HTTP library without an outcome, refused calls on a ticket said "not run" although an earlier call may have run it, at most ten idle connections were kept, and a stopping agent waited for its longest run. Change: the balancer reads and bounds bodies itself; refusals say "not run" for new requests only; a stop cancels what still runs; cancellations have threads of their own; connections between processes are probed.

--- /dev/null
+++ b/features/steps/caller_steps.py
@@ -0,0 +1,248 @@
+import base64
+import collections
+import concurrent.futures
+import hashlib
+import json
+import random
+import socket
+import threading
+
+import urllib3
+from behave import given, then, when
+
+from bramleystair.agent._requests import RequestServer
+from bramleystair.backend import BackendClient
+from bramleystair.caller import CallerServer, CallerSettings
+from bramleystair.requests import (
+    Dispatcher,
+    DispatcherSettings,
+    LedgerSettings,
+    RequestLedger,
+)
+from bramleystair.standins._backend import Backend, Behaviour
+from bramleystair.tables import Announcement, Member, Protocol, Table
+from bramleystair.timers import MonotonicClock, TimerService
+from bramleystair.views import View
+
+MAX_BODY_BYTES = 100_000
+WAIT_S = 10.0
+
+
+class Loopback:
+    """One balancer, agent and backend server in this process."""
+
+    def __init__(self):
+        self.counts = collections.Counter()
+        self.timers = TimerService(MonotonicClock())
+        self.is_stopped = threading.Event()
+        self.thread = threading.Thread(target=self.run_timers)
+        self.backend = Backend(
+            "s0", ["sheets"], "127.0.0.1", 0, Behaviour(service_time_s=0.005)
+        )
+        self.backend.start()
+        settings = LedgerSettings(warm_up_s=0.0, max_body_bytes=MAX_BODY_BYTES)
+        self.agent = RequestServer(
+            "127.0.0.1",
+            0,
+            RequestLedger("s0", 1, settings, random.Random(1)),
+            BackendClient(*self.backend.address),
+            self.timers,
+            self.count,
+            lambda latency_s, is_shed: None,
+        )
+        self.balancer = CallerServer(
+            "127.0.0.1",
+            0,
+            "b0",
+            1,
+            Dispatcher(DispatcherSettings(), random.Random(2)),
+            self.timers,
+            CallerSettings(max_body_bytes=MAX_BODY_BYTES),
+            self.count,
+        )
+        self.agent.start()
+        self.balancer.start()
+        member = Member("s0", "z", 1.0, 9, 9)
+        table = Table("sheets", "127.0.0.1", 80, Protocol.TCP, (member,))
+        agent = Announcement("s0", "z", *self.agent.address, 1)
+        view = View({"sheets": table}, {}, {"s0": agent})
+        self.agent.set_view(view)
+        self.balancer.set_view(view)
+        self.parts = [self.balancer, self.agent, self.backend]
+        self.http = urllib3.HTTPConnectionPool(
+            *self.balancer.address, maxsize=8, retries=False, timeout=WAIT_S
+        )
+        self.location = ""
+        self.thread.start()
+
+    def count(self, count):
+        self.counts[count.name, count.reason] += count.amount
+
+    def run_timers(self):
+        while not self.is_stopped.wait(0.005):
+            self.timers.run_due()
+
+    def stop(self, part=None):
+        for each in [part] if part else list(self.parts):
+            self.parts.remove(each)
+            each.stop()
+        if not self.parts:
+            self.is_stopped.set()
+            self.thread.join()
+
+    def call(self, method, path, body=None, **headers):
+        chunked = headers.pop("chunked", False)
+        headers = {name.replace("_", "-"): text for name, text in headers.items()}
+        response = self.http.request(
+            method, path, body=body, headers=headers, chunked=chunked
+        )
+        self.location = response.headers.get("Location", self.location)
+        return response
+
+    def make(self, call):
+        new = "/v1/services/sheets/requests"
+        large = bytes(MAX_BODY_BYTES + 1)
+        match call.split():
+            case ["POST"]:
+                return self.call("POST", new)
+            case ["POST", "body"]:
+                return self.call("POST", new, b"body")
+            case ["POST", "large"]:
+                return self.call("POST", new, large)
+            case ["POST", "chunked"]:
+                return self.call("POST", new, b"body", chunked=True)
+            case ["POST", "large", "chunked"]:
+                return self.call("POST", new, large, chunked=True)
+            case ["POST", "elsewhere"]:
+                return self.call("POST", new.replace("sheets", "none"), b"body")
+            case ["POST", "soon"]:
+                self.backend.behaviour.service_time_s = 60.0
+                return self.call("POST", new, b"body", Deadline_Ms="300")
+            case ["PUT", "malformed"]:
+                return self.call("PUT", "/v1/requests/A", b"body")
+            case ["PUT", "forged"]:
+                last = "A" if self.location[-8] != "A" else "B"
+                changed = self.location[:-8] + last + self.location[-7:]
+                return self.call("PUT", changed, b"body")
+            case ["PUT", "large"]:
+                return self.call("PUT", self.location, large)
+            case ["PUT", *other]:
+                return self.call("PUT", self.location, b"other" if other else b"body")
+            case ["GET" | "DELETE" as method]:
+                return self.call(method, self.location)
+            case ["DRAIN"]:
+                self.agent.start_drain()
+            case ["SHED"]:
+                self.backend.behaviour.is_draining = True
+            case ["BACKEND", "DOWN"]:
+                self.stop(self.backend)
+            case ["AGENT", "DOWN"]:
+                self.stop(self.agent)
+            case _:
+                raise ValueError(call)
+        return None
+
+
+def wait_until(check):
+    event = threading.Event()
+    for _ in range(int(WAIT_S / 0.01)):
+        if check():
+            return
+        event.wait(0.01)
+    raise AssertionError("not reached in time")
+
+
+@given("a balancer, an agent and a backend server on loopback")
+def start_parts(context):
+    context.loopback = Loopback()
+    context.add_cleanup(context.loopback.stop)
+
+
+@when("a caller makes {calls}")
+def make_calls(context, calls):
+    responses = [context.loopback.make(call) for call in calls.split(", ")]
+    context.responses = [response for response in responses if response is not None]
+
+
+@then("the statuses are {statuses}")
+def check_statuses(context, statuses):
+    found = ", ".join(str(response.status) for response in context.responses)
+    assert found == statuses, (found, context.responses[-1].data)
+
+
+@then('the last outcome is "{outcome}" with reason "{reason}"')
+@then('the last outcome is "" with reason ""')
+def check_outcome(context, outcome="", reason=""):
+    response = context.responses[-1]
+    if not outcome:
+        return
+    content = json.loads(response.data)
+    assert (content["outcome"], content["reason"]) == (outcome, reason), content
+    assert response.status not in (429, 503) or int(response.headers["Retry-After"])
+
+
+@then("the backend server ran {count:d} requests, each once")
+def check_runs(context, count):
+    runs = context.loopback.backend.runs
+    assert list(runs.values()) == [1] * count, runs
+
+
+@when("{callers:d} callers make {calls:d} calls each at once")
+def call_at_once(context, callers, calls):
+    def call_often(caller):
+        path = "/v1/services/sheets/requests"
+        for number in range(calls):
+            body = f"{caller}/{number}".encode()
+            response = context.loopback.call("POST", path, body)
+            if response.status == 200:
+                context.pairs.append((body, response))
+
+    context.pairs = []
+    with concurrent.futures.ThreadPoolExecutor(callers) as pool:
+        list(pool.map(call_often, range(callers)))
+
+
+@then("each response carries its caller's body and a matching digest")
+def check_pairs(context):
+    assert len(context.pairs) >= 100
+    for body, response in context.pairs:
+        assert response.data.endswith(b"\n" + body)
+        digest = base64.b64encode(hashlib.sha256(response.data).digest()).decode()
+        assert response.headers["Repr-Digest"] == f"sha-256=:{digest}:"
+
+
+@when("a caller closes its connection while its request runs")
+def leave(context):
+    context.loopback.backend.behaviour.service_time_s = 60.0
+    with socket.create_connection(context.loopback.balancer.address) as caller:
+        head = "POST /v1/services/sheets/requests HTTP/1.1\r\nHost: b0\r\n"
+        caller.sendall(f"{head}Content-Length: 4\r\n\r\nbody".encode())
+        wait_until(lambda: context.loopback.backend.runs)
+
+
+@then("the backend server cancels the request")
+def check_cancelled(context):
+    wait_until(lambda: context.loopback.backend.totals["cancelled"] == 1)
+    assert context.loopback.counts["callers_gone", "run"] == 1
+
+
+@when("the balancer stops while a request runs")
+def stop_balancer(context):
+    loopback = context.loopback
+    loopback.backend.behaviour.service_time_s = 1.0
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        context.running = pool.submit(loopback.make, "POST body")
+        wait_until(lambda: loopback.backend.runs)
+        stopped = pool.submit(loopback.stop, loopback.balancer)
+        try:
+            context.refused = loopback.make("POST body").status == 503
+        except urllib3.exceptions.HTTPError:
+            context.refused = True
+        stopped.result()
+
+
+@then("the running request has its response and a new call is refused")
+def check_stopped(context):
+    assert context.running.result().status == 200
+    assert context.refused
+    assert context.loopback.backend.totals["done"] == 1
--- a/src/bramleystair/agent/_requests.py
+++ b/src/bramleystair/agent/_requests.py
@@ -16,6 +16,7 @@
     LedgerEvent,
     RequestLedger,
     StartBackend,
+    StopRequested,
 )
 from bramleystair.timers import TimerService
 from bramleystair.views import View
@@ -25,6 +26,8 @@
 
 TICK_PERIOD_S = 0.05
 MAX_BACKEND_CALLS = 256
+# Cancellations must not wait behind the calls that they end.
+MAX_BACKEND_CANCELS = 8
 DRAIN_POLL_S = 0.05
 
 
@@ -65,6 +68,7 @@
         self._observe = observe
         self._lock = threading.Lock()
         self._pool = concurrent.futures.ThreadPoolExecutor(MAX_BACKEND_CALLS)
+        self._cancel_pool = concurrent.futures.ThreadPoolExecutor(MAX_BACKEND_CANCELS)
         self._stream = StreamServer(
             host, port, ledger.server, ledger.incarnation, self._receive
         )
@@ -95,7 +99,7 @@
             return self._ledger.list_loads(self._timers.clock.now())
 
     def wait_idle(self, timeout_s: float) -> bool:
-        """Return whether no request is left running within `timeout_s`."""
+        """Wait until no request runs or is about to; return whether that is so."""
         event = threading.Event()
         for _ in range(max(1, int(timeout_s / DRAIN_POLL_S))):
             with self._lock:
@@ -105,9 +109,11 @@
         return False
 
     def stop(self) -> None:
-        """Close all connections, then wait for calls to the backend server."""
-        self._subscription.cancel()
+        """Cancel what still runs, then close all connections."""
+        self._submit(StopRequested())
+        self._cancel_pool.shutdown(wait=True)
         self._pool.shutdown(wait=True)
+        self._subscription.cancel()
         self._stream.stop()
 
     def _submit(self, event: LedgerEvent) -> None:
@@ -121,7 +127,7 @@
                 case StartBackend():
                     self._pool.submit(self._run, action)
                 case CancelBackend():
-                    self._pool.submit(self._cancel, action)
+                    self._cancel_pool.submit(self._cancel, action)
                 case Count():
                     self._count(action)
 
--- a/src/bramleystair/caller/_server.py
+++ b/src/bramleystair/caller/_server.py
@@ -44,6 +44,9 @@
 SOCKET_KEY = "bramleystair.socket"
 # Threads that stay free to refuse calls at once when all others wait.
 SPARE_THREADS = 4
+READ_BYTES = 2**16
+# Interval at which the HTTP server looks for a stop and for expired connections.
+STOP_POLL_S = 0.1
 
 ROUTES = Map(
     [
@@ -113,7 +116,10 @@
             shutdown_timeout=settings.stop_timeout_s,
         )
         self._http.gateway = _Gateway
-        self._http.max_request_body_size = settings.max_body_bytes + 1
+        # Bodies are bounded in _read_body, which answers with a JSON error.
+        self._http.max_request_body_size = 0
+        self._http.expiration_interval = STOP_POLL_S
+        self._http.keep_alive_conn_limit = settings.max_idle_connections
         self._server_pool = concurrent.futures.ThreadPoolExecutor(1)
 
     @property
@@ -195,6 +201,8 @@
         return response(environ, start_response)
 
     def _answer(self, request: Request) -> Response:
+        if (request.content_length or 0) > self._settings.max_body_bytes:
+            return self._refuse_body(request)
         try:
             endpoint, values = ROUTES.bind_to_environ(request.environ).match()
         except HTTPException as error:
@@ -206,19 +214,27 @@
             return build_error(reply)
         return self._carry(request, read.ok())
 
+    def _refuse_body(self, request: Request) -> Response:
+        # A caller that still sends would lose the answer to a reset connection.
+        left = min(request.content_length, 2 * self._settings.max_body_bytes)
+        while left > 0 and (part := request.environ["wsgi.input"].read(READ_BYTES)):
+            left -= len(part)
+        self._count(Count("calls_refused", "too_large"))
+        return build_error(_refuse(request, TOO_LARGE, "too_large"))
+
     def _read_call(
         self, request: Request, endpoint: str, values: dict
     ) -> Result[CallArrived, Reply]:
         call_id = next(self._call_ids)
         body = self._read_body(request)
         if body.is_err():
-            return Err(_refuse(call_id, TOO_LARGE, body.err()))
+            return Err(_refuse(request, TOO_LARGE, body.err()))
         deadline_s = self._read_deadline(request)
         if deadline_s.is_err():
-            return Err(_refuse(call_id, BAD_REQUEST, deadline_s.err()))
+            return Err(_refuse(request, BAD_REQUEST, deadline_s.err()))
         ticket = read_ticket(values["ticket"]) if endpoint == "ticket" else Ok(b"")
         if ticket.is_err():
-            return Err(_refuse(call_id, NOT_FOUND, str(ticket.err())))
+            return Err(_refuse(request, NOT_FOUND, str(ticket.err())))
         return Ok(
             CallArrived(
                 call_id,
@@ -234,8 +250,6 @@
 
     def _read_body(self, request: Request) -> Result[bytes, str]:
         limit = self._settings.max_body_bytes
-        if (request.content_length or 0) > limit:
-            return Err("too_large")
         is_chunked = request.environ.get("wsgi.input_terminated", False)
         if not request.content_length and not is_chunked:
             return Ok(b"")
@@ -260,7 +274,7 @@
         refusal = self._find_refusal()
         if refusal:
             self._count(Count("calls_refused", refusal))
-            return build_error(_refuse(call.call_id, UNAVAILABLE, refusal))
+            return build_error(_refuse(request, UNAVAILABLE, refusal))
         future: concurrent.futures.Future[Reply] = concurrent.futures.Future()
         self._futures[call.call_id] = future
         try:
@@ -296,12 +310,14 @@
     return Call(method.lower())
 
 
-def _refuse(call_id: int, status: int, reason: str) -> Reply:
+def _refuse(request: Request, status: int, reason: str) -> Reply:
+    # The request of a ticket may have run by another call.
+    is_new = request.method == "POST"
     retry_after_s = 1.0 if status == UNAVAILABLE else None
     return Reply(
-        call_id,
+        0,
         status,
-        Outcome.NOT_RUN,
+        Outcome.NOT_RUN if is_new else Outcome.UNKNOWN,
         reason,
         "read call",
         retry_after_s=retry_after_s,
--- a/src/bramleystair/caller/_settings.py
+++ b/src/bramleystair/caller/_settings.py
@@ -13,6 +13,8 @@
         Calls that are carried at once.
     max_body_bytes : int
         Longest request body.
+    max_idle_connections : int
+        Connections that are kept open between calls.
     max_deadline_s : float
         Longest deadline that a caller may name.
     tick_s : float
@@ -25,6 +27,7 @@
 
     threads: int = 128
     max_body_bytes: int = 8 * 2**20
+    max_idle_connections: int = 4096
     max_deadline_s: float = 3600.0
     tick_s: float = 0.02
     disconnect_poll_s: float = 0.1
--- a/src/bramleystair/standins/_backend.py
+++ b/src/bramleystair/standins/_backend.py
@@ -26,6 +26,7 @@
 MAX_FEED_DATAGRAMS = 1_000_000
 FEED_PERIOD_S = 0.1
 TICK_S = 0.01
+STOP_POLL_S = 0.1
 REPORT_HISTORY = 1_000
 
 ROUTES = Map(
@@ -134,6 +135,7 @@
         self._http = wsgi.Server(
             (host, port), self._serve, numthreads=HTTP_THREADS, request_queue_size=256
         )
+        self._http.expiration_interval = STOP_POLL_S
         self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._pool = concurrent.futures.ThreadPoolExecutor(3)
         self._is_stopping = threading.Event()
--- a/src/bramleystair/wire/_stream.py
+++ b/src/bramleystair/wire/_stream.py
@@ -25,6 +25,14 @@
 # A peer that takes no data for this long is treated as lost.
 SEND_TIMEOUT_S = 10.0
 READ_CHUNK_BYTES = 2**18
+# A VM that failed sends nothing, so idle connections to it are probed.
+SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 15),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 5),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+)
 
 
 def read_frame(sock: socket.socket, peer: str) -> Result[Envelope, StepError]:
@@ -103,7 +111,8 @@
             if self._sock is None:
                 self._sock = socket.create_connection(self.address, CONNECT_TIMEOUT_S)
             self._sock.settimeout(None)
-            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for level, option, value in SOCKET_OPTIONS:
+                self._sock.setsockopt(level, option, value)
         except OSError as error:
             return Err(StepError("connect", self.peer, str(error)))
         if self.is_closed:
