Test the daemons, and start the demonstration

A TCP trace passes a real balancer and agent in both directions; generated malformed datagrams are counted and change nothing; planned stops interrupt no flow and no request. The demonstration waits for the platform's client and stand-in.

--- /dev/null
+++ b/features/steps/daemons_steps.py
@@ -0,0 +1,366 @@
+import contextlib
+import http.server
+import itertools
+import os
+import random
+import socket
+import threading
+import time
+import urllib.error
+import urllib.request
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+from hypothesis import given as generate
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from bramleystair.agent import AgentDaemon
+from bramleystair.balancer import BalancerDaemon
+from bramleystair.fabric import decapsulate, encapsulate, open_udp_socket, read_flow_key
+from bramleystair.packets import reverse_flow
+from bramleystair.settings import AgentSettings, BalancerSettings, check_settings
+from bramleystair.tables import (
+    Member,
+    Protocol,
+    Table,
+    compute_service_id,
+    encode_object,
+)
+from bramleystair.timers import MonotonicClock
+from bramleystair.wire import Forward, Objects, StoredObject, encode
+from support.tcp import (
+    ACK,
+    RST,
+    SERVICE,
+    build_segment,
+    build_segments,
+    get_flags,
+    has_valid_checksums,
+)
+
+# Generous, so that a busy machine does not change the verdict.
+WAIT_S = 30.0
+POLL_S = 0.02
+# Addresses of their own for each scenario and each run of the tests on one machine.
+NETWORK = f"127.{220 + os.getpid() % 30}.{os.getpid() // 30 % 250}"
+_numbers = itertools.count(1)
+SERVICE_NAME = "sheet-download"
+SERVICE_ID = compute_service_id(SERVICE_NAME)
+
+
+def wait_until(is_met):
+    deadline_s = time.monotonic() + WAIT_S
+    while not is_met():
+        assert time.monotonic() < deadline_s, "the condition was not met in time"
+        time.sleep(POLL_S)
+
+
+def build_host():
+    return f"{NETWORK}.{next(_numbers)}"
+
+
+@given("a balancer, and an agent whose backend server is behind a TUN device")
+def start_daemons(context):
+    context.fabric = open_udp_socket(build_host(), 0)
+    context.fabric.settimeout(WAIT_S)
+    context.add_cleanup(context.fabric.close)
+    context.pool = ThreadPoolExecutor(4)
+    context.add_cleanup(context.pool.shutdown)
+    start_backend(context)
+    context.balancer_host, context.agent_host = build_host(), build_host()
+    context.platform = start_platform(context)
+    start_balancer(context)
+    start_agent(context)
+
+
+class BackendHandler(http.server.BaseHTTPRequestHandler):
+    """Backend server that answers each request once it is released."""
+
+    def do_POST(self):  # noqa: N802, the name is given by the library
+        body = self.rfile.read(int(self.headers["Content-Length"]))
+        self.server.bodies.append(body)
+        assert self.server.is_released.wait(WAIT_S)
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_):
+        pass
+
+
+def start_backend(context):
+    context.backend = start_server(context, BackendHandler)
+    context.backend.bodies = []
+    context.backend.is_released = threading.Event()
+    context.add_cleanup(context.backend.is_released.set)
+
+
+def start_server(context, handler):
+    server = http.server.ThreadingHTTPServer((build_host(), 0), handler)
+    thread = threading.Thread(target=server.serve_forever, daemon=True)
+    thread.start()
+    context.add_cleanup(server.server_close)
+    context.add_cleanup(thread.join)
+    context.add_cleanup(server.shutdown)
+    return server
+
+
+def start_balancer(context):
+    options = {
+        "node": "balancer-1",
+        "zone": "zone-1",
+        "region": "region-1",
+        "host": context.balancer_host,
+        "metrics_port": 0,
+        "platform": context.platform,
+    }
+    checked = check_settings(options, BalancerSettings).unwrap()
+    context.balancer = BalancerDaemon(checked, MonotonicClock(), random.Random(1))
+    start(context, context.balancer)
+
+
+def start_agent(context):
+    seed = {"name": "balancer-1", "host": context.balancer_host, "port": 7946}
+    reply_host, reply_port = context.fabric.getsockname()
+    options = {
+        "server": "server-1",
+        "zone": "zone-1",
+        "region": "region-1",
+        "services": [SERVICE_NAME],
+        "host": context.agent_host,
+        "metrics_port": 0,
+        "platform": context.platform,
+        "seeds": [seed],
+        "fabric": {"reply_endpoints": [f"{reply_host}:{reply_port}"]},
+        "backend": {
+            "host": context.backend.server_address[0],
+            "http_port": context.backend.server_address[1],
+            "keep_destination": True,
+        },
+    }
+    checked = check_settings(options, AgentSettings).unwrap()
+    near, context.far = socket.socketpair(socket.AF_UNIX, socket.SOCK_DGRAM)
+    context.far.settimeout(WAIT_S)
+    context.add_cleanup(context.far.close)
+    clock = MonotonicClock()
+    context.agent = AgentDaemon(checked, clock, random.Random(2), near.detach())
+    start(context, context.agent)
+
+
+def start(context, daemon):
+    daemon.start()
+    context.stopped = {}
+
+    def stop():
+        # Two requests make a daemon stop without waiting for work in hand.
+        daemon.threads.request_stop()
+        daemon.threads.request_stop()
+        if not context.stopped.get(daemon):
+            daemon.stop()
+        assert not daemon.threads.has_failed
+
+    context.add_cleanup(stop)
+
+
+def stop_as_planned(context, daemon):
+    context.stopped[daemon] = context.pool.submit(daemon.stop)
+
+
+@given("both know the table of a TCP service")
+def push_table(context):
+    member = Member("server-1", "zone-1", 1.0, 2000, 3)
+    table = Table(SERVICE_NAME, SERVICE, 443, Protocol.TCP, (member,), 1)
+    item = StoredObject(f"table/{SERVICE_NAME}", 1, "", encode_object(table))
+    address = (context.balancer_host, 7946)
+    context.fabric.sendto(encode("operator", 1, Objects((item,))), address)
+    for daemon in (context.balancer, context.agent):
+        wait_until(lambda daemon=daemon: daemon.get_health()["versions"])
+    wait_until(lambda: context.balancer.get_health()["agents"])
+
+
+def send_packet(context, packet):
+    address = (context.balancer_host, 6081)
+    context.fabric.sendto(encapsulate(packet, 0), address)
+
+
+def send_forward(context, segment):
+    """Send to the agent directly: the balancer may know of no member to choose."""
+    forward = Forward(SERVICE_ID, 1, read_flow_key(segment), 0, False, segment)
+    data = encode("balancer-1", 1, forward)
+    context.fabric.sendto(data, (context.agent_host, 7947))
+
+
+def receive_reply(context):
+    return decapsulate(context.fabric.recv(65535), 0).unwrap()
+
+
+def exchange(context, segment, answer):
+    """Send a segment to the backend server, which sends `answer`."""
+    send_packet(context, segment)
+    seen = context.far.recv(65535)
+    context.far.send(answer)
+    return seen, receive_reply(context)
+
+
+@when("the segments of the connection are replayed through the fabric")
+def replay(context):
+    pairs = zip(build_segments(), build_segments(reverse=True), strict=True)
+    context.exchanged = [exchange(context, *pair) for pair in pairs]
+
+
+@then("the backend server received each segment in order, with valid checksums")
+def check_segments(context):
+    assert [seen for seen, _ in context.exchanged] == build_segments()
+    assert all(has_valid_checksums(seen) for seen, _ in context.exchanged)
+
+
+@then("the fabric received each answer in order, with valid checksums")
+def check_answers(context):
+    assert [reply for _, reply in context.exchanged] == build_segments(reverse=True)
+    assert all(has_valid_checksums(reply) for _, reply in context.exchanged)
+
+
+@when("a segment from the middle of a connection arrives")
+def send_middle(context):
+    context.segment = build_segments()[2]
+    send_packet(context, context.segment)
+
+
+@then("the fabric receives a reset for it")
+def check_reset(context):
+    assert_reset(receive_reply(context), context.segment)
+
+
+def assert_reset(reply, segment):
+    assert read_flow_key(reply) == reverse_flow(read_flow_key(segment))
+    assert get_flags(reply) & RST
+    assert has_valid_checksums(reply)
+
+
+@then('the agent has counted {count:d} "{name}"')
+def check_count(context, count, name):
+    wait_until(lambda: context.agent.metrics.get_count(name) == count)
+
+
+@when("generated datagrams arrive at every UDP port of both daemons")
+def send_malformed(context):
+    segment = build_segments()[0]
+    valid = [
+        encapsulate(segment, 0),
+        encode(
+            "balancer-1", 1, Forward(1, 1, read_flow_key(segment), 0, False, segment)
+        ),
+        encode("balancer-1", 1, Objects((StoredObject("table/x", 9, "", b"{}"),))),
+    ]
+    changes = st.lists(st.tuples(st.integers(0, 90), st.integers(0, 255)), min_size=1)
+    targets = [
+        (context.balancer_host, 6081),
+        (context.balancer_host, 7946),
+        (context.agent_host, 7947),
+    ]
+
+    @settings(max_examples=400)
+    @generate(st.sampled_from(valid), changes, st.integers(0, 200))
+    def run(data, changes, length):
+        data = bytearray(data)
+        for position, value in changes:
+            data[position % len(data)] = value
+        for target in targets:
+            context.fabric.sendto(data[:length], target)
+
+    run()
+    context.fabric.sendto(b"", targets[0])
+
+
+@then("both daemons have counted refusals")
+def check_refusals(context):
+    wait_until(lambda: context.balancer.metrics.get_count("packet_refused") > 50)
+    wait_until(lambda: context.balancer.metrics.get_count("message_refused") > 50)
+    wait_until(lambda: context.agent.metrics.get_count("message_refused") > 50)
+
+
+@then("a new connection still reaches the backend server")
+def check_new_connection(context):
+    segment = build_segments(port=5000)[0]
+    send_packet(context, segment)
+    # Valid parts of earlier input may have arrived before.
+    while context.far.recv(65535) != segment:
+        pass
+
+
+@given("an established connection")
+def establish(context):
+    pairs = zip(build_segments(), build_segments(reverse=True), strict=True)
+    for pair in itertools.islice(pairs, 2):
+        exchange(context, *pair)
+
+
+@when("the agent is stopped as planned")
+def stop_agent(context):
+    stop_as_planned(context, context.agent)
+    wait_until(lambda: context.agent.get_health()["draining"])
+
+
+@then("a new connection is answered by a reset")
+def check_refused(context):
+    segment = build_segments(port=5001)[0]
+    send_forward(context, segment)
+    assert_reset(receive_reply(context), segment)
+
+
+@then("the established connection still reaches the backend server")
+def check_established(context):
+    segment = build_segments()[2]
+    send_forward(context, segment)
+    assert context.far.recv(65535) == segment
+
+
+@then("the agent has stopped after the established connection ended")
+def check_stopped(context):
+    assert not context.stopped[context.agent].done()
+    flow = read_flow_key(build_segments()[0])
+    body = build_segments()[3][24:]
+    reset = build_segment(flow, body[:9] + bytes([RST | ACK]) + body[10:])
+    send_forward(context, reset)
+    context.stopped[context.agent].result(WAIT_S)
+
+
+@given("a request that its backend server holds back")
+def hold_request(context):
+    context.reply = context.pool.submit(post, context, b"correction")
+    wait_until(lambda: context.backend.bodies)
+
+
+def post(context, body):
+    url = f"http://{context.balancer_host}:8080/v1/services/{SERVICE_NAME}/requests"
+    request = urllib.request.Request(url, data=body, method="POST")
+    with urllib.request.urlopen(request, timeout=WAIT_S) as response:
+        return response.status, response.read()
+
+
+@when("the balancer is stopped as planned")
+def stop_balancer(context):
+    stop_as_planned(context, context.balancer)
+    wait_until(lambda: context.balancer.get_health()["stopping"])
+
+
+@then("a new request is not accepted")
+def check_not_accepted(context):
+    with contextlib.suppress(urllib.error.URLError, ConnectionError):
+        post(context, b"late")
+        raise AssertionError("the request was accepted")
+    assert context.backend.bodies == [b"correction"]
+
+
+@then("the request in hand receives its whole response")
+def check_response(context):
+    assert not context.stopped[context.balancer].done()
+    context.backend.is_released.set()
+    assert context.reply.result(WAIT_S) == (200, b"correction")
+    context.stopped[context.balancer].result(WAIT_S)
+
+
+def start_platform(context):
+    return ""
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -10,17 +10,19 @@
 from bramleystair.fabric import (
     build_datagram,
     build_flow_key,
-    compute_checksum,
     read_flow_key,
     read_payload,
 )
 from bramleystair.packets import reverse_flow
+from support.tcp import (
+    CALLER,
+    SERVICE,
+    build_segment,
+    build_segments,
+    has_valid_checksums,
+)
 
 WAIT_S = 20.0
-SERVICE = "10.1.0.1"
-CALLER = "10.9.0.1"
-# Flags and payloads of one connection: handshake, request, response, end.
-TRACE = [(0x02, b""), (0x10, b""), (0x18, b"GET sheet"), (0x11, b"")]
 
 
 class Recorder:
@@ -156,37 +158,6 @@
     assert context.recorder.drops == {reason: count}, context.recorder.drops
 
 
-def build_segments(reverse=False):
-    """Return the segments of a TCP trace, from the caller or from the service."""
-    flow = build_flow_key(6, CALLER, 4000, SERVICE, 443)
-    flow = reverse_flow(flow) if reverse else flow
-    sequence = 1000 if reverse else 5
-    segments = []
-    for flags, payload in TRACE:
-        body = struct.pack("!IIBBHHH", sequence, 77, 0x50, flags, 500, 0, 0)
-        segments.append(build_segment(flow, body + payload))
-        sequence += len(payload) + bool(flags & 0x03)
-    return segments
-
-
-def build_segment(flow, body):
-    ports, addresses = flow[-4:], flow[1:9]
-    tcp = ports + body[:12] + bytes(2) + body[14:]
-    pseudo = addresses + struct.pack("!HH", 6, len(tcp))
-    checksum = compute_checksum(pseudo + tcp)
-    tcp = tcp[:16] + struct.pack("!H", checksum) + tcp[18:]
-    head = struct.pack("!BBHHHBBH", 0x45, 0, 20 + len(tcp), 0, 0x4000, 64, 6, 0)
-    checksum = compute_checksum(head + addresses)
-    return head[:10] + struct.pack("!H", checksum) + addresses + tcp
-
-
-def has_valid_checksums(packet):
-    pseudo = packet[12:20] + struct.pack("!HH", packet[9], len(packet) - 20)
-    # The checksum over data that includes a valid checksum comes out as all ones.
-    sums = compute_checksum(packet[:20]), compute_checksum(pseudo + packet[20:])
-    return sums == (0xFFFF, 0xFFFF)
-
-
 @given('a TUN delivery that replaces the destination by "{address}"')
 def start_rewriting(context, address):
     start_tun(context, address)
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that several step modules share."""
--- a/src/bramleystair/standins/_caller_flows.py
+++ b/src/bramleystair/standins/_caller_flows.py
@@ -67,6 +67,7 @@
     sent: int = 0
     answers: int = 0
     server: str = ""
+    server_since_s: float = 0.0
     count: int = 0
     first_sent_s: float = 0.0
     answered_s: float = 0.0
@@ -213,6 +214,8 @@
             change = {"from": flow.server, "to": server, "reason": reason, "at_s": now}
             flow.breaks.append(change)
             flow.count = 0
+        if flow.server != server:
+            flow.server_since_s = now
         flow.server = server
         flow.count = max(flow.count, count)
 
@@ -223,6 +226,7 @@
         "number": flow.number,
         "service": flow.service,
         "server": flow.server,
+        "server_since_s": flow.server_since_s,
         "sent": flow.sent,
         "answers": flow.answers,
         "silent_s": 0.0 if unanswered is None else now - unanswered,
--- /dev/null
+++ b/src/bramleystair/standins/_demo_report.py
@@ -0,0 +1,170 @@
+"""Figures of the demonstration and the promises they are compared with."""
+
+from collections import Counter
+
+import attrs
+
+from bramleystair.standins._demo_watch import Watch
+from bramleystair.standins._deployments import Deployment
+
+# A heartbeat every half second that goes unanswered for longer means a dead flow.
+SILENT_LIMIT_S = 5.0
+DRAIN_LIMIT_S = 3.0
+LIMITS = {
+    "broken_flows": 0,
+    "misdelivered": 0,
+    "lost": 0,
+    "doubled": 0,
+    "false_not_run": 0,
+    "imbalance": 0.10,
+    "zone_quiet_s": 3.0,
+    "in_force_s": 5.0,
+    "cold_overload": 0,
+    "drain_late_work": 0,
+}
+
+
+@attrs.define
+class Events:
+    """Times of the changes, and what was read at them."""
+
+    zone: str
+    drained: str
+    cold: str
+    drained_s: float = 0.0
+    zone_out_s: float = 0.0
+    zone_in_s: float = 0.0
+    zone_quiet_s: float = 0.0
+    zone_given_up: int = 0
+    in_force_s: list[float] = attrs.Factory(list)
+    steady_flows: list[dict] = attrs.Factory(list)
+    ended: list[str] = attrs.Factory(list)
+
+
+@attrs.frozen
+class Report:
+    """Figures of one run; the design page states the promises."""
+
+    flows: int
+    broken_flows: int
+    misdelivered: int
+    requests: int
+    lost: int
+    doubled: int
+    false_not_run: int
+    imbalance: float
+    zone_quiet_s: float
+    in_force_s: float
+    cold_overload: int
+    drain_late_work: int
+    zone_given_up: int
+    unknown: int
+    unanswered_flows: int
+
+
+def build_report(
+    events: Events,
+    watch: Watch,
+    flow_report: dict,
+    records: list[dict],
+    runs: dict[str, int],
+    deployment: Deployment,
+) -> Report:
+    """Return the figures of a run."""
+    flows = flow_report["flows"]
+    zones = {server.name: server.zone for server in deployment.list_servers()}
+    writes = [record for record in records if not record["is_idempotent"]]
+    return Report(
+        flows=len(flows),
+        broken_flows=sum(_is_broken(flow, events, zones) for flow in flows),
+        misdelivered=len(flow_report["misdelivered"]),
+        requests=len(records),
+        lost=sum(_is_lost(record, runs) for record in records),
+        doubled=sum(_count_runs(record["tickets"], runs) > 1 for record in writes),
+        false_not_run=sum(
+            _count_runs(record["not_run"], runs) > 0 for record in records
+        ),
+        imbalance=round(_compute_imbalance(events, deployment), 3),
+        zone_quiet_s=round(events.zone_quiet_s, 2),
+        in_force_s=round(max(events.in_force_s), 2),
+        cold_overload=max(0, watch.cold_overload),
+        drain_late_work=_count_late_work(events, flows, records),
+        zone_given_up=events.zone_given_up,
+        unknown=sum(record["outcome"] == "unknown" for record in records),
+        unanswered_flows=sum(not flow["answers"] for flow in flows),
+    )
+
+
+def find_broken_promises(report: Report) -> list[str]:
+    """Return a line for each figure above its limit."""
+    figures = attrs.asdict(report)
+    return [
+        f"{name} is {figures[name]}, at most {limit} is allowed"
+        for name, limit in LIMITS.items()
+        if figures[name] > limit
+    ]
+
+
+def print_table(figures: dict, broken: list[str]) -> None:
+    """Print the figures with their limits."""
+    print(f"\n{'figure':<18}{'measured':>10}{'limit':>10}")
+    for name, value in figures.items():
+        print(f"{name:<18}{value:>10}{LIMITS.get(name, ''):>10}")
+    for line in broken:
+        print(f"BROKEN PROMISE: {line}")
+
+
+def _is_broken(flow: dict, events: Events, zones: dict[str, str]) -> bool:
+    if flow["answers"] and flow["silent_s"] > SILENT_LIMIT_S:
+        return True
+    return any(not _is_given_up(change, events, zones) for change in flow["breaks"])
+
+
+def _is_given_up(change: dict, events: Events, zones: dict[str, str]) -> bool:
+    """Return whether a change of server follows from the availability zone's mark."""
+    is_after_mark = 0 < events.zone_out_s <= change["at_s"]
+    return is_after_mark and zones[change["from"]] == events.zone
+
+
+def _is_lost(record: dict, runs: dict[str, int]) -> bool:
+    if record["outcome"] == "lost":
+        return True
+    return record["outcome"] == "done" and not _count_runs(record["tickets"], runs)
+
+
+def _count_runs(tickets: list[str], runs: dict[str, int]) -> int:
+    return sum(runs.get(ticket, 0) for ticket in set(tickets))
+
+
+def _compute_imbalance(events: Events, deployment: Deployment) -> float:
+    """Return the largest deviation of a server's share of flows from the table's.
+
+    It is taken before the first change; the server that starts later has no share.
+    """
+    counts = Counter(flow["server"] for flow in events.steady_flows if flow["server"])
+    worst = 0.0
+    for service in deployment.services:
+        names = [
+            server.name
+            for server in deployment.list_servers()
+            if server.service == service and server.name != events.cold
+        ]
+        total = sum(counts[name] for name in names)
+        share = total / len(names)
+        if share:
+            deviations = [abs(counts[name] - share) / share for name in names]
+            worst = max(worst, *deviations)
+    return worst
+
+
+def _count_late_work(events: Events, flows: list[dict], records: list[dict]) -> int:
+    limit_s = events.drained_s + DRAIN_LIMIT_S
+    late_flows = sum(
+        flow["server"] == events.drained and flow["server_since_s"] > limit_s
+        for flow in flows
+    )
+    late_requests = sum(
+        record["server"] == events.drained and record["started_s"] > limit_s
+        for record in records
+    )
+    return late_flows + late_requests
--- /dev/null
+++ b/src/bramleystair/standins/_operator.py
@@ -0,0 +1,1 @@
+"""Changes that the demonstration makes as an operator does."""
