Keep the start of a flow's forwards

The balancer built and encoded a message object for each packet, although everything before the packet is the same for a flow until the view changes. It is now kept by flow.

--- a/src/bramleystair/balancer/_daemon.py
+++ b/src/bramleystair/balancer/_daemon.py
@@ -199,6 +199,7 @@
             case IncarnationRaised(incarnation):
                 log.warning("lease expired; incarnation %d begins", incarnation)
                 self._messenger.incarnation = incarnation
+                self._forwarder.incarnation = incarnation
 
     def _count(self, action: Count) -> None:
         self.metrics.count(action.name, action.reason, action.amount)
--- a/src/bramleystair/balancer/_forwarding.py
+++ b/src/bramleystair/balancer/_forwarding.py
@@ -1,6 +1,7 @@
 """The balancer's packet path: from Geneve datagrams to forwards."""
 
 import socket
+import time
 
 from bramleystair.fabric import build_header, decapsulate
 from bramleystair.metrics import Metrics
@@ -9,7 +10,9 @@
 from bramleystair.wire import Forward, encode_forward
 
 MAX_DATAGRAM_BYTES = 65_535
-# Upper bound of the packets between two looks at the view and the stop flag.
+# Upper bound of the packets between two looks at the stop flag.
+# As many as the router keeps; at about 250 bytes an entry, at most 33 MB.
+MAX_CACHED_STARTS = 131_072
 BATCH = 64
 RECEIVE_TIMEOUT_S = 0.2
 
@@ -42,19 +45,21 @@
         metrics: Metrics,
     ) -> None:
         self._node = node
-        self._incarnation = incarnation
+        self.incarnation = incarnation
         self._udp = udp
         self._network_id = network_id
         self._metrics = metrics
         self._header = build_header(network_id)
         self._router = Router()
+        # Start of a flow's forwards up to the packet, and where they go.
+        self._starts: dict[bytes, tuple[bytes, tuple[str, int]]] = {}
         self._new_view: View | None = None
         self._is_running = True
         self.packet_count = 0
         self.last_packet_s = 0.0
 
     def set_view(self, view: View) -> None:
-        """Use `view` from the next packets on."""
+        """Use `view`, and a changed `incarnation`, from the next packets on."""
         self._new_view = view
 
     def stop(self) -> None:
@@ -65,7 +70,6 @@
         """Forward packets until `stop`."""
         self._udp.settimeout(RECEIVE_TIMEOUT_S)
         while self._is_running:
-            self.apply_view()
             self.run_batch()
 
     def run_batch(self, limit: int = BATCH) -> None:
@@ -85,9 +89,13 @@
         view, self._new_view = self._new_view, None
         if view is not None:
             self._router.set_view(view)
+            self._starts = {}
 
     def _forward(self, data: bytes) -> None:
+        if self._new_view is not None:
+            self.apply_view()
         self.packet_count += 1
+        self.last_packet_s = time.monotonic()
         if data.startswith(self._header):
             packet = data[len(self._header) :]
         else:
@@ -103,8 +111,17 @@
         self._send(route, packet)
 
     def _send(self, route: Route, packet: bytes) -> None:
+        start = self._starts.get(route.flow)
+        if start is None:
+            start = self._build_start(route)
+        self._udp.sendto(start[0] + packet, start[1])
+
+    def _build_start(self, route: Route) -> tuple[bytes, tuple[str, int]]:
+        if len(self._starts) >= MAX_CACHED_STARTS:
+            self._starts.clear()
         message = Forward(
-            route.service_id, route.table_version, route.flow, 0, False, packet
+            route.service_id, route.table_version, route.flow, 0, False, b""
         )
-        data = encode_forward(self._node, self._incarnation, message)
-        self._udp.sendto(data, (route.host, route.port))
+        data = encode_forward(self._node, self.incarnation, message)
+        start = self._starts[route.flow] = (data, (route.host, route.port))
+        return start
