Reset the backend server's half of a TCP flow

A silent flow that is reset left the backend server's half open, because the controller has no packet to build the reset from. The TUN delivery keeps the last reply of each TCP flow and builds the reset from its numbers.

--- a/features/delivery.feature
+++ b/features/delivery.feature
@@ -36,3 +36,9 @@
     Given a TUN delivery that keeps the destination
     When the backend server sends a packet of a flow that was closed
     Then 1 drop with the reason "unknown_reply" is counted
+
+  Scenario: A backend server whose flow is gone receives a reset that it accepts
+    Given a TUN delivery that replaces the destination by "10.7.0.1"
+    When the segments of a TCP trace are delivered and answered
+    And the flow is reset towards the backend server
+    Then the backend server receives a reset with the number that it expects
--- a/features/steps/delivery_steps.py
+++ b/features/steps/delivery_steps.py
@@ -16,9 +16,11 @@
 from bramleystair.packets import reverse_flow
 from support.tcp import (
     CALLER,
+    RST,
     SERVICE,
     build_segment,
     build_segments,
+    get_flags,
     has_valid_checksums,
 )
 
@@ -226,3 +228,19 @@
     context.delivery.close_flow(flow)
     os.write(context.far.fileno(), build_segments(reverse=True)[0])
     context.recorder.wait_until(lambda: context.recorder.drops)
+
+
+@when("the flow is reset towards the backend server")
+def reset_server(context):
+    context.delivery.reset_server(context.flow, b"")
+
+
+@then("the backend server receives a reset with the number that it expects")
+def check_server_reset(context):
+    reset = context.far.recv(2048)
+    assert get_flags(reset) & RST
+    assert has_valid_checksums(reset)
+    assert read_flow_key(reset) == read_flow_key(context.seen[0])
+    # Its last segment acknowledged up to this number.
+    expected = build_segments(reverse=True)[-1][28:32]
+    assert reset[24:28] == expected
--- a/src/bramleystair/backend/_tun.py
+++ b/src/bramleystair/backend/_tun.py
@@ -10,7 +10,7 @@
 from bramleystair.backend._delivery import POLL_S, ReplyHandler
 from bramleystair.fabric import compute_checksum, read_flow_key
 from bramleystair.fabric._datagrams import IPV4_KEY_BYTES
-from bramleystair.packets import reverse_flow
+from bramleystair.packets import build_reset, reverse_flow
 from bramleystair.tables import Protocol
 
 MAX_PACKET_BYTES = 65_535
@@ -65,6 +65,8 @@
         self._handler = handler
         self._address = ipaddress.ip_address(rewrite_to).packed if rewrite_to else b""
         self._flows: dict[bytes, bytes] = {}
+        # Their numbers are needed for a reset that the backend server accepts.
+        self._last_replies: dict[bytes, bytes] = {}
         self._is_open = True
         os.set_blocking(descriptor, False)
         self._thread = threading.Thread(
@@ -88,14 +90,19 @@
         self._write(packet)
 
     def reset_server(self, flow: bytes, packet: bytes) -> None:
-        """Write the reset `packet` of `flow`."""
+        """Write the reset `packet`, or one that answers the flow's last reply."""
         if packet:
             self.deliver(flow, packet)
+            return
+        reset = build_reset(self._last_replies.get(flow, b""))
+        if reset:
+            self._write(reset)
 
     def close_flow(self, flow: bytes) -> None:
         """Forget `flow`."""
         if len(flow) == IPV4_KEY_BYTES:
             self._flows.pop(self._get_reply_key(flow), None)
+            self._last_replies.pop(flow, None)
 
     def close(self) -> None:
         """Stop the thread and close the file descriptor."""
@@ -136,6 +143,8 @@
         if flow is None:
             self._handler.count_drop("unknown_reply")
             return
+        if flow[0] == Protocol.TCP:
+            self._last_replies[flow] = packet
         if self._address:
             service = flow[1 + ADDRESS_BYTES : 1 + 2 * ADDRESS_BYTES]
             packet = replace_address(packet, SOURCE_START, service)
