--- a/src/bramleystair/agent/_actions.py
+++ b/src/bramleystair/agent/_actions.py
@@ -94,8 +94,15 @@
 
     def _handle_next(self) -> None:
         event = self._events.popleft()
+        closed = []
         for action in self._controller.handle(event, self._clock.now()):
-            self._carry_out(action)
+            if isinstance(action, CloseFlow):
+                closed.append(action.flow)
+            else:
+                self._carry_out(action)
+        # A reset may need what delivery still holds of the flow.
+        for flow in closed:
+            self.delivery.close_flow(flow)
 
     def _carry_out(self, action: FlowAction) -> None:
         match action:
@@ -105,8 +112,6 @@
                 self._send(peer, message)
             case Count(name, reason, amount):
                 self._metrics.count(name, reason, amount)
-            case CloseFlow(flow):
-                self.delivery.close_flow(flow)
             case ResetCaller(_, packet):
                 self._reset_caller(packet)
             case ResetServer(flow, packet):
