Publish metrics more than once

Collectors entered the library's global registry, so every response to /metrics but the first failed; the demonstration took the missing values for zeros. Collectors now enter the registry of the response, and a failed response is an error. Found by the demonstration; features/metrics.feature guards against it.

--- /dev/null
+++ b/features/metrics.feature
@@ -0,0 +1,18 @@
+Feature: Metrics
+
+  Guards against a metrics endpoint that fails after its first response, and against
+  counts that are lost between threads.
+
+  Scenario: Counters and gauges are published at each request
+    Given a metrics server
+    When 8 threads count "packet_refused" with the reason "malformed" 500 times each
+    And the gauge "flows" is set to 7 for "feed"
+    Then each of 3 responses to "/metrics" has these values
+      | name                                                                   | value |
+      | bramleystair_packet_refused_total{node="balancer-1",reason="malformed"} | 4000  |
+      | bramleystair_flows{node="balancer-1",subject="feed"}                    | 7     |
+
+  Scenario: The health of a process
+    Given a metrics server
+    When the process is not ready
+    Then "/healthz" answers 503
--- /dev/null
+++ b/features/steps/metrics_steps.py
@@ -0,0 +1,61 @@
+from concurrent.futures import ThreadPoolExecutor
+
+import requests
+from behave import given, then, when
+
+from bramleystair.metrics import Metrics, MetricsServer
+
+TIMEOUT_S = 30
+
+
+@given("a metrics server")
+def start_server(context):
+    context.metrics = Metrics({"node": "balancer-1"})
+    context.health = {"ready": True}
+    context.server = MetricsServer(
+        "127.0.0.1", 0, context.metrics, lambda: context.health
+    )
+    context.server.start()
+    context.add_cleanup(context.server.close)
+
+
+def get(context, path):
+    url = f"http://127.0.0.1:{context.server.port}{path}"
+    return requests.get(url, timeout=TIMEOUT_S)
+
+
+@when(
+    '{threads:d} threads count "{name}" with the reason "{reason}" {times:d} times each'
+)
+def count(context, threads, name, reason, times):
+    def run(_):
+        for _ in range(times):
+            context.metrics.count(name, reason)
+
+    with ThreadPoolExecutor(threads) as pool:
+        list(pool.map(run, range(threads)))
+
+
+@when('the gauge "{name}" is set to {value:d} for "{subject}"')
+def set_gauge(context, name, value, subject):
+    context.metrics.set_gauge(name, value, subject)
+
+
+@then('each of {times:d} responses to "/metrics" has these values')
+def check_values(context, times):
+    for _ in range(times):
+        response = get(context, "/metrics")
+        assert response.status_code == 200
+        for row in context.table:
+            line = f"{row['name']} {row['value']}"
+            assert line in response.text.splitlines(), response.text
+
+
+@when("the process is not ready")
+def set_unready(context):
+    context.health = {"ready": False}
+
+
+@then('"/healthz" answers {status:d}')
+def check_health(context, status):
+    assert get(context, "/healthz").status_code == status
--- a/src/bramleystair/metrics/_registry.py
+++ b/src/bramleystair/metrics/_registry.py
@@ -48,23 +48,19 @@
         with self._lock:
             counts = dict(self._counts)
             gauges = dict(self._gauges)
-        collectors = {}
         for (name, reason), value in counts.items():
             labels = {"reason": reason} if reason else {}
             full_name = f"{PREFIX}_{name}_total"
-            collector = self._get(collectors, aioprometheus.Counter, full_name)
+            collector = self._get(registry, aioprometheus.Counter, full_name)
             collector.set(labels, value)
         for (name, subject), value in gauges.items():
             labels = {"subject": subject} if subject else {}
-            collector = self._get(collectors, aioprometheus.Gauge, f"{PREFIX}_{name}")
+            collector = self._get(registry, aioprometheus.Gauge, f"{PREFIX}_{name}")
             collector.set(labels, value)
-        for collector in collectors.values():
-            registry.register(collector)
         return aioprometheus.render(registry, accepts)
 
-    def _get(self, collectors: dict, kind: type, name: str):
-        if name not in collectors:
-            collectors[name] = kind(
-                name, name.replace("_", " "), const_labels=dict(self._labels)
-            )
-        return collectors[name]
+    def _get(self, registry: aioprometheus.Registry, kind: type, name: str):
+        # Without a registry, a collector enters the library's global one for good.
+        if name not in registry.collectors:
+            kind(name, name.replace("_", " "), dict(self._labels), registry)
+        return registry.get(name)
--- a/src/bramleystair/standins/_demo.py
+++ b/src/bramleystair/standins/_demo.py
@@ -16,6 +16,7 @@
 from bramleystair.standins import _deployments as place
 from bramleystair.standins._demo_report import (
     Events,
+    Report,
     build_report,
     find_broken_promises,
     print_table,
@@ -28,7 +29,7 @@
 START_LIMIT_S = 30.0
 CHANGE_LIMIT_S = 20.0
 FLOWS_PER_SERVICE = 240
-FLOW_BATCHES = 8
+FLOW_BATCHES = 20
 FLOW_PERIOD_S = 0.5
 WRITERS = 6
 DOWNLOADERS = 4
@@ -62,6 +63,7 @@
         self.drained_server = first[1]
         self.zone = first[2].zone
         self.fleet = Fleet(directory)
+        self._directory = directory
         self.operator = Operator(PLATFORM)
         self.events = Events(self.zone, self.drained_server.name, self.cold_server.name)
         self.watch = Watch(self.servers, self.cold_server)
@@ -70,7 +72,7 @@
         self._balancers: list[int] = []
         self._flows_opened = 0
 
-    def run(self) -> dict:
+    def run(self) -> Report:
         """Run all steps and return the report."""
         self._start_processes()
         self._start_work()
@@ -90,12 +92,6 @@
 
     def _start_processes(self) -> None:
         self.say(f"starting {self.deployment.name}")
-        self.fleet.start(
-            "platform",
-            "standin",
-            "platform",
-            *("--host", place.PLATFORM_HOST, "--port", str(place.PLATFORM_PORT)),
-        )
         self.fleet.start(
             "fabric",
             "standin",
@@ -193,12 +189,11 @@
         for service in self.deployment.services:
             self._start_requests(service, WRITERS, False)
             self._start_requests(service, DOWNLOADERS, True)
-        pause_s = SHARES["settle"] * self._seconds / 2 / FLOW_BATCHES
         for _ in range(FLOW_BATCHES):
             for service in self.deployment.services:
                 self._open_flows(service, FLOWS_PER_SERVICE // FLOW_BATCHES)
-            time.sleep(pause_s)
-        self._rest("settle", 0.5)
+            self._rest("settle", 0.8 / FLOW_BATCHES)
+        self._rest("settle", 0.2)
         self.events.steady_flows = call("GET", f"{CALLER}/flows")["flows"]
         self.say(f"{self._flows_opened} flows open, requests running")
 
@@ -329,18 +324,24 @@
 
     # End
 
-    def _finish(self) -> dict:
+    def _finish(self) -> Report:
         self.say("finishing requests in hand")
         call("DELETE", f"{CALLER}/requests")
         self.watch.stop()
         self.events.ended = self.fleet.find_ended()
+        flows = call("GET", f"{CALLER}/flows")
+        records = call("GET", f"{CALLER}/requests")
+        runs = self.watch.read_runs()
+        evidence = {
+            "events": attrs.asdict(self.events),
+            "flows": flows,
+            "requests": records,
+            "runs": runs,
+        }
+        path = self._directory / "evidence.json"
+        path.write_text(json.dumps(evidence), encoding="utf-8")
         return build_report(
-            self.events,
-            self.watch,
-            call("GET", f"{CALLER}/flows"),
-            call("GET", f"{CALLER}/requests"),
-            self.watch.read_runs(),
-            self.deployment,
+            self.events, self.watch, flows, records, runs, self.deployment
         )
 
 
--- a/src/bramleystair/standins/_fleet.py
+++ b/src/bramleystair/standins/_fleet.py
@@ -101,11 +101,12 @@
 def read_metrics(url: str) -> dict[str, float]:
     """Return the metrics of a process by name with labels; none if it is gone."""
     try:
-        text = requests.get(url, timeout=CALL_TIMEOUT_S).text
-    except requests.RequestException:
+        response = requests.get(url, timeout=CALL_TIMEOUT_S)
+    except requests.ConnectionError:
         return {}
+    response.raise_for_status()
     values = {}
-    for line in text.splitlines():
+    for line in response.text.splitlines():
         if not line.startswith("#"):
             name, _, value = line.rpartition(" ")
             if name:
