Add the platform client, its stand-in and the operator's client

Operators and daemons had no access to the platform. The client recognises its own write after a lost answer by the nonce and the gapless history kept in the object, and reports accepted, refused or unknown. The stand-in shows outages, lost answers, rubbish, slowness and rate limits, switched at run time.

--- /dev/null
+++ b/src/bramleystair/operators/_session.py
@@ -0,0 +1,112 @@
+"""What the commands of one invocation share."""
+
+import datetime
+import json
+import uuid
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from bramleystair.operators._push import Balancer, push_object
+from bramleystair.operators._reports import WriteOutcome, WriteReport
+from bramleystair.platform import (
+    ErrorKind,
+    PlatformClient,
+    PlatformObject,
+    WriteNote,
+)
+
+ZONE_PREFIX = "zone/"
+ANNOUNCEMENT_PREFIXES = ("agent/", "balancer/")
+
+
+def _get_time() -> str:
+    return datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
+
+
+def _create_nonce() -> str:
+    return uuid.uuid4().hex
+
+
+@attrs.frozen
+class OperatorSession:
+    """Platform and editor of one invocation.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        Client of the platform.
+    editor : str
+        Name kept with each write.
+    get_time : callable
+        Return the present time in ISO 8601.
+    push : callable
+        Send an accepted object to balancers and return the names of those reached.
+    create_nonce : callable
+        Return a new nonce.
+    """
+
+    client: PlatformClient
+    editor: str
+    get_time: Callable[[], str] = _get_time
+    push: Callable[[PlatformObject, Iterable[Balancer]], tuple[str, ...]] = push_object
+    create_nonce: Callable[[], str] = _create_nonce
+
+    def put(
+        self,
+        key: str,
+        body: str,
+        present: PlatformObject | None,
+        balancers: Iterable[Balancer],
+        changed: tuple[str, ...],
+        nonce: str,
+    ) -> WriteReport | None:
+        """Write on condition that `present` is still the present object; then push.
+
+        Return None when another write came first.
+        """
+        note = WriteNote(self.editor, self.get_time(), changed)
+        result = self.client.put_recognised(
+            key,
+            body,
+            if_match=present.version if present else 0,
+            nonce=nonce,
+            note=note,
+            previous=present,
+        )
+        if result.is_ok():
+            version = result.unwrap().version
+            written = PlatformObject(key, version, nonce, note, body=body)
+            pushed = self.push(written, balancers)
+            return WriteReport(key, WriteOutcome.ACCEPTED, version, pushed_to=pushed)
+        error = result.unwrap_err()
+        if error.kind is ErrorKind.CONFLICT:
+            return None
+        outcome = WriteOutcome.REFUSED if error.is_refusal else WriteOutcome.UNKNOWN
+        return WriteReport(key, outcome, reason=str(error))
+
+    def list_zones(self, objects: Iterable[PlatformObject]) -> frozenset[str]:
+        """Return the availability zones that marks, tables or announcements name."""
+        zones = set()
+        for item in objects:
+            if item.key.startswith(ZONE_PREFIX):
+                zones.add(item.key.removeprefix(ZONE_PREFIX))
+            elif item.key.startswith(ANNOUNCEMENT_PREFIXES):
+                zones.add(_read_zone(item))
+            elif item.key.startswith("table/"):
+                zones |= _read_table_zones(item)
+        return frozenset(zones - {""})
+
+
+def _read_zone(item: PlatformObject) -> str:
+    try:
+        return str(json.loads(item.body)["zone"])
+    except (ValueError, KeyError, TypeError):
+        return ""
+
+
+def _read_table_zones(item: PlatformObject) -> set[str]:
+    try:
+        return {str(row["zone"]) for row in json.loads(item.body)["members"]}
+    except (ValueError, KeyError, TypeError):
+        return set()
--- /dev/null
+++ b/src/bramleystair/operators/_status.py
@@ -0,0 +1,256 @@
+"""Commands that read what is in force."""
+
+import concurrent.futures
+import json
+from collections.abc import Callable, Iterable, Iterator
+
+import attrs
+import cattrs
+import requests
+from result import Err, Ok, Result
+
+from bramleystair.errors import StepError
+from bramleystair.operators._reports import ExitCode, FailureReport
+from bramleystair.operators._session import ANNOUNCEMENT_PREFIXES, OperatorSession
+from bramleystair.platform import ErrorKind, PlatformObject
+
+STATUS_TIMEOUT_S = 3.0
+STATUS_THREADS = 16
+DEFAULT_METRICS_PORT = 9100
+REFUSAL_WORDS = ("refus", "drop", "broken")
+
+
+@attrs.frozen
+class ServiceStatus:
+    """Load of one service at one node."""
+
+    service: str
+    flows: int = 0
+    requests: int = 0
+    flow_limit: int = 0
+    request_limit: int = 0
+
+
+@attrs.frozen
+class NodeStatus:
+    """What a balancer or agent serves as `/status` on its metrics port.
+
+    Parameters
+    ----------
+    node : str
+        Name of the balancer or backend server.
+    kind : str
+        ``"balancer"`` or ``"agent"``.
+    zone : str
+        Its availability zone.
+    versions : dict of str to int
+        Versions in force, by object key.
+    state : str
+        What it announces of itself.
+    loads : list of ServiceLoad
+        Loads and limits by service.
+    counters : dict of str to int
+        Counters by ``name{reason}``.
+    """
+
+    node: str
+    kind: str
+    zone: str
+    versions: dict[str, int] = attrs.field(factory=dict)
+    state: str = ""
+    loads: list[ServiceStatus] = attrs.field(factory=list)
+    counters: dict[str, float] = attrs.field(factory=dict)
+
+    def list_refusals(self) -> dict[str, float]:
+        """Return the counters of refusals that are not zero."""
+        return {
+            name: value
+            for name, value in self.counters.items()
+            if value and any(word in name for word in REFUSAL_WORDS)
+        }
+
+
+@attrs.frozen
+class Lag:
+    """Nodes that hold an older version than the newest known one."""
+
+    key: str
+    version: int
+    holders: int
+    behind: dict[str, int]
+
+
+@attrs.frozen
+class StatusReport:
+    """What is in force on each node."""
+
+    nodes: tuple[NodeStatus, ...]
+    lags: tuple[Lag, ...]
+    unreachable: tuple[str, ...]
+    note: str = ""
+
+    @property
+    def exit_code(self) -> ExitCode:
+        """Return the exit code of the command."""
+        return ExitCode.UNREACHABLE if self.unreachable else ExitCode.OK
+
+    def list_lines(self) -> Iterator[str]:
+        """Yield the lines for a terminal."""
+        if self.note:
+            yield self.note
+        for lag in self.lags:
+            behind = ", ".join(f"{node} {old}" for node, old in lag.behind.items())
+            suffix = f"; behind: {behind}" if behind else ""
+            yield f"{lag.key} version {lag.version} on {lag.holders} nodes{suffix}"
+        for node in self.nodes:
+            yield f"{node.kind} {node.node} ({node.zone}): {node.state}"
+            for load in node.loads:
+                yield (
+                    f"  {load.service}: {load.flows}/{load.flow_limit} flows,"
+                    f" {load.requests}/{load.request_limit} requests"
+                )
+            for name, value in node.list_refusals().items():
+                yield f"  {name}: {value:g}"
+        yield from (f"no status: {reason}" for reason in self.unreachable)
+
+
+def read_status(
+    session: OperatorSession,
+    endpoints: Iterable[str] = (),
+    fetch: Callable[[str], object] | None = None,
+) -> StatusReport | FailureReport:
+    """Return what is in force on each node.
+
+    Parameters
+    ----------
+    session : OperatorSession
+        Platform and editor.
+    endpoints : iterable of str
+        ``host:port`` of metrics ports; without any, they are read from the platform.
+    fetch : callable, optional
+        Takes an endpoint and returns the JSON document of `/status`.
+    """
+    result = session.client.list_objects()
+    objects = result.map(lambda listing: listing.objects).unwrap_or(())
+    endpoints = tuple(endpoints) or _list_endpoints(objects)
+    if not endpoints and result.is_err():
+        return FailureReport.from_error(result.unwrap_err())
+    note = "" if result.is_ok() else f"platform: {result.unwrap_err()}"
+    with concurrent.futures.ThreadPoolExecutor(STATUS_THREADS) as pool:
+        answers = list(
+            pool.map(lambda name: _read_node(name, fetch or fetch_status), endpoints)
+        )
+    nodes = tuple(answer.unwrap() for answer in answers if answer.is_ok())
+    failed = tuple(str(answer.unwrap_err()) for answer in answers if answer.is_err())
+    return StatusReport(nodes, _find_lags(objects, nodes), failed, note)
+
+
+def fetch_status(endpoint: str) -> object:
+    """Return the JSON document of `/status` at ``host:port``."""
+    with requests.Session() as session:
+        session.trust_env = False
+        url = f"http://{endpoint}/status"
+        response = session.get(url, timeout=STATUS_TIMEOUT_S)
+        response.raise_for_status()
+        return response.json()
+
+
+@attrs.frozen
+class Change:
+    """A change of an object that the platform reported."""
+
+    key: str
+    version: int
+    is_deleted: bool
+    editor: str
+    time: str
+    changed: tuple[str, ...]
+    exit_code: ExitCode = ExitCode.OK
+
+    def list_lines(self) -> Iterator[str]:
+        """Yield the line for a terminal."""
+        word = "deleted" if self.is_deleted else ", ".join(self.changed)
+        yield f"{self.time} {self.key} version {self.version} {self.editor} {word}"
+
+
+def watch_changes(
+    session: OperatorSession, prefix: str, timeout_s: float
+) -> Iterator[Change | FailureReport]:
+    """Yield the changes under `prefix`, listing again when the cursor has expired.
+
+    The iteration ends with a report when the platform does not answer; a change that
+    was reported once is not repeated.
+    """
+    versions: dict[str, int] = {}
+    cursor: int | None = None
+    while True:
+        if cursor is None:
+            result = session.client.list_objects(prefix)
+        else:
+            result = session.client.watch(prefix, cursor, timeout_s)
+        if result.is_err():
+            if result.unwrap_err().kind is ErrorKind.CURSOR_EXPIRED:
+                cursor = None
+                continue
+            yield FailureReport.from_error(result.unwrap_err())
+            return
+        cursor = result.unwrap().cursor
+        for item in result.unwrap().objects:
+            if item.version > versions.get(item.key, 0):
+                versions[item.key] = item.version
+                yield _build_change(item)
+
+
+def _build_change(item: PlatformObject) -> Change:
+    note = item.note
+    return Change(
+        item.key, item.version, item.is_deleted, note.editor, note.time, note.changed
+    )
+
+
+def _list_endpoints(objects: Iterable[PlatformObject]) -> tuple[str, ...]:
+    endpoints = []
+    for item in objects:
+        if not item.key.startswith(ANNOUNCEMENT_PREFIXES):
+            continue
+        try:
+            body = json.loads(item.body)
+            port = body.get("metrics_port", DEFAULT_METRICS_PORT)
+            endpoints.append(f"{body['host']}:{port}")
+        except (ValueError, KeyError, TypeError, AttributeError):
+            continue
+    return tuple(endpoints)
+
+
+def _read_node(
+    endpoint: str, fetch: Callable[[str], object]
+) -> Result[NodeStatus, StepError]:
+    try:
+        return Ok(cattrs.structure(fetch(endpoint), NodeStatus))
+    except (requests.RequestException, OSError) as error:
+        return Err(StepError("read status", endpoint, type(error).__name__))
+    except (ValueError, TypeError, KeyError, cattrs.BaseValidationError):
+        return Err(StepError("read status", endpoint, "the answer is not a status"))
+
+
+def _find_lags(
+    objects: Iterable[PlatformObject], nodes: Iterable[NodeStatus]
+) -> tuple[Lag, ...]:
+    newest = {
+        item.key: item.version
+        for item in objects
+        if not item.key.startswith(ANNOUNCEMENT_PREFIXES)
+    }
+    nodes = tuple(nodes)
+    for node in nodes:
+        for key, version in node.versions.items():
+            if not key.startswith(ANNOUNCEMENT_PREFIXES):
+                newest[key] = max(version, newest.get(key, 0))
+    return tuple(_build_lag(key, newest[key], nodes) for key in sorted(newest))
+
+
+def _build_lag(key: str, version: int, nodes: Iterable[NodeStatus]) -> Lag:
+    # Agents hold only what concerns them, so a missing key is no lag.
+    held = {node.node: node.versions[key] for node in nodes if key in node.versions}
+    behind = {node: old for node, old in held.items() if old < version}
+    return Lag(key, version, len(held) - len(behind), behind)
--- /dev/null
+++ b/src/bramleystair/operators/_zones.py
@@ -0,0 +1,86 @@
+"""Commands on availability zone marks."""
+
+from bramleystair.operators._bodies import read_body, write_body
+from bramleystair.operators._merge import list_writes_since
+from bramleystair.operators._push import list_balancers
+from bramleystair.operators._reports import (
+    FailureReport,
+    WriteOutcome,
+    WriteReport,
+    ZoneReport,
+    ZoneState,
+)
+from bramleystair.operators._session import ZONE_PREFIX, OperatorSession
+from bramleystair.platform import PlatformObject
+from bramleystair.tables import ZoneMark
+
+
+def list_zone_marks(session: OperatorSession) -> ZoneReport | FailureReport:
+    """Return the known availability zones and their marks."""
+    result = session.client.list_objects()
+    if result.is_err():
+        return FailureReport.from_error(result.unwrap_err())
+    objects = result.unwrap().objects
+    items = {item.key: item for item in objects}
+    states = []
+    for zone in sorted(session.list_zones(objects)):
+        item = items.get(ZONE_PREFIX + zone)
+        state = _read_state(zone, item)
+        if isinstance(state, FailureReport):
+            return state
+        states.append(state)
+    return ZoneReport(tuple(states))
+
+
+def mark_zone(
+    session: OperatorSession, zone: str, *, is_in_service: bool
+) -> WriteReport | FailureReport:
+    """Take an availability zone out of service or return it.
+
+    When another operator writes the mark at the same time, one of the two is refused
+    and told who wrote it, so that no accepted mark is lost silently.
+    """
+    key = ZONE_PREFIX + zone
+    result = session.client.list_objects()
+    if result.is_err():
+        return FailureReport.from_error(result.unwrap_err())
+    objects = result.unwrap().objects
+    zones = session.list_zones(objects)
+    if zone not in zones:
+        known = ", ".join(sorted(zones)) or "none"
+        reason = f"unknown availability zone; known: {known}"
+        return WriteReport(key, WriteOutcome.REFUSED, reason=reason)
+    present = next((item for item in objects if item.key == key), None)
+    balancers = list_balancers(objects)
+    if present is not None:
+        mark = read_body(present, ZoneMark)
+        if mark.is_ok() and mark.unwrap().is_in_service == is_in_service:
+            pushed = session.push(present, balancers)
+            return WriteReport(
+                key, WriteOutcome.UNCHANGED, present.version, pushed_to=pushed
+            )
+    body = write_body(ZoneMark(zone, is_in_service))
+    nonce = session.create_nonce()
+    report = session.put(key, body, present, balancers, (zone,), nonce)
+    return report or _report_overtaken(session, key, present)
+
+
+def _report_overtaken(
+    session: OperatorSession, key: str, before: PlatformObject | None
+) -> WriteReport:
+    result = session.client.get_object(key)
+    version = before.version if before else 0
+    writes = result.map(lambda item: list_writes_since(item, version)).unwrap_or(())
+    reason = "another operator wrote the mark at the same time"
+    return WriteReport(key, WriteOutcome.REFUSED, reason=reason, writes_since=writes)
+
+
+def _read_state(zone: str, item: PlatformObject | None) -> ZoneState | FailureReport:
+    if item is None:
+        return ZoneState(zone, True, 0)
+    result = read_body(item, ZoneMark)
+    if result.is_err():
+        return FailureReport.from_error(result.unwrap_err())
+    mark = result.unwrap()
+    note = item.note
+    return ZoneState(zone, mark.is_in_service, item.version, note.editor, note.time)
--- /dev/null
+++ b/src/bramleystair/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems."""
--- /dev/null
+++ b/src/bramleystair/standins/_platform.py
@@ -0,0 +1,344 @@
+"""Stand-in for the platform: versions, conditional updates, watches and faults."""
+
+import collections
+import json
+import random
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+import attrs
+from cheroot import wsgi
+from werkzeug.wrappers import Request, Response
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_WATCH_S = 60.0
+DEFAULT_LOG_LENGTH = 10_000
+WORKERS = 64
+CONNECTION_KEY = "bramleystair.connection"
+
+
+@attrs.define
+class Faults:
+    """Faults that the stand-in shows until they are switched off.
+
+    Parameters
+    ----------
+    outage : bool
+        Cut every connection without an effect.
+    delay_s : float
+        Wait before each answer, in seconds.
+    lose_answers : int
+        Number of next writes that take effect while their answer is cut.
+    lose_rate, rubbish_rate : float
+        Share of calls whose answer is cut after the effect, or is not JSON.
+    rubbish : int
+        Number of next answers that are not JSON.
+    rate_limit_per_s : float
+        Calls allowed in each second; 0 for no limit.
+    """
+
+    outage: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    lose_rate: float = 0.0
+    rubbish: int = 0
+    rubbish_rate: float = 0.0
+    rate_limit_per_s: float = 0.0
+
+
+@attrs.define
+class Refusal(Exception):
+    """A call refused with an HTTP status; `version` is the present one, if any."""
+
+    status: int
+    reason: str
+    version: int = 0
+
+
+class PlatformStore:
+    """Versioned objects with a bounded log of changes.
+
+    Parameters
+    ----------
+    log_length : int
+        Number of changes kept for watches; an older cursor is refused.
+    """
+
+    def __init__(self, *, log_length: int = DEFAULT_LOG_LENGTH) -> None:
+        self._objects: dict[str, dict[str, object]] = {}
+        self._versions: dict[str, int] = {}
+        self._log: collections.deque[dict[str, object]] = collections.deque(
+            maxlen=log_length
+        )
+        self._cursor = 0
+        self._changed = threading.Condition()
+
+    def list_objects(self, prefix: str) -> dict[str, object]:
+        """Return the objects under `prefix` and the present cursor."""
+        with self._changed:
+            keys = sorted(key for key in self._objects if key.startswith(prefix))
+            objects = [self._objects[key] for key in keys]
+            return {"objects": objects, "cursor": self._cursor}
+
+    def get_object(self, key: str) -> dict[str, object]:
+        """Return the object `key`."""
+        with self._changed:
+            if key not in self._objects:
+                raise Refusal(404, "not found", self._versions.get(key, 0))
+            return self._objects[key]
+
+    def put_object(
+        self, key: str, document: dict[str, object], if_match: int | None
+    ) -> dict[str, object]:
+        """Write an object and return its new version."""
+        with self._changed:
+            self._check_version(key, if_match)
+            return self._write(key, document)
+
+    def delete_object(self, key: str, if_match: int | None) -> dict[str, object]:
+        """Delete an object and return the version of its tombstone."""
+        with self._changed:
+            if key not in self._objects:
+                raise Refusal(404, "not found", self._versions.get(key, 0))
+            self._check_version(key, if_match)
+            answer = self._write(key, {"body": "", "is_deleted": True})
+            del self._objects[key]
+            return answer
+
+    def watch(self, prefix: str, since: int, timeout_s: float) -> dict[str, object]:
+        """Return the changes under `prefix` after `since`, waiting for the first."""
+        with self._changed:
+            self._changed.wait_for(
+                lambda: self._list_changes(prefix, since), min(timeout_s, MAX_WATCH_S)
+            )
+            changes = self._list_changes(prefix, since)
+            return {"objects": changes, "cursor": self._cursor}
+
+    def _check_version(self, key: str, if_match: int | None) -> None:
+        present = self._versions.get(key, 0) if key in self._objects else 0
+        if if_match is not None and if_match != present:
+            raise Refusal(409, "version differs", present)
+
+    def _write(self, key: str, document: dict[str, object]) -> dict[str, object]:
+        version = self._versions.get(key, 0) + 1
+        self._versions[key] = version
+        self._cursor += 1
+        self._objects[key] = {**document, "key": key, "version": version}
+        self._log.append(self._objects[key])
+        self._changed.notify_all()
+        return {"version": version}
+
+    def _list_changes(self, prefix: str, since: int) -> list[dict[str, object]]:
+        oldest = self._cursor - len(self._log)
+        if not oldest <= since <= self._cursor:
+            raise Refusal(410, "cursor expired")
+        entries = list(self._log)[since - oldest :]
+        return [entry for entry in entries if str(entry["key"]).startswith(prefix)]
+
+
+class PlatformApplication:
+    """WSGI application of the stand-in.
+
+    Parameters
+    ----------
+    log_length : int
+        Number of changes kept for watches.
+    seed : int
+        Seed of the faults that occur at a rate.
+    now, wait : callable
+        Source of time and delay in seconds.
+
+    Attributes
+    ----------
+    calls : Counter of str
+        Calls by kind; a waiting watch is one call.
+    """
+
+    def __init__(
+        self,
+        *,
+        log_length: int = DEFAULT_LOG_LENGTH,
+        seed: int = 0,
+        now: Callable[[], float] = time.monotonic,
+        wait: Callable[[float], None] = time.sleep,
+    ) -> None:
+        self.store = PlatformStore(log_length=log_length)
+        self.faults = Faults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self._source = random.Random(seed)
+        self._now = now
+        self._wait = wait
+        self._lock = threading.Lock()
+        self._second = 0
+        self._calls_in_second = 0
+
+    def __call__(
+        self, environ: dict[str, object], start_response: Callable
+    ) -> Iterable[bytes]:
+        """Answer one call."""
+        request = Request(environ)
+        if request.path == "/control":
+            return self._answer_control(request)(environ, start_response)
+        response = self._answer_call(request)
+        if response is None:
+            _cut_connection(environ)
+            response = Response(status=503)
+        return response(environ, start_response)
+
+    def _answer_control(self, request: Request) -> Response:
+        if request.method != "POST":
+            return _build_answer({"faults": attrs.asdict(self.faults)} | self._count())
+        try:
+            self.faults = attrs.evolve(self.faults, **request.get_json())
+        except TypeError as error:
+            return _build_answer({"reason": str(error)}, 400)
+        return _build_answer({"faults": attrs.asdict(self.faults)})
+
+    def _count(self) -> dict[str, object]:
+        return {"calls": dict(self.calls), "total": sum(self.calls.values())}
+
+    def _answer_call(self, request: Request) -> Response | None:
+        """Return the answer, or None when the connection is to be cut."""
+        kind = "watch" if request.path == "/watch" else request.method.lower()
+        with self._lock:
+            self.calls[kind] += 1
+            is_limited = self._is_rate_limited()
+        if self.faults.outage:
+            return None
+        if self.faults.delay_s:
+            self._wait(self.faults.delay_s)
+        if is_limited:
+            return _build_answer({"reason": "rate limit"}, 429, {"Retry-After": "1"})
+        response = _answer_store(self.store, request)
+        return self._spoil(request, response)
+
+    def _is_rate_limited(self) -> bool:
+        if not self.faults.rate_limit_per_s:
+            return False
+        second = int(self._now())
+        if second != self._second:
+            self._second, self._calls_in_second = second, 0
+        self._calls_in_second += 1
+        return self._calls_in_second > self.faults.rate_limit_per_s
+
+    def _spoil(self, request: Request, response: Response) -> Response | None:
+        """Return the answer as the faults leave it."""
+        faults = self.faults
+        with self._lock:
+            is_write = request.method in ("PUT", "DELETE")
+            if is_write and faults.lose_answers > 0:
+                faults.lose_answers -= 1
+                return None
+            if self._source.random() < faults.lose_rate:
+                return None
+            if faults.rubbish > 0:
+                faults.rubbish -= 1
+                return Response("<html>not json", 200)
+            if self._source.random() < faults.rubbish_rate:
+                return Response('{"version": "x"}', 200)
+        return response
+
+
+def create_platform_server(
+    application: PlatformApplication, *, host: str, port: int
+) -> wsgi.Server:
+    """Return a server that is not yet started; port 0 takes a free one."""
+    server = wsgi.Server((host, port), application, numthreads=WORKERS)
+    server.gateway = _ConnectionGateway
+    server.shutdown_timeout = 1
+    return server
+
+
+def run_platform(
+    *,
+    host: str = "127.0.0.1",
+    port: int = 7000,
+    log_length: int = DEFAULT_LOG_LENGTH,
+    seed: int = 0,
+) -> None:
+    """Serve the platform until interrupted.
+
+    Parameters
+    ----------
+    host : str
+        Numeric address to listen on.
+    port : int
+        TCP port.
+    log_length : int
+        Number of changes kept for watches; an older cursor is answered with 410.
+    seed : int
+        Seed of the faults that occur at a rate.
+    """
+    application = PlatformApplication(log_length=log_length, seed=seed)
+    server = create_platform_server(application, host=host, port=port)
+    try:
+        server.start()
+    finally:
+        server.stop()
+
+
+class _ConnectionGateway(wsgi.Gateway_10):
+    """Gateway that lets the application cut its connection."""
+
+    def get_environ(self) -> dict[str, object]:
+        """Return the WSGI environment with the connection."""
+        return {**super().get_environ(), CONNECTION_KEY: self.req.conn}
+
+
+def _answer_store(store: PlatformStore, request: Request) -> Response:
+    try:
+        return _build_answer(_call_store(store, request))
+    except Refusal as refusal:
+        answer = {"reason": refusal.reason, "version": refusal.version}
+        return _build_answer(answer, refusal.status)
+
+
+def _call_store(store: PlatformStore, request: Request) -> dict[str, object]:
+    query = request.args
+    prefix = query.get("prefix", "")
+    key = request.path.removeprefix("/objects/")
+    match request.method, request.path:
+        case "GET", "/objects":
+            return store.list_objects(prefix)
+        case "GET", "/watch":
+            since = query.get("since", 0, type=int)
+            return store.watch(prefix, since, query.get("timeout_s", 30.0, type=float))
+        case "GET", path if path.startswith("/objects/"):
+            return store.get_object(key)
+        case "PUT", path if path.startswith("/objects/"):
+            return store.put_object(key, _read_document(request), _read_match(request))
+        case "DELETE", path if path.startswith("/objects/"):
+            return store.delete_object(key, _read_match(request))
+    raise Refusal(404, "no such call")
+
+
+def _read_document(request: Request) -> dict[str, object]:
+    if (request.content_length or 0) > MAX_VALUE_BYTES:
+        raise Refusal(413, f"over {MAX_VALUE_BYTES} bytes")
+    document = request.get_json(silent=True)
+    if not isinstance(document, dict) or not isinstance(document.get("body"), str):
+        raise Refusal(400, "the document is not an object with a body")
+    return document
+
+
+def _read_match(request: Request) -> int | None:
+    text = request.headers.get("If-Match")
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdigit()):
+        raise Refusal(400, "If-Match is not a version")
+    return int(text)
+
+
+def _build_answer(
+    answer: dict[str, object], status: int = 200, headers: dict[str, str] | None = None
+) -> Response:
+    return Response(json.dumps(answer), status, headers, "application/json")
+
+
+def _cut_connection(environ: dict[str, object]) -> None:
+    connection = environ.get(CONNECTION_KEY)
+    if connection is not None:
+        connection.socket.shutdown(socket.SHUT_RDWR)
--- a/src/bramleystair/tables/__init__.py
+++ b/src/bramleystair/tables/__init__.py
@@ -1,5 +1,11 @@
 """Service tables, availability zone marks and announcements."""
 
+from bramleystair.tables._csv import (
+    TableError,
+    format_weight,
+    read_table_csv,
+    write_table_csv,
+)
 from bramleystair.tables._objects import (
     AgentState,
     Announcement,
@@ -18,6 +24,10 @@
     "NodeAnnouncement",
     "Protocol",
     "Table",
+    "TableError",
     "ZoneMark",
     "compute_service_id",
+    "format_weight",
+    "read_table_csv",
+    "write_table_csv",
 ]
