--- /dev/null
+++ b/src/bramleystair/backend/__init__.py
@@ -0,0 +1,26 @@
+"""Protocols with the backend server beside an agent."""
+
+from bramleystair.backend._client import (
+    BackendClient,
+    BackendLoad,
+    Failed,
+    Ran,
+    RunOutcome,
+    Shed,
+)
+from bramleystair.backend._delivery import Delivery, ReplyHandler, UdpDelivery
+from bramleystair.backend._tun import TunDelivery, open_tun
+
+__all__ = [
+    "BackendClient",
+    "BackendLoad",
+    "Delivery",
+    "Failed",
+    "Ran",
+    "ReplyHandler",
+    "RunOutcome",
+    "Shed",
+    "TunDelivery",
+    "UdpDelivery",
+    "open_tun",
+]
--- /dev/null
+++ b/src/bramleystair/flows/_entries.py
@@ -0,0 +1,66 @@
+"""Flow entries of an owner and waiting flows of a home."""
+
+import attrs
+
+from bramleystair.flows._services import Home
+
+
+@attrs.define(eq=False)
+class FlowEntry:
+    """State of a flow that the agent owns.
+
+    Parameters
+    ----------
+    home : tuple of (str, int) or None
+        Server and incarnation at which the owner is registered.
+    last_seen_s : float
+        Time of the last packet in either direction.
+    is_established : bool
+        Whether the caller sent more than the opening segment or, for datagrams, the
+        backend server answered.
+    unanswered : int
+        Outbound packets since the last inbound one.
+    """
+
+    service_id: int
+    home: Home | None
+    last_seen_s: float
+    is_established: bool = False
+    has_caller_fin: bool = False
+    has_server_fin: bool = False
+    unanswered: int = 0
+
+
+@attrs.define(eq=False)
+class WaitingFlow:
+    """Packets of a flow whose owner is being looked up or chosen.
+
+    Parameters
+    ----------
+    is_opening : bool
+        Whether the flow is placed when no member knows it.
+    started_s, deadline_s, retry_s : float
+        Start and end of the present step, and time of the next repetition.
+    asked, members : set of str
+        Members that were queried, and those whose answer is outstanding.
+    hints : list of str
+        Owners that other members named and that have not confirmed it.
+    targets : list of str
+        Members to try during a placement; the first one has been asked.
+    """
+
+    service_id: int
+    is_opening: bool
+    started_s: float
+    deadline_s: float = 0.0
+    retry_s: float = 0.0
+    packets: list[bytes] = attrs.field(factory=list)
+    asked: set[str] = attrs.field(factory=set)
+    members: set[str] = attrs.field(factory=set)
+    hints: list[str] = attrs.field(factory=list)
+    targets: list[str] = attrs.field(factory=list)
+
+    @property
+    def is_placing(self) -> bool:
+        """Whether the flow is being placed; otherwise it is being looked up."""
+        return bool(self.targets)
--- a/src/bramleystair/operators/_bodies.py
+++ b/src/bramleystair/operators/_bodies.py
@@ -1,29 +1,26 @@
-"""JSON bodies of the objects that operators write."""
+"""Bodies of the objects that operators write."""
 
-import json
-
-import attrs
-import cattrs
-from result import Err, Ok, Result
+from result import Result
 
 from bramleystair.platform import ErrorKind, PlatformError, PlatformObject
-from bramleystair.tables import Table, ZoneMark
+from bramleystair.tables import (
+    ConfigObject,
+    decode_object,
+    encode_object,
+    replace_version,
+)
 
 
-def write_body(item: Table | ZoneMark) -> str:
-    """Return the body of an object; its version is kept by the platform."""
-    document = attrs.asdict(item)
-    del document["version"]
-    return json.dumps(document, sort_keys=True)
+def encode_text(item: ConfigObject) -> str:
+    """Return the body of an object as the platform takes it."""
+    return encode_object(item).decode()
 
 
-def read_body(
-    item: PlatformObject, kind: type[Table] | type[ZoneMark]
-) -> Result[Table | ZoneMark, PlatformError]:
-    """Return the table or mark in an object."""
-    try:
-        document = json.loads(item.body)
-        return Ok(cattrs.structure({**document, "version": item.version}, kind))
-    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
-        detail = f"not a {kind.__name__}: {error}"
-        return Err(PlatformError("read body", item.key, detail, ErrorKind.MALFORMED))
+def read_body(item: PlatformObject) -> Result[ConfigObject, PlatformError]:
+    """Return the table or mark in an object, with the platform's version."""
+    result = decode_object(item.key, item.body.encode())
+    return result.map(lambda value: replace_version(value, item.version)).map_err(
+        lambda error: PlatformError(
+            error.step, error.peer, error.detail, ErrorKind.MALFORMED
+        )
+    )
--- a/src/bramleystair/operators/_tables.py
+++ b/src/bramleystair/operators/_tables.py
@@ -8,7 +8,7 @@
 import cattrs
 from result import Err, Ok, Result
 
-from bramleystair.operators._bodies import read_body, write_body
+from bramleystair.operators._bodies import encode_text, read_body
 from bramleystair.operators._merge import (
     apply_changes,
     compare_rows,
@@ -289,7 +289,7 @@
         return _Written(report, present.table)
     names = tuple(change.server for change in changes)
     report = session.put(
-        key, write_body(table), present.item, present.balancers, names, nonce
+        key, encode_text(table), present.item, present.balancers, names, nonce
     )
     if report is None:
         return None
@@ -337,7 +337,7 @@
     item = next((item for item in objects if item.key == key), None)
     table = Ok(Table(service, "", 0, Protocol.TCP, ()))
     if item is not None:
-        table = read_body(item, Table)
+        table = read_body(item)
     zones = session.list_zones(objects)
     return table.map(
         lambda table: _Present(item, table, zones, list_balancers(objects))
--- a/src/bramleystair/operators/_zones.py
+++ b/src/bramleystair/operators/_zones.py
@@ -1,6 +1,6 @@
 """Commands on availability zone marks."""
 
-from bramleystair.operators._bodies import read_body, write_body
+from bramleystair.operators._bodies import encode_text, read_body
 from bramleystair.operators._merge import list_writes_since
 from bramleystair.operators._push import list_balancers
 from bramleystair.operators._reports import (
@@ -53,13 +53,13 @@
     present = next((item for item in objects if item.key == key), None)
     balancers = list_balancers(objects)
     if present is not None:
-        mark = read_body(present, ZoneMark)
+        mark = read_body(present)
         if mark.is_ok() and mark.unwrap().is_in_service == is_in_service:
             pushed = session.push(present, balancers)
             return WriteReport(
                 key, WriteOutcome.UNCHANGED, present.version, pushed_to=pushed
             )
-    body = write_body(ZoneMark(zone, is_in_service))
+    body = encode_text(ZoneMark(zone, is_in_service))
     nonce = session.create_nonce()
     report = session.put(key, body, present, balancers, (zone,), nonce)
     return report or _report_overtaken(session, key, present)
@@ -78,7 +78,7 @@
 def _read_state(zone: str, item: PlatformObject | None) -> ZoneState | FailureReport:
     if item is None:
         return ZoneState(zone, True, 0)
-    result = read_body(item, ZoneMark)
+    result = read_body(item)
     if result.is_err():
         return FailureReport.from_error(result.unwrap_err())
     mark = result.unwrap()
--- a/src/bramleystair/platform/_client.py
+++ b/src/bramleystair/platform/_client.py
@@ -146,10 +146,12 @@
         nonce: str = "",
         note: WriteNote = NO_NOTE,
         previous: PlatformObject | None = None,
+        lease_s: float = 0.0,
     ) -> Result[Accepted, PlatformError]:
         """Write once, without retry; see `put_recognised` for the parameters."""
         document = {"nonce": nonce, "note": attrs.asdict(note), "body": body}
         document["history"] = _build_history(if_match, previous)
+        document["lease_s"] = lease_s
         return self._call(
             "put",
             "PUT",
@@ -168,6 +170,7 @@
         nonce: str | None = None,
         note: WriteNote = NO_NOTE,
         previous: PlatformObject | None = None,
+        lease_s: float = 0.0,
     ) -> Result[Accepted, PlatformError]:
         """Write, and after a lost answer find out whether the write took effect.
 
@@ -184,6 +187,9 @@
             Who makes the change and when, kept in the object.
         previous : PlatformObject or None
             The object of version `if_match`, whose history is carried on.
+        lease_s : float
+            Time after which the platform deletes the object unless it is written
+            again, in seconds; 0 keeps it.
 
         Returns
         -------
@@ -200,6 +206,7 @@
             nonce=nonce,
             note=note,
             previous=previous,
+            lease_s=lease_s,
         )
         self._earn_retry()
         is_uncertain = False
--- /dev/null
+++ b/src/bramleystair/settings/__init__.py
@@ -0,0 +1,31 @@
+"""Validated settings, read from JSON with comments."""
+
+from bramleystair.settings._loader import (
+    SettingsError,
+    check_settings,
+    load_settings,
+    option,
+)
+from bramleystair.settings._schemas import (
+    AgentSettings,
+    BackendSettings,
+    BalancerSettings,
+    FabricSettings,
+    SeedSettings,
+    VersionSettings,
+    build_peers,
+)
+
+__all__ = [
+    "AgentSettings",
+    "BackendSettings",
+    "BalancerSettings",
+    "FabricSettings",
+    "SeedSettings",
+    "SettingsError",
+    "VersionSettings",
+    "build_peers",
+    "check_settings",
+    "load_settings",
+    "option",
+]
--- a/src/bramleystair/standins/_platform.py
+++ b/src/bramleystair/standins/_platform.py
@@ -64,9 +64,18 @@
     ----------
     log_length : int
         Number of changes kept for watches; an older cursor is refused.
+    now : callable
+        Source of time in seconds, for leases.
     """
 
-    def __init__(self, *, log_length: int = DEFAULT_LOG_LENGTH) -> None:
+    def __init__(
+        self,
+        *,
+        log_length: int = DEFAULT_LOG_LENGTH,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._now = now
+        self._expiries: dict[str, float] = {}
         self._objects: dict[str, dict[str, object]] = {}
         self._versions: dict[str, int] = {}
         self._log: collections.deque[dict[str, object]] = collections.deque(
@@ -78,6 +87,7 @@
     def list_objects(self, prefix: str) -> dict[str, object]:
         """Return the objects under `prefix` and the present cursor."""
         with self._changed:
+            self._expire_leases()
             keys = sorted(key for key in self._objects if key.startswith(prefix))
             objects = [self._objects[key] for key in keys]
             return {"objects": objects, "cursor": self._cursor}
@@ -85,6 +95,7 @@
     def get_object(self, key: str) -> dict[str, object]:
         """Return the object `key`."""
         with self._changed:
+            self._expire_leases()
             if key not in self._objects:
                 raise Refusal(404, "not found", self._versions.get(key, 0))
             return self._objects[key]
@@ -94,8 +105,14 @@
     ) -> dict[str, object]:
         """Write an object and return its new version."""
         with self._changed:
+            self._expire_leases()
             self._check_version(key, if_match)
-            return self._write(key, document)
+            lease_s = document.pop("lease_s", 0)
+            answer = self._write(key, document)
+            self._expiries.pop(key, None)
+            if lease_s:
+                self._expiries[key] = self._now() + lease_s
+            return answer
 
     def delete_object(self, key: str, if_match: int | None) -> dict[str, object]:
         """Delete an object and return the version of its tombstone."""
@@ -103,9 +120,7 @@
             if key not in self._objects:
                 raise Refusal(404, "not found", self._versions.get(key, 0))
             self._check_version(key, if_match)
-            answer = self._write(key, {"body": "", "is_deleted": True})
-            del self._objects[key]
-            return answer
+            return self._delete(key)
 
     def watch(self, prefix: str, since: int, timeout_s: float) -> dict[str, object]:
         """Return the changes under `prefix` after `since`, waiting for the first."""
@@ -116,6 +131,17 @@
             changes = self._list_changes(prefix, since)
             return {"objects": changes, "cursor": self._cursor}
 
+    def _expire_leases(self) -> None:
+        now = self._now()
+        for key in [key for key, due in self._expiries.items() if due <= now]:
+            self._delete(key)
+
+    def _delete(self, key: str) -> dict[str, object]:
+        answer = self._write(key, {"body": "", "is_deleted": True})
+        del self._objects[key]
+        self._expiries.pop(key, None)
+        return answer
+
     def _check_version(self, key: str, if_match: int | None) -> None:
         present = self._versions.get(key, 0) if key in self._objects else 0
         if if_match is not None and if_match != present:
@@ -164,7 +190,7 @@
         now: Callable[[], float] = time.monotonic,
         wait: Callable[[float], None] = time.sleep,
     ) -> None:
-        self.store = PlatformStore(log_length=log_length)
+        self.store = PlatformStore(log_length=log_length, now=now)
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
         self._source = random.Random(seed)
--- a/src/bramleystair/tables/__init__.py
+++ b/src/bramleystair/tables/__init__.py
@@ -6,6 +6,17 @@
     read_table_csv,
     write_table_csv,
 )
+from bramleystair.tables._json import (
+    AGENT_PREFIX,
+    BALANCER_PREFIX,
+    TABLE_PREFIX,
+    ZONE_PREFIX,
+    ConfigObject,
+    build_key,
+    decode_object,
+    encode_object,
+    replace_version,
+)
 from bramleystair.tables._objects import (
     AgentState,
     Announcement,
@@ -18,16 +29,25 @@
 )
 
 __all__ = [
+    "AGENT_PREFIX",
+    "BALANCER_PREFIX",
+    "TABLE_PREFIX",
+    "ZONE_PREFIX",
     "AgentState",
     "Announcement",
+    "ConfigObject",
     "Member",
     "NodeAnnouncement",
     "Protocol",
     "Table",
     "TableError",
     "ZoneMark",
+    "build_key",
     "compute_service_id",
+    "decode_object",
+    "encode_object",
     "format_weight",
     "read_table_csv",
+    "replace_version",
     "write_table_csv",
 ]
