--- a/src/bramleystair/flows/_services.py
+++ b/src/bramleystair/flows/_services.py
@@ -18,11 +18,11 @@
     ----------
     row : Member or None
         This server's row.
-    is_in_service : bool
-        Whether the row's and the agent's availability zones are in service.
+    is_zone_out : bool
+        Whether the row's or the agent's availability zone is out of service.
     peers : tuple of str
-        Other members that may own flows, including those reported down and those
-        whose row was removed.
+        Other servers that may own flows: members, including those reported down,
+        servers whose row was removed, and others that announce the service.
     live : frozenset of str
         The peers not reported down.
     former : frozenset of (str, int)
@@ -34,7 +34,7 @@
     service_id: int
     table: Table
     row: Member | None
-    is_in_service: bool
+    is_zone_out: bool
     candidates: tuple[Candidate, ...]
     homes: dict[str, Home]
     peers: tuple[str, ...]
@@ -95,9 +95,15 @@
         former = _list_former(table, known, view)
         peers = [m.server for m in table.members if view.is_in_service(m.zone)]
         peers += sorted(server for server, _ in former)
+        # A member that has just joined does not know whose row was removed earlier.
+        peers += sorted(
+            agent.server
+            for agent in view.agents.values()
+            if table.service in agent.services
+        )
         peers = tuple(
             server
-            for server in peers
+            for server in dict.fromkeys(peers)
             if server != self._server
             and server in view.agents
             and view.is_in_service(view.agents[server].zone)
@@ -106,9 +112,8 @@
             service_id,
             table,
             row,
-            row is not None
-            and view.is_in_service(row.zone)
-            and view.is_in_service(self._zone),
+            not view.is_in_service(self._zone)
+            or (row is not None and not view.is_in_service(row.zone)),
             candidates,
             {c.server: (c.server, c.incarnation) for c in candidates},
             peers,
@@ -141,5 +146,5 @@
         or known.candidates != service.candidates
         or known.peers != service.peers
         or known.live != service.live
-        or known.is_in_service != service.is_in_service
+        or known.is_zone_out != service.is_zone_out
     )
