--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -93,3 +93,41 @@
 def check_cut(context):
     assert context.results
     assert all(result.ok() != context.original for result in context.results)
+
+
+@then("a forward cut in its envelope or flow key is refused")
+def check_short(context):
+    message = context.original.message
+    data = encode("balancer-1", 7, message)
+    needed = len(data) - len(message.packet)
+    assert all(result.is_err() for result in context.results[:needed])
+
+
+@when("generated forwards are encoded, changed by a few bits and decoded")
+def change_forwards(context):
+    context.read = []
+    positions = st.lists(st.tuples(st.integers(0, 200), st.integers(0, 7)), max_size=3)
+
+    @settings(max_examples=600)
+    @given(TEXT, build_strategy(Forward), positions)
+    def run(sender, message, changes):
+        data = bytearray(encode(sender, 7, message))
+        for position, bit in changes:
+            data[position % len(data)] ^= 1 << bit
+        decoded = [decode(bytes(data)).ok() for _ in range(2)]
+        context.read.append((bytes(data), *decoded))
+
+    run()
+
+
+@then("each decoded forward has the bytes after its envelope")
+def check_tail(context):
+    decoded = [(data, first.message) for data, first, _ in context.read if first]
+    forwards = [pair for pair in decoded if isinstance(pair[1], Forward)]
+    assert len(forwards) > 200
+    assert all(data.endswith(kept.flow + kept.packet) for data, kept in forwards)
+
+
+@then("a forward decoded twice is the same")
+def check_twice(context):
+    assert all(first == second for _, first, second in context.read)
--- a/src/bramleystair/flows/__init__.py
+++ b/src/bramleystair/flows/__init__.py
@@ -1,5 +1,8 @@
 """The agent's decisions about flows."""
 
+from bramleystair.flows._admission import Admission
+from bramleystair.flows._cold_start import ColdStart
+from bramleystair.flows._controller import FlowController
 from bramleystair.flows._events import (
     CloseFlow,
     Deliver,
@@ -7,6 +10,7 @@
     DrainRequested,
     FlowAction,
     FlowEvent,
+    LimitAdvised,
     MessageArrived,
     OutboundSeen,
     OutcomeSeen,
@@ -15,8 +19,15 @@
     Tick,
     ViewChanged,
 )
+from bramleystair.flows._settings import TICK_PERIOD_S, FlowSettings
 
 __all__ = [
+    "TICK_PERIOD_S",
+    "Admission",
+    "ColdStart",
+    "FlowController",
+    "FlowSettings",
+    "LimitAdvised",
     "CloseFlow",
     "Deliver",
     "DeliveryFailed",
--- a/src/bramleystair/tables/__init__.py
+++ b/src/bramleystair/tables/__init__.py
@@ -1,5 +1,11 @@
 """Service tables, availability zone marks and announcements."""
 
+from bramleystair.tables._csv import (
+    TableError,
+    format_weight,
+    read_table_csv,
+    write_table_csv,
+)
 from bramleystair.tables._json import (
     AGENT_PREFIX,
     BALANCER_PREFIX,
@@ -34,10 +40,14 @@
     "NodeAnnouncement",
     "Protocol",
     "Table",
+    "TableError",
     "ZoneMark",
     "build_key",
     "compute_service_id",
     "decode_object",
     "encode_object",
+    "format_weight",
+    "read_table_csv",
     "replace_version",
+    "write_table_csv",
 ]
--- a/src/bramleystair/wire/_codec.py
+++ b/src/bramleystair/wire/_codec.py
@@ -1,6 +1,7 @@
 """Conversion between typed messages and Cap'n Proto bytes."""
 
 import functools
+import struct
 import typing
 from pathlib import Path
 
@@ -21,6 +22,10 @@
 # reader of the stream, and the traversal limit of the library bounds the rest.
 MAX_DATAGRAM_BYTES = 65_507
 
+# Envelopes of forwards differ by sender, service, table version and hop count only.
+FORWARD_CACHE_SIZE = 16_384
+_LENGTH = struct.Struct("!I")
+
 
 @attrs.frozen
 class _Field:
@@ -30,6 +35,20 @@
     is_list: bool
 
 
+@attrs.frozen
+class _ForwardEnvelope:
+    sender: str
+    incarnation: int
+    service_id: int
+    table_version: int
+    flow_bytes: int
+    hops: int
+    place: bool
+
+
+_forward_envelopes: dict[bytes, _ForwardEnvelope] = {}
+
+
 def encode(sender: str, incarnation: int, message: Message) -> bytes:
     """Return the bytes of `message` in an envelope."""
     if isinstance(message, Forward):
@@ -37,22 +56,46 @@
     envelope = _new_envelope(sender=sender, incarnation=incarnation)
     body = envelope.init(_get_union_name(type(message)))
     body.from_dict(_build_dict(message))
-    return envelope.to_bytes()
+    return _add_length(envelope.to_bytes())
 
 
 def encode_forward(sender: str, incarnation: int, message: Forward) -> bytes:
     """Return the bytes of a forward; separate because it is sent for each packet."""
-    envelope = _new_envelope()
-    envelope.sender = sender
-    envelope.incarnation = incarnation
+    flow = message.flow
+    start = _encode_forward_envelope(
+        sender,
+        incarnation,
+        message.service_id,
+        message.table_version,
+        len(flow),
+        message.hops,
+        message.place,
+    )
+    return start + flow + message.packet
+
+
+@functools.lru_cache(maxsize=FORWARD_CACHE_SIZE)
+def _encode_forward_envelope(
+    sender: str,
+    incarnation: int,
+    service_id: int,
+    table_version: int,
+    flow_bytes: int,
+    hops: int,
+    place: bool,
+) -> bytes:
+    envelope = _new_envelope(sender=sender, incarnation=incarnation)
     body = envelope.init("forward")
-    body.serviceId = message.service_id
-    body.tableVersion = message.table_version
-    body.flow = message.flow
-    body.hops = message.hops
-    body.place = message.place
-    body.packet = message.packet
-    return envelope.to_bytes()
+    body.serviceId = service_id
+    body.tableVersion = table_version
+    body.flowBytes = flow_bytes
+    body.hops = hops
+    body.place = place
+    return _add_length(envelope.to_bytes())
+
+
+def _add_length(envelope: bytes) -> bytes:
+    return _LENGTH.pack(len(envelope)) + envelope
 
 
 def decode(data: bytes, peer: str = "") -> Result[Envelope, StepError]:
@@ -70,28 +113,68 @@
     Result of Envelope or StepError
         The error covers truncated, malformed and unknown messages.
     """
+    if len(data) < _LENGTH.size:
+        return Err(StepError("decode message", peer, "shorter than its length field"))
+    end = _LENGTH.size + _LENGTH.unpack_from(data)[0]
+    if end > len(data):
+        return Err(StepError("decode message", peer, "shorter than its envelope"))
     try:
-        with _schema.Envelope.from_bytes(data) as envelope:
-            return Ok(_read_envelope(envelope))
+        envelope = _decode_envelope(data[_LENGTH.size : end])
     except (capnp.KjException, ValueError, LookupError) as error:
         detail = str(error).splitlines()[0] if str(error) else type(error).__name__
         return Err(StepError("decode message", peer, detail))
-
-
-def _read_envelope(envelope) -> Envelope:
+    if isinstance(envelope, _ForwardEnvelope):
+        return _read_forward(envelope, data, end, peer)
+    if end < len(data):
+        return Err(StepError("decode message", peer, "bytes after the envelope"))
+    return Ok(envelope)
+
+
+def _read_forward(
+    envelope: _ForwardEnvelope, data: bytes, start: int, peer: str
+) -> Result[Envelope, StepError]:
+    packet = start + envelope.flow_bytes
+    if packet > len(data):
+        return Err(StepError("decode message", peer, "shorter than its flow key"))
+    message = Forward(
+        envelope.service_id,
+        envelope.table_version,
+        data[start:packet],
+        envelope.hops,
+        envelope.place,
+        data[packet:],
+    )
+    return Ok(Envelope(envelope.sender, envelope.incarnation, message))
+
+
+def _decode_envelope(data: bytes) -> Envelope | _ForwardEnvelope:
+    known = _forward_envelopes.get(data)
+    if known is not None:
+        return known
+    with _schema.Envelope.from_bytes(data) as reader:
+        envelope = _read_envelope(reader)
+    if isinstance(envelope, _ForwardEnvelope):
+        # Emptying the cache is rare: a table version has a few envelopes a service.
+        if len(_forward_envelopes) >= FORWARD_CACHE_SIZE:
+            _forward_envelopes.clear()
+        _forward_envelopes[data] = envelope
+    return envelope
+
+
+def _read_envelope(envelope) -> Envelope | _ForwardEnvelope:
     union_name = str(envelope.which())
     body = getattr(envelope, union_name)
     if union_name == "forward":
-        message = Forward(
+        return _ForwardEnvelope(
+            envelope.sender,
+            envelope.incarnation,
             body.serviceId,
             body.tableVersion,
-            body.flow,
+            body.flowBytes,
             body.hops,
             body.place,
-            body.packet,
         )
-    else:
-        message = _read_message(_get_message_types()[union_name], body)
+    message = _read_message(_get_message_types()[union_name], body)
     return Envelope(envelope.sender, envelope.incarnation, message)
 
 
