--- a/src/bramleystair/bench/_carrier.py
+++ b/src/bramleystair/bench/_carrier.py
@@ -14,6 +14,8 @@
 from bramleystair.wire import decode, encode
 
 TICK_S = 0.25
+# IPv4 and UDP.
+HEADERS_BYTES = 28
 
 
 @attrs.define
@@ -46,7 +48,8 @@
     tick_s : float
         Interval between the ticks of a replica in seconds.
     is_checked : bool
-        Whether each message is encoded and decoded again; otherwise only encoded.
+        Whether each message is encoded and decoded again, and the time of this counted;
+        otherwise it is only encoded, once for all its receivers.
     """
 
     def __init__(
@@ -58,8 +61,10 @@
         self.observers: list[Callable] = []
         self.messages: Counter = Counter()
         self.bytes: Counter = Counter()
+        self.sent: Counter = Counter()
         self.sent_bytes: Counter = Counter()
-        self.handle_s = 0.0
+        self.received_bytes: Counter = Counter()
+        self.work_s: Counter = Counter()
         self._random = random
         self._tick_s = tick_s
         self._is_checked = is_checked
@@ -80,7 +85,7 @@
         """Let the replica `name` handle `event` now."""
         started = time.perf_counter()
         actions = self.replicas[name].handle(event, self.now)
-        self.handle_s += time.perf_counter() - started
+        self.work_s[name] += time.perf_counter() - started
         for action in actions:
             if isinstance(action, Send):
                 self.send(name, action)
@@ -111,17 +116,10 @@
         """Carry a message of `sender`, subject to the faults."""
         message = action.message
         kind = type(message).__name__
-        # One message goes to several peers; its size is measured once.
-        if id(message) not in self._sizes:
-            if len(self._sizes) > 1000:
-                self._sizes.clear()
-            data = encode(sender, 1, message)
-            if self._is_checked:
-                assert decode(data).ok().message == message
-            self._sizes[id(message)] = (message, len(data))
-        size = self._sizes[id(message)][1]
+        size = self._measure(sender, action)
         self.messages[kind] += 1
         self.bytes[kind] += size
+        self.sent[sender] += 1
         self.sent_bytes[sender] += size
         receiver = self.replicas.get(action.peer)
         if receiver is None or self.faults.is_cut(sender, action.peer):
@@ -130,6 +128,7 @@
             return
         copies = 2 if self._random.random() < self.faults.duplicate else 1
         event = MessageArrived(sender, message)
+        self.received_bytes[action.peer] += size * copies
         for _ in range(copies):
             delay = self._random.uniform(*self.faults.delay_s)
             self._push(delay, action.peer, receiver, event)
@@ -138,8 +137,27 @@
         """Start counting again."""
         self.messages.clear()
         self.bytes.clear()
+        self.sent.clear()
         self.sent_bytes.clear()
-        self.handle_s = 0.0
+        self.received_bytes.clear()
+        self.work_s.clear()
+
+    def _measure(self, sender: str, action: Send) -> int:
+        message = action.message
+        if self._is_checked:
+            started = time.perf_counter()
+            data = encode(sender, 1, message)
+            encoded = time.perf_counter()
+            assert decode(data).ok().message == message
+            self.work_s[sender] += encoded - started
+            self.work_s[action.peer] += time.perf_counter() - encoded
+            return len(data) + HEADERS_BYTES
+        if id(message) not in self._sizes:
+            if len(self._sizes) > 1000:
+                self._sizes.clear()
+            size = len(encode(sender, 1, message)) + HEADERS_BYTES
+            self._sizes[id(message)] = (message, size)
+        return self._sizes[id(message)][1]
 
     def _push(self, delay: float, name: str, replica, event) -> None:
         due = self.now + delay
--- /dev/null
+++ b/src/bramleystair/bench/_planned.py
@@ -0,0 +1,128 @@
+"""The planned size of design section 1, and objects of that shape."""
+
+from random import Random
+
+import attrs
+
+from bramleystair.replicas import BalancerReplica, ReplicaSettings
+from bramleystair.tables import (
+    AgentState,
+    Announcement,
+    ConfigObject,
+    Member,
+    NodeAnnouncement,
+    Protocol,
+    Table,
+    ZoneMark,
+    build_key,
+    encode_object,
+    replace_version,
+)
+from bramleystair.wire import StoredObject
+
+MEMBERS_PER_TABLE = 4
+FIRST_VERSION = 1 << 16
+
+
+@attrs.frozen
+class Planned:
+    """Sizes and rates that the system must carry, and what control may cost."""
+
+    balancers: int = 1200
+    agents: int = 9100
+    tables: int = 2300
+    zones: int = 15
+    regions: int = 6
+    flows: int = 25_000_000
+    flows_per_s: int = 130_000
+    changes_per_day: int = 1700
+    failures_per_day: int = 16
+    replaced_per_day: int = 1300
+    lease_renew_s: float = 120.0
+    platform_reads_per_s: int = 2000
+    platform_writes_per_s: int = 300
+    budget_core: float = 0.015
+    budget_bytes: int = 256_000_000
+    budget_bytes_per_s: int = 11_000
+
+    def scale(self, factor: float) -> "Planned":
+        """Return a fleet with `factor` times the tables and members."""
+        return attrs.evolve(
+            self,
+            balancers=max(1, round(self.balancers * factor)),
+            agents=round(self.agents * factor),
+            tables=round(self.tables * factor),
+        )
+
+
+PLANNED = Planned()
+# Sizes at which slopes are taken, as parts of the planned size.
+FACTORS = (0.1, 0.25, 0.5, 0.75, 1.0)
+
+
+def build_table(index: int, members: int, agents: int, zones: int) -> Table:
+    """Return a table whose members follow each other among the agents."""
+    rows = []
+    for offset in range(members):
+        agent = (index * members + offset) % agents
+        rows.append(Member(f"s{agent}", f"z{agent % zones}", 1.0, 2000, 3))
+    address = f"10.{index >> 16}.{index >> 8 & 255}.{index & 255}"
+    return Table(f"service-{index}", address, 443, Protocol.TCP, tuple(rows))
+
+
+def build_agent(index: int, zones: int, tables: int) -> Announcement:
+    """Return the announcement of an agent of one service."""
+    services = (f"service-{index // MEMBERS_PER_TABLE % max(1, tables)}",)
+    zone = f"z{index % zones}"
+    host = f"10.64.{index >> 8}.{index & 255}"
+    return Announcement(
+        f"s{index}", zone, host, 7000, 1, AgentState.READY, services, FIRST_VERSION
+    )
+
+
+def build_node(index: int, zones: int, regions: int) -> NodeAnnouncement:
+    """Return the announcement of a balancer."""
+    zone = index % zones
+    host = f"10.96.{index >> 8}.{index & 255}"
+    return NodeAnnouncement(
+        f"b{index}",
+        f"z{zone}",
+        f"r{zone % regions}",
+        host,
+        7000,
+        8080,
+        1,
+        FIRST_VERSION,
+    )
+
+
+def store(item: ConfigObject, version: int) -> StoredObject:
+    """Return `item` as stored under `version`."""
+    body = encode_object(replace_version(item, version))
+    return StoredObject(build_key(item), version, "", body)
+
+
+def build_objects(sizes: Planned) -> list[StoredObject]:
+    """Return every table, mark and announcement of a fleet of these sizes."""
+    items: list[ConfigObject] = [
+        build_table(index, MEMBERS_PER_TABLE, max(1, sizes.agents), sizes.zones)
+        for index in range(sizes.tables)
+    ]
+    items += [ZoneMark(f"z{index}", True) for index in range(sizes.zones)]
+    items += [
+        build_agent(index, sizes.zones, sizes.tables) for index in range(sizes.agents)
+    ]
+    items += [
+        build_node(index, sizes.zones, sizes.regions)
+        for index in range(1, sizes.balancers)
+    ]
+    return [store(item, FIRST_VERSION) for item in items]
+
+
+def build_balancer(sizes: Planned) -> BalancerReplica:
+    """Return balancer b0 that holds everything of a fleet of these sizes."""
+    replica = BalancerReplica("b0", "z0", "r0", 1, (), ReplicaSettings(), Random(1))
+    for item in build_objects(sizes):
+        replica.store.put(item)
+    replica.mark_spread()
+    return replica
--- a/src/bramleystair/replicas/_balancer.py
+++ b/src/bramleystair/replicas/_balancer.py
@@ -192,8 +192,7 @@
 
     def _advance(self, now: float) -> list[ReplicaAction]:
         actions = self.owner.renew(now) + self._retry_pulls(now)
-        self._update_peers()
-        actions += self._update_watch()
+        actions += self._update_peers()
         actions += self._detect_down(now)
         if now >= self._next_heartbeat:
             self._next_heartbeat = now + self._settings.heartbeat_period_s
@@ -380,9 +379,9 @@
 
     # Membership
 
-    def _update_peers(self) -> None:
+    def _update_peers(self) -> list[ReplicaAction]:
         if self._seen_membership == self.store.membership_generation:
-            return
+            return []
         self._seen_membership = self.store.membership_generation
         nodes = self.store.nodes
         live = {name: nodes[name] for name in nodes if not self.store.is_down(name)}
@@ -393,6 +392,7 @@
         self._down_peers = [name for name in known if name not in live]
         if not self._peers:
             self._peers = sorted(self._seeds)
+        return self._update_watch()
 
     def _update_watch(self) -> list[ReplicaAction]:
         names = self._groups.get(self._zone, [])
