Bound what a starting node asks for, and spread reports as headers

Cause: a starting node asked for everything at once, 195 B in flight per object, more than a receive buffer holds, and announced it all again. The return of a region and the loss of a zone cost each balancer two more messages per report than needed. The jitter of lease renewals shortened their interval.

Change: at most 256 bodies are asked for at a time and 400 versions are listed in answer to a digest; the next digest follows when they have arrived; a node that catches up announces nothing. A liveness header is the whole report.

--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -78,6 +78,11 @@
     Then "b12" holds 8 agents and the table
     And "b5" holds 8 agents and the table
 
+  Scenario: A new balancer catches up with thousands of objects while messages are lost
+    Given 4 balancers that hold 3000 marks, with seed 13
+    When a fifth starts and 5 % of messages are lost
+    Then it holds the 3000 marks within 5 s and never has more than 256 KB in flight
+
   Scenario: A zone marked out, in and out ends out everywhere
     Given 6 balancers and 7 agents in 3 availability zones with seed 7
     When availability zone "z1" is marked out, in and out
--- a/features/steps/replicas_steps.py
+++ b/features/steps/replicas_steps.py
@@ -439,6 +439,40 @@
     assert is_everywhere()
 
 
+@given("{count:d} balancers that hold {marks:d} marks, with seed {seed:d}")
+def create_holders(context, count, marks, seed):
+    context.fleet = build_fleet(count + 1, 0, 3, (), seed)
+    context.started = context.fleet.pop(f"b{count}")
+    names = (f"z{index}" for index in range(marks))
+    introduce(
+        context.fleet,
+        tuple(
+            StoredObject(f"zone/{name}", 1, "", encode_object(ZoneMark(name, True)))
+            for name in names
+        ),
+    )
+    context.carrier = Carrier(random.Random(seed))
+    for name, replica in context.fleet.items():
+        context.carrier.add(name, replica)
+    context.carrier.run(2)
+
+
+@when("a fifth starts and {loss:d} % of messages are lost")
+def start_fifth(context, loss):
+    context.carrier.faults.loss = loss / 100
+    context.carrier.add("b4", context.started)
+
+
+@then(
+    "it holds the {marks:d} marks within {limit:d} s"
+    " and never has more than {kilobytes:d} KB in flight"
+)
+def check_caught_up(context, marks, limit, kilobytes):
+    context.carrier.run(limit)
+    assert len(context.started.view.zones) == marks, len(context.started.view.zones)
+    assert context.carrier.peak_in_flight["b4"] < kilobytes * 1024
+
+
 @when("generated versions arrive at two stores in different orders")
 def fill_stores(context):
     context.stores = []
--- a/src/bramleystair/bench/_carrier.py
+++ b/src/bramleystair/bench/_carrier.py
@@ -64,6 +64,8 @@
         self.sent: Counter = Counter()
         self.sent_bytes: Counter = Counter()
         self.received_bytes: Counter = Counter()
+        self.in_flight: Counter = Counter()
+        self.peak_in_flight: Counter = Counter()
         self.work_s: Counter = Counter()
         self._random = random
         self._tick_s = tick_s
@@ -101,7 +103,8 @@
         start = self.now
         end = start + seconds
         while self._heap and self._heap[0][0] <= end:
-            self.now, _, name, replica, event = heapq.heappop(self._heap)
+            self.now, _, name, replica, event, size = heapq.heappop(self._heap)
+            self.in_flight[name] -= size
             if self.replicas.get(name) is not replica:
                 continue
             self.give(name, event)
@@ -129,9 +132,13 @@
         copies = 2 if self._random.random() < self.faults.duplicate else 1
         event = MessageArrived(sender, message)
         self.received_bytes[action.peer] += size * copies
+        self.in_flight[action.peer] += size * copies
+        self.peak_in_flight[action.peer] = max(
+            self.peak_in_flight[action.peer], self.in_flight[action.peer]
+        )
         for _ in range(copies):
             delay = self._random.uniform(*self.faults.delay_s)
-            self._push(delay, action.peer, receiver, event)
+            self._push(delay, action.peer, receiver, event, size)
 
     def reset_counts(self) -> None:
         """Start counting again."""
@@ -140,6 +147,7 @@
         self.sent.clear()
         self.sent_bytes.clear()
         self.received_bytes.clear()
+        self.peak_in_flight.clear()
         self.work_s.clear()
 
     def _measure(self, sender: str, action: Send) -> int:
@@ -159,6 +167,6 @@
             self._sizes[id(message)] = (message, size)
         return self._sizes[id(message)][1]
 
-    def _push(self, delay: float, name: str, replica, event) -> None:
-        due = self.now + delay
-        heapq.heappush(self._heap, (due, next(self._order), name, replica, event))
+    def _push(self, delay: float, name: str, replica, event, size: int = 0) -> None:
+        entry = (self.now + delay, next(self._order), name, replica, event, size)
+        heapq.heappush(self._heap, entry)
--- a/src/bramleystair/replicas/_agent.py
+++ b/src/bramleystair/replicas/_agent.py
@@ -106,11 +106,11 @@
             case Pull():
                 return self._answer_pull(sender, message)
             case Objects(objects):
-                return self._take_objects(sender, objects)
+                return self._take_objects(sender, objects, now)
         return []
 
     def _advance(self, now: float) -> list[ReplicaAction]:
-        actions = self.owner.renew(now) + self._retry_pulls(now)
+        actions = self.owner.renew(now) + self._continue_pulls(now)
         if now < self._next_heartbeat:
             return actions
         self._next_heartbeat = now + self._settings.heartbeat_period_s
@@ -232,7 +232,7 @@
         ]
 
     def _take_objects(
-        self, sender: str, objects: Iterable[StoredObject]
+        self, sender: str, objects: Iterable[StoredObject], now: float
     ) -> list[ReplicaAction]:
         actions: list[ReplicaAction] = []
         for item in objects:
@@ -241,4 +241,4 @@
                 actions += self._answer_own(sender, (header,))
                 continue
             actions += self._put(item)[1]
-        return actions
+        return actions + self._continue_pulls(now)
--- a/src/bramleystair/replicas/_balancer.py
+++ b/src/bramleystair/replicas/_balancer.py
@@ -30,8 +30,8 @@
 from bramleystair.replicas._store import FINE_COUNT
 from bramleystair.replicas._versions import (
     LIVENESS_PREFIX,
+    build_report,
     compute_down_version,
-    encode_liveness,
     get_incarnation,
     refute_version,
 )
@@ -72,6 +72,12 @@
 ADOPTION_CHECKS = 100
 
 
+# Versions listed in answer to one digest, about 20 KB.
+MAX_LISTED = 400
+# More missing versions than this after a digest mean that the node is catching up.
+CATCH_UP_PULLS = 64
+
+
 @attrs.frozen
 class _Concerns:
     """Versions that one member needs.
@@ -144,6 +150,7 @@
         self._peers: list[str] = sorted(self._seeds)
         self._down_peers: list[str] = []
         self._groups: dict[str, list[str]] = {}
+        self._is_catching_up = False
         self._own_spread: dict[str, int] = {}
 
     def handle(self, event: ReplicaEvent, now: float) -> list[ReplicaAction]:
@@ -191,7 +198,8 @@
         return []
 
     def _advance(self, now: float) -> list[ReplicaAction]:
-        actions = self.owner.renew(now) + self._retry_pulls(now)
+        actions = self.owner.renew(now) + self._continue_pulls(now)
+        self._is_catching_up &= bool(self._pulls)
         actions += self._update_peers()
         actions += self._detect_down(now)
         if now >= self._next_heartbeat:
@@ -257,12 +265,11 @@
             return actions
         if self._is_refutable(item, now):
             version = refute_version(item.version)
-            self.store.put(
-                StoredObject(item.key, version, "", encode_liveness(version))
-            )
+            self.store.put(build_report(item.key, version))
             # The sender holds the report and needs the refutation too.
             sender = ""
-        self._note_new(item.key, sender)
+        if not self._is_catching_up:
+            self._note_new(item.key, sender)
         return actions
 
     def _is_refutable(self, report: StoredObject, now: float) -> bool:
@@ -305,6 +312,11 @@
         now: float,
     ) -> list[ReplicaAction]:
         actions = self._answer_own(sender, headers)
+        bodiless = [h for h in headers if h.key.startswith(LIVENESS_PREFIX)]
+        for header in bodiless:
+            if not self.owner.owns(header.key):
+                report = build_report(header.key, header.version)
+                actions += self._accept(report, sender, now)
         return actions + self._request(sender, headers, now)
 
     def _take_objects(
@@ -317,6 +329,11 @@
                 actions += self._answer_own(sender, (header,))
                 continue
             actions += self._accept(item, sender, now)
+        actions += self._continue_pulls(now)
+        if self._is_catching_up and not self._pulls:
+            # What was listed has arrived; the rest follows without waiting a period.
+            actions.append(Send(sender, Digest(tuple(self.store.digest))))
+        self._is_catching_up &= bool(self._pulls)
         return actions
 
     def _send_digests(self) -> list[ReplicaAction]:
@@ -346,9 +363,14 @@
         ]
         limit = self._settings.datagram_bytes
         actions: list[ReplicaAction] = []
+        listed = 0
+        self._random.shuffle(differing)
         for batch in split_batches(differing, self._measure_bucket, limit):
             headers = [h for index in batch for h in self.store.list_headers(index)]
             actions.append(Send(peer, BucketVersions(batch, tuple(headers), False)))
+            listed += len(headers)
+            if listed >= MAX_LISTED:
+                break
         return actions
 
     def _measure_bucket(self, fine_bucket: int) -> int:
@@ -359,10 +381,16 @@
         self, sender: str, message: BucketVersions, now: float
     ) -> list[ReplicaAction]:
         actions = self._take_headers(sender, message.headers, now)
+        if len(self._pulls) + len(self._queue) > CATCH_UP_PULLS:
+            # The peers hold what arrives from now on; announcing it would be in vain.
+            self._is_catching_up = True
         if message.is_reply:
             return actions
         limit = self._settings.datagram_bytes
         newer = self._list_newer(message)
+        if len(newer) > MAX_LISTED:
+            # The peer sends another digest when it has these.
+            newer = self._random.sample(newer, MAX_LISTED)
         return actions + [
             Send(sender, BucketVersions((), batch, True))
             for batch in split_batches(newer, measure_header, limit)
@@ -524,8 +552,7 @@
         incarnation = self.store.find_member(name).incarnation
         key = LIVENESS_PREFIX + name
         version = compute_down_version(incarnation, self.store.get_version(key))
-        report = StoredObject(key, version, "", encode_liveness(version))
-        return self._accept(report, "", now)
+        return self._accept(build_report(key, version), "", now)
 
     def _send_report(self, sender: str) -> list[ReplicaAction]:
         """Tell a sender that is reported down, so that it can refute the report."""
--- a/src/bramleystair/replicas/_owner.py
+++ b/src/bramleystair/replicas/_owner.py
@@ -13,8 +13,8 @@
 from bramleystair.replicas._store import ObjectStore
 from bramleystair.replicas._versions import (
     LIVENESS_PREFIX,
+    build_report,
     compute_owner_version,
-    encode_liveness,
     get_incarnation,
     is_down_version,
     refute_version,
@@ -93,7 +93,7 @@
         if not self._is_changed and now < self._renew_at:
             return []
         action = RenewLease(self.announcement, self._is_changed)
-        jitter = 1 - RENEW_JITTER * self._random.random()
+        jitter = 1 + RENEW_JITTER * (self._random.random() - 0.5)
         self._renew_at = now + self._settings.lease_renew_s * jitter
         self._is_changed = False
         return [action]
@@ -132,9 +132,7 @@
 
     def _refute(self, version: int) -> None:
         higher = refute_version(version)
-        self._store.put(
-            StoredObject(self.liveness_key, higher, "", encode_liveness(higher))
-        )
+        self._store.put(build_report(self.liveness_key, higher))
 
     def _supersede(self, version: int) -> list[ReplicaAction]:
         if version <= self.announcement.version:
--- a/src/bramleystair/replicas/_replica.py
+++ b/src/bramleystair/replicas/_replica.py
@@ -28,6 +28,8 @@
 # announced the version too.
 PULL_TIMEOUT_S = 0.4
 PULL_ATTEMPTS = 4
+# Bodies asked for at a time; those of agents fill half of a usual receive buffer.
+PULL_WINDOW = 256
 
 
 @attrs.define
@@ -39,7 +41,7 @@
     version : int
         The version that the peers announced.
     deadline : float
-        Time in seconds after which it is asked for again.
+        Time in seconds after which it is asked for again; 0 before the first time.
     peers : list of str
         Those that announced it, the next to ask first.
     attempts : int
@@ -49,7 +51,15 @@
     version: int
     deadline: float
     peers: list[str]
-    attempts: int = 1
+    attempts: int = 0
+
+    def ask(self, now: float) -> str:
+        """Note that the version is asked for now, and return the peer to ask."""
+        peer = self.peers.pop(0)
+        self.peers.append(peer)
+        self.attempts += 1
+        self.deadline = now + PULL_TIMEOUT_S
+        return peer
 
 
 class Replica:
@@ -83,7 +93,9 @@
         self._seeds = {seed.name: seed for seed in seeds if seed.name != name}
         self._settings = settings
         self._random = random
+        # Bodies asked for, and those beyond the window.
         self._pulls: dict[str, PendingPull] = {}
+        self._queue: dict[str, PendingPull] = {}
         self._shown_generation = 0
 
     @property
@@ -118,44 +130,41 @@
         now: float,
     ) -> list[ReplicaAction]:
         """Pull from `sender` what is newer than what is held or asked for."""
-        keys = []
         for header in headers:
-            if self.owner.owns(header.key) or not self._is_wanted(sender, header):
-                continue
-            deadline = now + PULL_TIMEOUT_S
-            self._pulls[header.key] = PendingPull(header.version, deadline, [sender])
-            keys.append(header.key)
-        return self._send_pulls(sender, keys)
+            if not self.owner.owns(header.key) and self._is_wanted(sender, header):
+                self._pulls.pop(header.key, None)
+                self._queue[header.key] = PendingPull(header.version, 0.0, [sender])
+        return self._continue_pulls(now)
 
     def _is_wanted(self, sender: str, header: VersionHeader) -> bool:
         if header.version <= self.store.get_version(header.key):
             return False
-        pending = self._pulls.get(header.key)
+        pending = self._pulls.get(header.key) or self._queue.get(header.key)
         if pending is None or header.version > pending.version:
             return True
         if sender not in pending.peers:
             pending.peers.insert(0, sender)
         return False
 
-    def _retry_pulls(self, now: float) -> list[ReplicaAction]:
+    def _continue_pulls(self, now: float) -> list[ReplicaAction]:
+        """Ask for what is due, as far as the window allows."""
         wanted: dict[str, list[str]] = {}
         for key, pending in list(self._pulls.items()):
-            if pending.version <= self.store.get_version(key):
+            is_done = pending.version <= self.store.get_version(key)
+            is_due = now >= pending.deadline
+            if is_done or (is_due and pending.attempts >= PULL_ATTEMPTS):
+                # What never arrives is found again by the digests.
                 del self._pulls[key]
-            elif now >= pending.deadline and pending.attempts >= PULL_ATTEMPTS:
-                # The digests find the version again.
-                del self._pulls[key]
-            elif now >= pending.deadline:
-                peer = pending.peers.pop(0)
-                pending.peers.append(peer)
-                pending.attempts += 1
-                pending.deadline = now + PULL_TIMEOUT_S
-                wanted.setdefault(peer, []).append(key)
-        return [
-            send
-            for peer, keys in wanted.items()
-            for send in self._send_pulls(peer, keys)
-        ]
+            elif is_due:
+                wanted.setdefault(pending.ask(now), []).append(key)
+        while self._queue and len(self._pulls) < PULL_WINDOW:
+            key = next(iter(self._queue))
+            pending = self._pulls[key] = self._queue.pop(key)
+            wanted.setdefault(pending.ask(now), []).append(key)
+        actions: list[ReplicaAction] = []
+        for peer, keys in wanted.items():
+            actions += self._send_pulls(peer, keys)
+        return actions
 
     def _send_pulls(self, peer: str, keys: Iterable[str]) -> list[ReplicaAction]:
         limit = self._settings.datagram_bytes
--- a/src/bramleystair/replicas/_versions.py
+++ b/src/bramleystair/replicas/_versions.py
@@ -4,7 +4,7 @@
 cannot come from the platform. It comes from the incarnation and a sequence below it.
 """
 
-import json
+from bramleystair.wire import StoredObject
 
 # An incarnation must be below 2**47, as milliseconds since 1970 are.
 SEQUENCE_BITS = 16
@@ -30,7 +30,7 @@
     """Return whether a liveness version reports the holder down.
 
     Odd versions are reports, even versions refutations, so that two nodes which report
-    the same failure write the same version with the same body.
+    the same failure write the same version. A header of it is the whole report.
     """
     return version & 1 == 1
 
@@ -46,7 +46,6 @@
     return version + 1
 
 
-def encode_liveness(version: int) -> bytes:
-    """Return the body of a liveness report, which follows from its version."""
-    values = {"down": is_down_version(version), "incarnation": get_incarnation(version)}
-    return json.dumps(values, sort_keys=True, separators=(",", ":")).encode()
+def build_report(key: str, version: int) -> StoredObject:
+    """Return the liveness report of `version`, which says everything by itself."""
+    return StoredObject(key, version)
