Run replicas as real processes

Cause: slopes on simulated time leave out sockets, waiting and cold caches.

Change: `bench` runs up to 100 processes over UDP on the loopback interface and compares predicted with seen slopes; `bramleystair-bench capacity` runs the measurements.

--- a/src/bramleystair/bench/__init__.py
+++ b/src/bramleystair/bench/__init__.py
@@ -2,13 +2,25 @@
 
 import defopt
 
+from bramleystair.bench._capacity import measure_capacity
 from bramleystair.bench._carrier import Carrier, Faults
 from bramleystair.bench._fleet import build_fleet, introduce
 from bramleystair.bench._spread import measure_spread
 
-__all__ = ["Carrier", "Faults", "build_fleet", "introduce", "main", "measure_spread"]
+__all__ = [
+    "Carrier",
+    "Faults",
+    "build_fleet",
+    "introduce",
+    "main",
+    "measure_capacity",
+    "measure_spread",
+]
 
-COMMANDS = {"spread": measure_spread}
+COMMANDS = {
+    "capacity": measure_capacity,
+    "spread": measure_spread,
+}
 
 
 def main() -> None:
--- /dev/null
+++ b/src/bramleystair/bench/_capacity.py
@@ -0,0 +1,82 @@
+"""Measurement of the capacity page's slopes."""
+
+import json
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import attrs
+
+from bramleystair.bench import _message_slopes as messages
+from bramleystair.bench._fits import Slope
+from bramleystair.bench._processes import measure_processes
+from bramleystair.bench._report import write_data
+from bramleystair.bench._state_slopes import measure_state
+
+PARTS = ("state", "messages", "processes")
+WORKERS = 4
+MESSAGE_MEASUREMENTS = (
+    messages.measure_rejoin,
+    messages.measure_spread_cost,
+    messages.measure_zone_lost,
+    messages.measure_platform_calls,
+    messages.measure_fleet,
+    messages.measure_replaced,
+    messages.measure_start,
+    messages.measure_digests,
+    messages.measure_members,
+)
+
+
+def measure_capacity(
+    *, parts: tuple[str, ...] = PARTS, output: Path = Path("docs/capacity")
+) -> None:
+    """Measure slopes and write docs/CAPACITY.md from them.
+
+    Parameters
+    ----------
+    parts : tuple of str
+        "state" (one process), "messages" (simulated time) and "processes" (100 real
+        processes for minutes). Parts that are not named keep their last data; none
+        only writes the page.
+    output : Path
+        Directory of the data and plots; the page is written beside it.
+    """
+    # The page needs matplotlib, which the other commands do without.
+    from bramleystair.bench._capacity_page import write_capacity_page
+
+    for part in parts:
+        slopes, rows = _measure_part(part)
+        data = {
+            "command": f"bramleystair-bench capacity --parts {part}",
+            "slopes": [attrs.asdict(slope) for slope in slopes],
+            "rows": rows,
+        }
+        write_data(output / f"{part}.json", data)
+    write_capacity_page(output)
+
+
+def _measure_part(part: str) -> tuple[list[Slope], list[dict]]:
+    if part == "state":
+        return measure_state(), []
+    if part == "processes":
+        return measure_processes()
+    if part != "messages":
+        raise ValueError(f"unknown part {part!r}; known parts: {', '.join(PARTS)}")
+    with ProcessPoolExecutor(WORKERS) as pool:
+        results = pool.map(_call, MESSAGE_MEASUREMENTS)
+        return [slope for result in results for slope in result], []
+
+
+def _call(measure) -> list[Slope]:
+    return measure()
+
+
+def read_slopes(output: Path) -> dict[str, Slope]:
+    """Return the slopes of all parts by name."""
+    slopes = {}
+    for part in PARTS:
+        data = json.loads((output / f"{part}.json").read_text())
+        for values in data["slopes"]:
+            slope = Slope(**values)
+            slopes[slope.name] = slope
+    return slopes
