Write the capacity page from the slopes

Cause: the planned size needs each role's load against its budget, without figures that are typed by hand.

Change: `bramleystair-bench capacity` computes loads, bursts and limits from the measured slopes and fills a template and a plot.

--- a/src/bramleystair/bench/_capacity_page.py
+++ b/src/bramleystair/bench/_capacity_page.py
@@ -1,7 +1,607 @@
 """Capacity page, written from the measured slopes."""
 
+import json
+import math
 from pathlib import Path
 
+import attrs
+import matplotlib as mpl
+
+from bramleystair.bench._capacity import PARTS, read_slopes
+from bramleystair.bench._fits import Slope
+from bramleystair.bench._planned import PLANNED, Planned
+from bramleystair.bench._report import fill_template, format_table
+
+# The pages are written on machines without a display.
+mpl.use("agg")
+mpl.rcParams["svg.hashsalt"] = "bramleystair"
+
+from matplotlib import pyplot as plt  # noqa: E402
+
+DAY_S = 86_400
+MICRO = 1e6
+MAX_OBJECT_BYTES = 60_000
+UPGRADE_WINDOW_S = 3600
+LIST_PERIOD_S = 3600
+PLOT_COLUMNS = 4
+WATCH_TIMEOUT_S = 30
+# A member of a table whose agents use one service each.
+HELD_BY_AGENT = {"table": 1, "agent": 4, "liveness": 4, "balancer": 19}
+HELD_LIMIT = 1000.0
+
+
+@attrs.frozen
+class Model:
+    """Loads at a size, computed from the slopes.
+
+    Parameters
+    ----------
+    slopes : dict of str to Slope
+        Measured slopes by name.
+    sizes : Planned
+        Fleet for which the loads are computed.
+    base_bytes : float
+        Memory of a process that holds next to nothing.
+    """
+
+    slopes: dict[str, Slope]
+    sizes: Planned
+    base_bytes: float
+
+    @property
+    def members(self) -> int:
+        """Return the number of balancers and agents."""
+        return self.sizes.balancers + self.sizes.agents
+
+    @property
+    def objects(self) -> int:
+        """Return the number of objects when every member was reported once."""
+        return self.sizes.tables + self.sizes.zones + 2 * self.members
+
+    def predict(self, name: str, size: float) -> float:
+        """Return what slope `name` gives at `size`."""
+        return self.slopes[name].predict(size)
+
+    def scale_slope(self, name: str, size: float) -> float:
+        """Return the part of slope `name` that grows with `size`."""
+        return self.slopes[name].slope * size
+
+    def compute_store_bytes(self) -> float:
+        """Return the memory of all objects in a balancer."""
+        counts = {
+            "table": self.sizes.tables,
+            "agent": self.sizes.agents,
+            "balancer": self.sizes.balancers,
+            "liveness": self.members,
+        }
+        return sum(
+            self.scale_slope(f"memory_{kind}", count) for kind, count in counts.items()
+        )
+
+    def compute_daily_growth(self) -> float:
+        """Return the bytes per day left behind by replaced VMs with new names."""
+        return sum(
+            self.scale_slope(f"memory_{kind}", self.sizes.replaced_per_day)
+            for kind in ("tombstone", "liveness")
+        )
+
+    def compute_balancer_messages(self) -> float:
+        """Return the messages per second that a balancer sends and receives."""
+        sent = self.predict("balancer_messages", self.sizes.balancers)
+        received = sent * (
+            self.predict("balancer_received", self.sizes.balancers)
+            / self.predict("balancer_sent", self.sizes.balancers)
+        )
+        return sent + received
+
+    def compute_steady_bytes(self) -> float:
+        """Return the control bytes per second of a balancer without changes."""
+        return sum(
+            self.predict(f"balancer_{way}", self.sizes.balancers)
+            for way in ("sent", "received")
+        )
+
+    def compute_change_bytes(self) -> float:
+        """Return the bytes per second that a day's changes cost a balancer."""
+        spread = self.predict("spread_bytes", self.sizes.balancers)
+        replaced = self.slopes["replaced_bytes"].slope
+        events = self.sizes.replaced_per_day + self.sizes.failures_per_day
+        return (spread * self.sizes.changes_per_day + replaced * events) / DAY_S
+
+    def compute_balancer_core(self) -> float:
+        """Return the part of a core that control takes on a balancer."""
+        handled = self.slopes["seen_work"].predict(self.compute_balancer_messages())
+        ticks = self.predict("second", self.objects)
+        return (handled + ticks) / MICRO
+
+    def compute_agent_core(self) -> float:
+        """Return the part of a core that control takes in an agent."""
+        return self.slopes["seen_work"].predict(self.compute_agent_messages()) / MICRO
+
+    def compute_agent_messages(self) -> float:
+        """Return the messages per second that an agent sends and receives."""
+        return 2 * self.predict("agent_messages", self.sizes.balancers)
+
+    def compute_agent_bytes(self) -> float:
+        """Return the control bytes per second of an agent without changes."""
+        return sum(
+            self.predict(f"agent_{way}", self.sizes.balancers)
+            for way in ("sent", "received")
+        )
+
+    def compute_flows(self) -> float:
+        """Return the open flows of one agent."""
+        return self.sizes.flows / self.sizes.agents
+
+    def compute_agent_state(self) -> float:
+        """Return the memory of an agent's objects, flows and redirects."""
+        objects = sum(
+            self.scale_slope(f"memory_{kind}", count)
+            for kind, count in HELD_BY_AGENT.items()
+        )
+        flows = self.compute_flows()
+        held = self.slopes["memory_flow"].slope + self.slopes["memory_redirect"].slope
+        return objects + flows * held
+
+    def compute_renewals(self) -> float:
+        """Return the lease renewals per second."""
+        return self.scale_slope("renewals", self.members) / 60
+
+    def compute_watches(self) -> float:
+        """Return the number of waiting watches."""
+        return round(self.predict("watches", self.sizes.zones))
+
+    def compute_watch_calls(self) -> float:
+        """Return the watch calls per second: time-outs and changes."""
+        prefixes = 2
+        changes = self.sizes.changes_per_day / DAY_S
+        return self.compute_watches() * (prefixes / WATCH_TIMEOUT_S + changes)
+
+
+def find_limit(is_within) -> float:
+    """Return the largest factor of the planned size that is within a limit."""
+    low, high = 0.0, HELD_LIMIT
+    if is_within(high):
+        return math.inf
+    for _ in range(60):
+        middle = (low + high) / 2
+        low, high = (middle, high) if is_within(middle) else (low, middle)
+    return low
+
 
 def write_capacity_page(output: Path) -> None:
-    """Write docs/CAPACITY.md and its plots from the data in `output`."""
+    """Write docs/CAPACITY.md and its plot from the data in `output`."""
+    slopes = read_slopes(output)
+    data = {part: json.loads((output / f"{part}.json").read_text()) for part in PARTS}
+    rows = data["processes"]["rows"]
+    base = max(row["seen"]["memory"] for row in rows)
+    model = Model(slopes, PLANNED, base)
+    values = {
+        "commands": "\n".join(f"    {data[part]['command']}" for part in PARTS),
+        "roles": _format_roles(model),
+        "platform": _format_platform(model),
+        "bursts": _format_bursts(model),
+        "limits": _format_limits(model),
+        "unmet": _format_unmet(model),
+        "slopes": _format_slopes(slopes),
+        "processes": _format_processes(rows),
+        "process_slopes": _format_process_slopes(slopes),
+        **_format_facts(model, rows),
+    }
+    (output.parent / "CAPACITY.md").write_text(fill_template("CAPACITY.md", values))
+    _plot(slopes, output / "slopes.svg")
+
+
+def show(value: float, digits: int = 3) -> str:
+    """Return `value` with `digits` significant digits and separated thousands."""
+    if value == math.inf:
+        return "none found"
+    if value == 0 or not math.isfinite(value):
+        return str(value)
+    places = max(0, digits - 1 - math.floor(math.log10(abs(value))))
+    rounded = round(value, digits - 1 - math.floor(math.log10(abs(value))))
+    return f"{rounded:,.{places}f}"
+
+
+def _format_roles(model: Model) -> str:
+    sizes = model.sizes
+    cores = {"balancer": model.compute_balancer_core()}
+    cores["agent"] = model.compute_agent_core()
+    memory = {"balancer": model.base_bytes + model.compute_store_bytes()}
+    memory["agent"] = model.base_bytes + model.compute_agent_state()
+    totals = {
+        "balancer": model.compute_steady_bytes() + model.compute_change_bytes(),
+        "agent": model.compute_agent_bytes(),
+    }
+    state = {"balancer": model.compute_store_bytes()}
+    state["agent"] = model.compute_agent_state()
+    messages = {"balancer": model.compute_balancer_messages()}
+    messages["agent"] = model.compute_agent_messages()
+    carried = {
+        "balancer": "`ObjectStore`; heartbeats; digests; header-first gossip",
+        "agent": "heartbeats; load reports; flow entries and redirects",
+    }
+    rows = []
+    for role in ("balancer", "agent"):
+        rows.append(
+            {
+                "role": role,
+                "state": f"{show(state[role] / 1e6)} MB",
+                "memory": _compare(memory[role] / 1e6, sizes.budget_bytes / 1e6, "MB"),
+                "messages": show(messages[role]),
+                "core": _compare(cores[role] * 100, sizes.budget_core * 100, "%"),
+                "bytes": _compare(totals[role], sizes.budget_bytes_per_s, "B/s"),
+                "carried": carried[role],
+            }
+        )
+    columns = {
+        "role": "role",
+        "state": "state",
+        "memory": "memory of the process",
+        "messages": "messages/s, both ways",
+        "core": "processor time",
+        "bytes": "control bytes, both ways",
+        "carried": "carried by",
+    }
+    return format_table(rows, columns)
+
+
+def _compare(value: float, budget: float, unit: str) -> str:
+    share = value / budget
+    return f"{show(value)} of {show(budget)} {unit} ({share:.0%})"
+
+
+def _format_platform(model: Model) -> str:
+    sizes = model.sizes
+    renewals = model.compute_renewals()
+    watches = model.compute_watches()
+    before = renewals * watches
+    listed = model.members * model.compute_watches() / LIST_PERIOD_S
+    rows = [
+        {
+            "load": "lease renewals",
+            "rate": f"{show(renewals)} writes/s",
+            "limit": f"{sizes.platform_writes_per_s} writes/s",
+            "carried": "`RenewLease`, each member every 120 s",
+        },
+        {
+            "load": "configuration changes",
+            "rate": f"{show(sizes.changes_per_day / DAY_S)} writes/s",
+            "limit": f"{sizes.platform_writes_per_s} writes/s",
+            "carried": "conditional updates",
+        },
+        {
+            "load": "watch calls",
+            "rate": f"{show(model.compute_watch_calls())} calls/s",
+            "limit": f"{sizes.platform_reads_per_s} calls/s",
+            "carried": f"{show(watches)} watchers of tables and marks",
+        },
+        {
+            "load": "watch calls if announcements were watched",
+            "rate": f"{show(before)} calls/s",
+            "limit": f"{sizes.platform_reads_per_s} calls/s",
+            "carried": "replaced by a list per hour and watcher",
+        },
+        {
+            "load": "announcements in lists",
+            "rate": f"{show(listed)} objects/s",
+            "limit": "none stated",
+            "carried": "`LISTED_PREFIXES`, once per hour",
+        },
+    ]
+    columns = {
+        "load": "load",
+        "rate": "rate",
+        "limit": "platform's limit",
+        "carried": "carried by",
+    }
+    return format_table(rows, columns)
+
+
+def _format_bursts(model: Model) -> str:
+    sizes = model.sizes
+    zone = model.members / sizes.zones
+    region = model.members / sizes.regions
+    window = model.scale_slope("replaced_bytes", sizes.replaced_per_day)
+    first_writes = model.members / sizes.platform_writes_per_s
+    spread = model.predict("spread_bytes", sizes.balancers)
+    rows = [
+        _describe_burst("a configuration change", spread, spread, sizes),
+        _describe_burst(
+            f"a zone lost ({show(zone)} members)",
+            model.predict("zone_lost_bytes", zone),
+            model.predict("zone_lost_peak", zone),
+            sizes,
+        ),
+        _describe_burst(
+            f"a region of {show(region)} members returns",
+            model.predict("rejoin_bytes", region),
+            model.predict("rejoin_peak", region),
+            sizes,
+        ),
+        _describe_burst(
+            f"{sizes.replaced_per_day} replacements in an hour",
+            window,
+            window / UPGRADE_WINDOW_S,
+            sizes,
+        ),
+        _describe_burst(
+            "a new node starts (its own load)",
+            model.predict("start_received", model.objects),
+            model.predict("start_received", model.objects)
+            / max(1.0, model.predict("start_seconds", model.objects)),
+            sizes,
+        ),
+    ]
+    text = format_table(
+        rows,
+        {
+            "event": "event",
+            "bytes": "bytes per balancer",
+            "peak": "busiest second",
+            "seconds": "seconds of the 11 KB/s budget",
+        },
+    )
+    return text + (
+        f"\n\nA change wakes {show(model.compute_watches())} watches, which the"
+        f" platform answers and gets again. After an outage or a restart of the whole fleet,"
+        f" {model.members:,} announcements are written; at"
+        f" {sizes.platform_writes_per_s} writes/s this takes {show(first_writes)} s,"
+        f" against a lease of {show(3 * sizes.lease_renew_s)} s."
+    )
+
+
+def _describe_burst(event: str, total: float, peak: float, sizes: Planned) -> dict:
+    return {
+        "event": event,
+        "bytes": show(total),
+        "peak": f"{show(peak)} B/s",
+        "seconds": show(total / sizes.budget_bytes_per_s),
+    }
+
+
+def _list_limits(model: Model) -> list[tuple[float, str, str, str]]:
+    sizes = model.sizes
+
+    def scale(factor: float) -> Model:
+        scaled = sizes.scale(factor)
+        scaled = attrs.evolve(
+            scaled,
+            zones=sizes.zones,
+            changes_per_day=sizes.changes_per_day * factor,
+            replaced_per_day=sizes.replaced_per_day * factor,
+        )
+        return attrs.evolve(model, sizes=scaled)
+
+    def fits_bytes(factor: float) -> bool:
+        scaled = scale(factor)
+        total = scaled.compute_steady_bytes() + scaled.compute_change_bytes()
+        return total <= sizes.budget_bytes_per_s
+
+    def fits_memory(factor: float) -> bool:
+        total = model.base_bytes + scale(factor).compute_store_bytes()
+        return total <= sizes.budget_bytes
+
+    return [
+        (
+            find_limit(
+                lambda f: scale(f).compute_renewals() <= sizes.platform_writes_per_s
+            ),
+            "lease renewals at the platform",
+            "writes per second",
+            "a longer lease, or one renewal for all agents of a VM group",
+        ),
+        (
+            find_limit(lambda f: scale(f).compute_balancer_core() <= sizes.budget_core),
+            "ticks and messages of a balancer",
+            "processor time",
+            "checking unheard members at a rate independent of their number per zone",
+        ),
+        (
+            find_limit(fits_memory),
+            "every balancer holds every object",
+            "memory",
+            "balancers that hold the tables of some services only",
+        ),
+        (
+            find_limit(fits_bytes),
+            "gossip to every balancer",
+            "control bytes per second",
+            "one spread per region, and from there within it",
+        ),
+    ]
+
+
+def _format_limits(model: Model) -> str:
+    rows = [
+        {
+            "mechanism": mechanism,
+            "resource": resource,
+            "factor": show(factor),
+            "balancers": show(factor * model.sizes.balancers)
+            if math.isfinite(factor)
+            else f"above {HELD_LIMIT * model.sizes.balancers:,.0f}",
+            "next": replacement,
+        }
+        for factor, mechanism, resource, replacement in sorted(_list_limits(model))
+    ]
+    columns = {
+        "mechanism": "mechanism",
+        "resource": "what runs out",
+        "factor": "times the planned size",
+        "balancers": "balancers",
+        "next": "what would take its place",
+    }
+    return format_table(rows, columns)
+
+
+def _format_unmet(model: Model) -> str:
+    sizes = model.sizes
+    budget = sizes.budget_bytes_per_s
+    zone = model.predict("zone_lost_peak", model.members / sizes.zones)
+    region = model.predict("rejoin_peak", model.members / sizes.regions)
+    start = model.predict("start_received", model.objects)
+    averages = {
+        "processor time": model.compute_balancer_core() / sizes.budget_core,
+        "memory": (model.base_bytes + model.compute_store_bytes()) / sizes.budget_bytes,
+        "control bytes": (model.compute_steady_bytes() + model.compute_change_bytes())
+        / budget,
+    }
+    lines = []
+    for name, share in averages.items():
+        verdict = "met" if share <= 1 else "**not met**"
+        lines.append(f"- Average {name}: {verdict}, {share:.0%} of the budget.")
+    for name, peak in (("the loss of a zone", zone), ("a region's return", region)):
+        verdict = "met" if peak <= budget else "**not met**"
+        lines.append(
+            f"- 11 KB/s in the busiest second of {name}: {verdict},"
+            f" {show(peak / budget)} times the budget."
+        )
+    verdict = "met" if start <= budget else "**not met**"
+    lines.append(
+        f"- 11 KB/s while a node starts: {verdict}, it receives"
+        f" {show(start / 1e6)} MB at once."
+    )
+    growth = model.compute_daily_growth()
+    left = sizes.budget_bytes - model.base_bytes - model.compute_store_bytes()
+    lines.append(
+        f"- Tombstones and reports are never removed: {show(growth / 1e6)} MB per day"
+        f" if replaced VMs get new names, which fills the memory budget after"
+        f" {show(left / growth)} days without a restart of the whole fleet."
+    )
+    members = (MAX_OBJECT_BYTES - model.slopes["table_bytes"].intercept) / model.slopes[
+        "table_bytes"
+    ].slope
+    lines.append(
+        f"- A table travels in one datagram, so a service has at most {show(members)}"
+        f" members."
+    )
+    return "\n".join(lines)
+
+
+def _format_facts(model: Model, rows: list[dict]) -> dict[str, str]:
+    slopes = model.slopes
+    flows = model.compute_flows()
+    return {
+        "objects": f"{model.objects:,}",
+        "flows_per_agent": show(flows),
+        "flow_bytes": show(slopes["memory_flow"].slope),
+        "redirect_bytes": show(slopes["memory_redirect"].slope),
+        "handover_bytes": show(slopes["handover"].slope),
+        "handover_total": show(model.scale_slope("handover", flows) / 1000),
+        "move_us": show(slopes["move"].slope),
+        "move_total": show(model.scale_slope("move", flows) / 1000),
+        "new_flows_balancer": show(model.sizes.flows_per_s / model.sizes.balancers),
+        "new_flows_agent": show(model.sizes.flows_per_s / model.sizes.agents),
+        "steady_bytes": show(model.compute_steady_bytes()),
+        "change_bytes": show(model.compute_change_bytes()),
+        "spread_seconds": show(max(slopes["spread_seconds"].costs)),
+        "start_received": show(slopes["start_received"].slope),
+        "start_seconds": show(max(slopes["start_seconds"].costs)),
+        "start_in_flight": show(max(slopes["start_in_flight"].costs) / 1000),
+        "base_memory": show(model.base_bytes / 1e6),
+        "ratio": show(slopes["seen_work"].slope / slopes["predicted_work"].slope),
+        "rendezvous": show(slopes["rendezvous"].slope),
+        "view_table": show(model.predict("view_table", model.objects)),
+        "view_agent": show(model.predict("view_agent", model.objects)),
+        "process_count": str(max(row["nodes"] for row in rows)),
+        "table_bytes": show(slopes["table_bytes"].predict(4)),
+    }
+
+
+def _format_slopes(slopes: dict[str, Slope]) -> str:
+    rows = [
+        {
+            "name": f"`{slope.name}`",
+            "against": slope.size,
+            "sizes": f"{show(min(slope.sizes))} to {show(max(slope.sizes))}",
+            "intercept": f"{show(slope.intercept)} {slope.unit}",
+            "slope": f"{show(slope.slope)} ± {show(slope.error, 2)} {slope.unit}",
+        }
+        for slope in slopes.values()
+    ]
+    columns = {
+        "name": "slope",
+        "against": "against",
+        "sizes": "sizes",
+        "intercept": "at 0",
+        "slope": "per unit of size",
+    }
+    return format_table(rows, columns)
+
+
+def _format_process_slopes(slopes: dict[str, Slope]) -> str:
+    rows = []
+    titles = {
+        "bytes_per_s": "control bytes/s per process",
+        "spread": "bytes per process to spread one version",
+        "work": "processor time (us/s)",
+    }
+    for kind, title in titles.items():
+        for source in ("predicted", "seen"):
+            slope = slopes[f"{source}_{kind}"]
+            rows.append(
+                {
+                    "what": title,
+                    "source": source,
+                    "against": slope.size,
+                    "intercept": show(slope.intercept),
+                    "slope": f"{show(slope.slope)} ± {show(slope.error, 2)}",
+                }
+            )
+    columns = {
+        "what": "cost",
+        "source": "",
+        "against": "against",
+        "intercept": "at 0",
+        "slope": "per unit",
+    }
+    return format_table(rows, columns)
+
+
+def _format_processes(rows: list[dict]) -> str:
+    lines = [
+        {
+            "nodes": row["nodes"],
+            "period": row["period_s"],
+            "messages": show(row["seen"]["messages_per_s"]),
+            "bytes": f"{show(row['predicted']['bytes_per_s'], 4)} /"
+            f" {show(row['seen']['bytes_per_s'], 4)}",
+            "spread": f"{show(row['predicted']['spread'], 4)} /"
+            f" {show(row['seen']['spread'], 4)}",
+            "work": f"{show(row['predicted']['work'])} / {show(row['seen']['work'])}",
+            "reached": f"{row['seen']['reached']:.0%} in"
+            f" {show(row['seen']['spread_s'], 2)} s",
+        }
+        for row in rows
+    ]
+    columns = {
+        "nodes": "processes",
+        "period": "heartbeat period (s)",
+        "messages": "messages/s",
+        "bytes": "B/s, predicted / seen",
+        "spread": "B per version, predicted / seen",
+        "work": "us/s, predicted / seen",
+        "reached": "version reached",
+    }
+    return format_table(lines, columns)
+
+
+def _plot(slopes: dict[str, Slope], path: Path) -> None:
+    count = math.ceil(len(slopes) / PLOT_COLUMNS)
+    figure, axes = plt.subplots(
+        count, PLOT_COLUMNS, figsize=(4 * PLOT_COLUMNS, 2.6 * count)
+    )
+    for axis in axes.flat[len(slopes) :]:
+        axis.remove()
+    for axis, slope in zip(axes.flat, slopes.values(), strict=False):
+        ends = [0.0, max(slope.sizes)]
+        axis.plot(slope.sizes, slope.costs, "o", markersize=4)
+        axis.plot(ends, [slope.predict(end) for end in ends], linewidth=1)
+        axis.set_title(slope.name, fontsize=9)
+        axis.set_xlabel(slope.size, fontsize=8)
+        axis.set_ylabel(slope.unit, fontsize=8)
+        axis.tick_params(labelsize=7)
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Date": None})
+    plt.close(figure)
--- a/src/bramleystair/bench/_state_slopes.py
+++ b/src/bramleystair/bench/_state_slopes.py
@@ -45,6 +45,7 @@
     """Return the slopes of memory, views and decisions."""
     return [
         *_measure_kinds(),
+        _measure_table_bytes(),
         *_measure_views(),
         _measure_rendezvous(),
         *_measure_ticks(),
@@ -97,6 +98,14 @@
     return slopes
 
 
+def _measure_table_bytes() -> Slope:
+    points = [
+        (count, len(store(build_table(0, count, 9100, 15), FIRST_VERSION).body))
+        for count in MEMBER_SIZES
+    ]
+    return fit_slope("table_bytes", "members", "B", points)
+
+
 def _measure_views() -> list[Slope]:
     table_points, agent_points = [], []
     for factor in FACTORS:
