Send a burst of reports together

Cause: after the loss of a zone or the return of a region, each report travelled in four messages of its own, and healthy members stayed reported while refutations queued behind them.

Change: announcements and reports of failures beyond eight per tick wait for the next tick and go out together. Tables, marks and refutations still go out at once.

--- a/src/bramleystair/replicas/_balancer.py
+++ b/src/bramleystair/replicas/_balancer.py
@@ -33,6 +33,7 @@
     build_report,
     compute_down_version,
     get_incarnation,
+    is_down_version,
     refute_version,
 )
 from bramleystair.tables import (
@@ -78,6 +79,11 @@
 CATCH_UP_PULLS = 64
 
 
+# Announcements and reports of failures beyond this number wait for the next tick and
+# go out together; a burst then takes a message for 20 headers instead of one for each.
+SPREADS_PER_TICK = 8
+
+
 @attrs.frozen
 class _Concerns:
     """Versions that one member needs.
@@ -144,6 +150,7 @@
         self._unchecked: list[str] = []
         self._is_watching = False
         self._unspread: dict[str, list[VersionHeader]] = {}
+        self._spread_count = 0
         self._seen_membership = -1
         self._offers: dict[str, list[str]] = {}
         self._concerns: dict[str, _Concerns] = {}
@@ -168,7 +175,7 @@
                 actions += self._remove_lapsed(prefix, objects, now)
             case Tick():
                 actions += self._advance(now)
-        actions += self._spread()
+        actions += self._spread(isinstance(event, Tick))
         return actions + self._show_view()
 
     def mark_spread(self) -> None:
@@ -292,19 +299,37 @@
                 self._own_spread[key] = version
                 self._note_new(key, "")
 
-    def _spread(self) -> list[ReplicaAction]:
+    def _spread(self, is_tick: bool) -> list[ReplicaAction]:
         self._note_own()
+        if is_tick and len(self._unspread) > 1:
+            merged = [header for rest in self._unspread.values() for header in rest]
+            self._unspread = {"": merged}
+        if is_tick:
+            self._spread_count = 0
+        waiting: dict[str, list[VersionHeader]] = {}
         actions: list[ReplicaAction] = []
-        limit = self._settings.datagram_bytes
         for sender, headers in self._unspread.items():
-            peers = [peer for peer in self._peers if peer != sender]
-            count = min(self._settings.fanout, len(peers))
-            chosen = self._random.sample(peers, count)
-            for batch in split_batches(headers, measure_header, limit):
-                actions += [Send(peer, VersionHeaders(batch)) for peer in chosen]
-        self._unspread = {}
+            if self._spread_count >= SPREADS_PER_TICK:
+                waiting[sender] = [h for h in headers if not _is_urgent(h)]
+                headers = [h for h in headers if _is_urgent(h)]
+            if headers:
+                self._spread_count += 1
+                actions += self._send_headers(sender, headers)
+        self._unspread = {sender: rest for sender, rest in waiting.items() if rest}
         return actions
 
+    def _send_headers(
+        self, sender: str, headers: list[VersionHeader]
+    ) -> list[ReplicaAction]:
+        peers = [peer for peer in self._peers if peer != sender]
+        chosen = self._random.sample(peers, min(self._settings.fanout, len(peers)))
+        limit = self._settings.datagram_bytes
+        return [
+            Send(peer, VersionHeaders(batch))
+            for batch in split_batches(headers, measure_header, limit)
+            for peer in chosen
+        ]
+
     def _take_headers(
         self,
         sender: str,
@@ -561,3 +586,11 @@
         key = LIVENESS_PREFIX + sender
         header = VersionHeader(key, self.store.get_version(key))
         return [Send(sender, VersionHeaders((header,)))]
+
+
+def _is_urgent(header: VersionHeader) -> bool:
+    """Return whether a version goes out at once even in a burst."""
+    if header.key.startswith(LIVENESS_PREFIX):
+        # A refutation returns a healthy member to service.
+        return not is_down_version(header.version)
+    return header.key.startswith(WATCHED_PREFIXES)
--- a/src/bramleystair/replicas/_store.py
+++ b/src/bramleystair/replicas/_store.py
@@ -70,7 +70,8 @@
         self.nodes: dict[str, NodeAnnouncement] = {}
         self._tables_of: dict[str, set[str]] = {}
         self._objects: dict[str, StoredObject] = {}
-        self._buckets: list[set[str]] = [set() for _ in range(FINE_COUNT)]
+        # Dictionaries keep the order of arrival, so that runs can be repeated.
+        self._buckets: list[dict[str, None]] = [{} for _ in range(FINE_COUNT)]
         self._down: dict[str, int] = {}
         self._stale_parts = {*_VIEW_FIELDS.values(), "down"}
         self._view = View()
@@ -83,7 +84,7 @@
         """Hold exactly what `other` holds; for measurements."""
         for name in (*_VIEW_FIELDS.values(), "_objects", "_down"):
             setattr(self, name, dict(getattr(other, name)))
-        self._buckets = [set(bucket) for bucket in other._buckets]
+        self._buckets = [dict(bucket) for bucket in other._buckets]
         self._tables_of = {k: set(v) for k, v in other._tables_of.items()}
         self.digest = list(other.digest)
         self.fine_digest = list(other.fine_digest)
@@ -189,7 +190,7 @@
             change ^= hash_version(known.key, known.version)
         self.fine_digest[fine] ^= change
         self.digest[fine // FINE_PER_BUCKET] ^= change
-        self._buckets[fine].add(item.key)
+        self._buckets[fine][item.key] = None
         self._objects[item.key] = item
 
     def _update_part(self, key: str, decoded) -> None:
