Add the capacity page

Cause: the design asks for each role's load at the planned size against its budget.

Change: docs/CAPACITY.md is written from the data of `bramleystair-bench capacity`. A feature checks that the committed pages are what the committed data gives.

--- /dev/null
+++ b/features/steps/bench_steps.py
@@ -0,0 +1,52 @@
+import math
+from pathlib import Path
+
+from behave import then, when
+
+from bramleystair.bench._capacity_page import find_limit, render_capacity
+from bramleystair.bench._fits import fit_slope
+from bramleystair.bench._report import render_spread
+
+DOCS = Path(__file__).parents[2] / "docs"
+SIZES = range(1, 9)
+
+
+@when("a line of slope 3 from 5 is fitted, exactly and with alternating errors of 1")
+def fit_lines(context):
+    exact = [(size, 5 + 3 * size) for size in SIZES]
+    noisy = [(size, cost + (-1) ** size) for size, cost in exact]
+    context.slopes = [fit_slope("line", "x", "y", points) for points in (exact, noisy)]
+
+
+@then("both fits have slope 3 within their errors, and only the second has an error")
+def check_lines(context):
+    exact, noisy = context.slopes
+    assert math.isclose(exact.slope, 3) and math.isclose(exact.predict(100), 305)
+    assert exact.error < 1e-9
+    assert abs(noisy.slope - 3) < noisy.error < 1
+
+
+@when("the pages are written from docs/capacity")
+def render_pages(context):
+    context.pages = {
+        "CAPACITY.md": render_capacity(DOCS / "capacity"),
+        "spread.md": render_spread(DOCS / "capacity"),
+    }
+
+
+@then("docs/CAPACITY.md and docs/spread.md are these pages")
+def check_pages(context):
+    for name, text in context.pages.items():
+        assert (DOCS / name).read_text() == text, f"{name} was not written by its data"
+
+
+@when("a limit of {limit:f} times the planned size is searched")
+def search_limit(context, limit):
+    context.limit = limit
+    context.found = find_limit(lambda factor: factor <= limit)
+
+
+@then("it is found within {tolerance:f}, and a rule that always holds has none")
+def check_limit(context, tolerance):
+    assert abs(context.found - context.limit) < tolerance
+    assert find_limit(lambda factor: True) == math.inf
--- a/src/bramleystair/bench/_capacity.py
+++ b/src/bramleystair/bench/_capacity.py
@@ -24,6 +24,7 @@
     messages.measure_start,
     messages.measure_digests,
     messages.measure_members,
+    messages.measure_heartbeats,
 )
 
 
--- a/src/bramleystair/bench/_capacity_page.py
+++ b/src/bramleystair/bench/_capacity_page.py
@@ -9,12 +9,15 @@
 
 from bramleystair.bench._capacity import PARTS, read_slopes
 from bramleystair.bench._fits import Slope
+from bramleystair.bench._message_slopes import BURST_ZONES, CUT_S
 from bramleystair.bench._planned import PLANNED, Planned
+from bramleystair.bench._processes import RATE_NODES
 from bramleystair.bench._report import fill_template, format_table
 
 # The pages are written on machines without a display.
 mpl.use("agg")
 mpl.rcParams["svg.hashsalt"] = "bramleystair"
+mpl.rcParams["svg.fonttype"] = "none"
 
 from matplotlib import pyplot as plt  # noqa: E402
 
@@ -25,9 +28,12 @@
 LIST_PERIOD_S = 3600
 PLOT_COLUMNS = 4
 WATCH_TIMEOUT_S = 30
-# A member of a table whose agents use one service each.
+# Objects of an agent with one service of four members. The marks of 15 zones are
+# counted as balancers, of which it holds four.
 HELD_BY_AGENT = {"table": 1, "agent": 4, "liveness": 4, "balancer": 19}
 HELD_LIMIT = 1000.0
+# Rounding errors of the fits are below this, and every measured slope is above.
+NEGLIGIBLE = 1e-9
 
 
 @attrs.frozen
@@ -171,6 +177,12 @@
 
 def write_capacity_page(output: Path) -> None:
     """Write docs/CAPACITY.md and its plot from the data in `output`."""
+    (output.parent / "CAPACITY.md").write_text(render_capacity(output))
+    _plot(read_slopes(output), output / "slopes.svg")
+
+
+def render_capacity(output: Path) -> str:
+    """Return the text of the page from the data in `output`."""
     slopes = read_slopes(output)
     data = {part: json.loads((output / f"{part}.json").read_text()) for part in PARTS}
     rows = data["processes"]["rows"]
@@ -188,16 +200,17 @@
         "process_slopes": _format_process_slopes(slopes),
         **_format_facts(model, rows),
     }
-    (output.parent / "CAPACITY.md").write_text(fill_template("CAPACITY.md", values))
-    _plot(slopes, output / "slopes.svg")
+    return fill_template("CAPACITY.md", values)
 
 
 def show(value: float, digits: int = 3) -> str:
     """Return `value` with `digits` significant digits and separated thousands."""
     if value == math.inf:
         return "none found"
-    if value == 0 or not math.isfinite(value):
-        return str(value)
+    if abs(value) < NEGLIGIBLE or not math.isfinite(value):
+        return "0" if math.isfinite(value) else str(value)
+    if value == round(value):
+        return f"{round(value, digits - 1 - math.floor(math.log10(abs(value)))):,.0f}"
     places = max(0, digits - 1 - math.floor(math.log10(abs(value))))
     rounded = round(value, digits - 1 - math.floor(math.log10(abs(value))))
     return f"{rounded:,.{places}f}"
@@ -344,8 +357,8 @@
     )
     return text + (
         f"\n\nA change wakes {show(model.compute_watches())} watches, which the"
-        f" platform answers and gets again. After an outage or a restart of the whole fleet,"
-        f" {model.members:,} announcements are written; at"
+        f" platform answers and gets again.\nAfter an outage or a restart of the whole"
+        f" fleet, {model.members:,} announcements are written;\nat"
         f" {sizes.platform_writes_per_s} writes/s this takes {show(first_writes)} s,"
         f" against a lease of {show(3 * sizes.lease_renew_s)} s."
     )
@@ -506,6 +519,22 @@
         "view_agent": show(model.predict("view_agent", model.objects)),
         "process_count": str(max(row["nodes"] for row in rows)),
         "table_bytes": show(slopes["table_bytes"].predict(4)),
+        "heartbeat_bytes": show(slopes["heartbeat_bytes"].predict(1)),
+        "digest_bytes": show(slopes["digest_bytes"].predict(model.objects)),
+        "reconcile_bytes": show(model.predict("reconcile", model.objects)),
+        "cut_s": show(CUT_S),
+        "cut_share": f"{1 / BURST_ZONES:.0%}",
+        "cut_least": show(min(slopes["rejoin_bytes"].sizes)),
+        "cut_most": show(max(slopes["rejoin_bytes"].sizes)),
+        "region_factor": show(
+            model.members / model.sizes.regions / max(slopes["rejoin_bytes"].sizes), 2
+        ),
+        "zone_factor": show(
+            model.members / model.sizes.zones / max(slopes["zone_lost_bytes"].sizes), 2
+        ),
+        "rate_nodes": str(RATE_NODES),
+        "writes_limit": str(model.sizes.platform_writes_per_s),
+        "watch_s": str(WATCH_TIMEOUT_S),
     }
 
 
--- a/src/bramleystair/bench/_message_slopes.py
+++ b/src/bramleystair/bench/_message_slopes.py
@@ -3,9 +3,9 @@
 import statistics
 from random import Random
 
-from bramleystair.bench._carrier import Carrier
+from bramleystair.bench._carrier import HEADERS_BYTES, Carrier
 from bramleystair.bench._fits import MICRO, Slope, fit_slope
-from bramleystair.bench._fleet import build_fleet, introduce
+from bramleystair.bench._fleet import BALANCER_PORT, build_fleet, introduce
 from bramleystair.bench._planned import (
     FACTORS,
     FIRST_VERSION,
@@ -19,6 +19,8 @@
     AgentReplica,
     LoadsChanged,
     MessageArrived,
+    ObjectStore,
+    Peer,
     PlatformObjects,
     RenewLease,
     ReplicaSettings,
@@ -26,12 +28,13 @@
     WatchWanted,
 )
 from bramleystair.tables import Member, Protocol, Table, compute_service_id
-from bramleystair.wire import Heartbeat, ServiceLoad, encode
+from bramleystair.wire import Digest, Heartbeat, HeartbeatReply, ServiceLoad, encode
 
 FLEET_SIZES = (8, 16, 24, 40, 60)
 SPREAD_SIZES = (10, 50, 100, 300, 600, 1200)
 LOST_SIZES = (10, 20, 30, 40, 60)
 MEMBER_SIZES = (4, 8, 16, 32, 64)
+SERVICE_SIZES = (1, 2, 4, 8, 16)
 REPLACED_SIZES = (5, 10, 15, 20, 30)
 RENEW_SIZES = (100, 200, 300, 400, 500)
 ZONE_SIZES = (1, 3, 6, 10, 15)
@@ -39,10 +42,11 @@
 FLEET_ZONES = 4
 WARM_UP_S = 8.0
 MEASURED_S = 10.0
+BURST_ZONES = 5
 CUT_S = 60.0
 REJOIN_S = 15.0
-RENEW_SECONDS = 6000
-RENEW_TICK_S = 10
+RENEW_SECONDS = 2400
+RENEW_TICK_S = 2
 
 
 def create_carrier(balancers: int, zones: int, is_checked: bool = True) -> Carrier:
@@ -185,8 +189,30 @@
     return [fit_slope("reconcile", "objects", "B", points)]
 
 
+def measure_heartbeats() -> list[Slope]:
+    """Return the bytes of an unchanged heartbeat with its answer, and of a digest."""
+    points = []
+    for count in SERVICE_SIZES:
+        loads = tuple(ServiceLoad(index, 2000, 3, 2000, 3) for index in range(count))
+        services = tuple(f"service-{index}" for index in range(count))
+        sent = encode("s1", 1, Heartbeat(1, False, 1, loads, services))
+        answer = encode("b1", 1, HeartbeatReply(1))
+        points.append((count, len(sent) + len(answer) + 2 * HEADERS_BYTES))
+    digests = []
+    for factor in FACTORS:
+        held = ObjectStore()
+        for item in build_objects(PLANNED.scale(factor)):
+            held.put(item)
+        size = len(encode("b1", 1, Digest(tuple(held.digest))))
+        digests.append((len(held), size + HEADERS_BYTES))
+    return [
+        fit_slope("heartbeat_bytes", "services", "B", points),
+        fit_slope("digest_bytes", "objects", "B", digests),
+    ]
+
+
 def measure_members() -> list[Slope]:
-    """Return the bytes of a heartbeat's answer after a change, and of load reports."""
+    """Return the bytes of a heartbeat's answer after a change."""
     points = []
     for count in MEMBER_SIZES:
         fleet = build_fleet(4, 0, 2, (), 1)
@@ -235,8 +261,8 @@
     """Return what the loss of an availability zone costs each other balancer."""
     total, peak = [], []
     for balancers in LOST_SIZES:
-        carrier = create_carrier(balancers, 5, is_checked=False)
-        lost = [n for n in carrier.replicas if int(n[1:]) % 5 == 0]
+        carrier = create_carrier(balancers, BURST_ZONES, is_checked=False)
+        lost = [n for n in carrier.replicas if int(n[1:]) % BURST_ZONES == 0]
         idle = _run_seconds(carrier, 5)
         for name in lost:
             carrier.remove(name)
@@ -254,9 +280,9 @@
     """Return what the return of a region that was cut off costs each balancer."""
     total, peak = [], []
     for balancers in LOST_SIZES:
-        carrier = create_carrier(balancers, 5, is_checked=False)
+        carrier = create_carrier(balancers, BURST_ZONES, is_checked=False)
         idle = statistics.mean(_run_seconds(carrier, 5))
-        far = {n for n in carrier.replicas if int(n[1:]) % 5 == 0}
+        far = {n for n in carrier.replicas if int(n[1:]) % BURST_ZONES == 0}
         carrier.faults.is_cut = lambda a, b, far=far: (a in far) != (b in far)
         carrier.run(CUT_S)
         carrier.faults.is_cut = lambda a, b: False
@@ -287,8 +313,7 @@
 
 
 def _restart(name: str) -> AgentReplica:
-    fleet = build_fleet(0, int(name[1:]) + 1, FLEET_ZONES, (), 2)
-    seeds = fleet[name]._settings.seeds
+    seeds = (Peer("b0", "127.0.0.1", BALANCER_PORT),)
     zone = f"z{int(name[1:]) % FLEET_ZONES}"
     return AgentReplica(name, zone, 2, (), ReplicaSettings(seeds=seeds), Random(2))
 
--- a/src/bramleystair/bench/_report.py
+++ b/src/bramleystair/bench/_report.py
@@ -37,8 +37,9 @@
     return Template((TEMPLATES / name).read_text()).substitute(values)
 
 
-def render_spread(data: dict) -> dict[str, str]:
-    """Return the values of the page on spreading."""
+def render_spread(data_path: Path) -> str:
+    """Return the text of the page on spreading from its data."""
+    data = json.loads((data_path / "spread.json").read_text())
     columns = {
         "strategy": "strategy",
         "loss": "loss",
@@ -52,11 +53,9 @@
     for count in (10, 100, 1200):
         rows = [row for row in data["rows"] if row["nodes"] == count]
         values[f"table_{count}"] = format_table(rows, columns)
-    return values
+    return fill_template("spread.md", values)
 
 
-def render_spread_page(data_path: Path) -> None:
-    """Write docs/spread.md from its data."""
-    data = json.loads((data_path / "spread.json").read_text())
-    page = fill_template("spread.md", render_spread(data))
-    (data_path.parent / "spread.md").write_text(page)
+def write_spread_page(data_path: Path) -> None:
+    """Write docs/spread.md beside the directory of its data."""
+    (data_path.parent / "spread.md").write_text(render_spread(data_path))
--- a/src/bramleystair/bench/_spread.py
+++ b/src/bramleystair/bench/_spread.py
@@ -10,7 +10,7 @@
 from bramleystair.actions import Send
 from bramleystair.bench._carrier import Carrier
 from bramleystair.bench._fleet import build_fleet, introduce
-from bramleystair.bench._report import render_spread_page, write_data
+from bramleystair.bench._report import write_data, write_spread_page
 from bramleystair.replicas import MessageArrived, PlatformObjects, Tick
 from bramleystair.tables import Member, Protocol, Table, encode_object
 from bramleystair.wire import (
@@ -234,7 +234,7 @@
         "rows": rows,
     }
     write_data(output / "spread.json", data)
-    render_spread_page(output)
+    write_spread_page(output)
 
 
 def _run_all(seed: int) -> list[dict]:
