--- a/features/bench.feature
+++ b/features/bench.feature
@@ -13,3 +13,7 @@
   Scenario: A limit is where its rule says
     When a limit of 2.5 times the planned size is searched
     Then it is found within 0.001, and a rule that always holds has none
+
+  Scenario: Every command can be called
+    When the help of each measurement is asked for
+    Then each is printed without an error
--- a/features/steps/bench_steps.py
+++ b/features/steps/bench_steps.py
@@ -1,8 +1,11 @@
+import contextlib
+import io
 import math
 from pathlib import Path
 
 from behave import then, when
 
+from bramleystair.bench import COMMANDS, main
 from bramleystair.bench._capacity_page import find_limit, render_capacity
 from bramleystair.bench._fits import fit_slope
 from bramleystair.bench._report import render_spread
@@ -50,3 +53,22 @@
 def check_limit(context, tolerance):
     assert abs(context.found - context.limit) < tolerance
     assert find_limit(lambda factor: True) == math.inf
+
+
+@when("the help of each measurement is asked for")
+def ask_help(context):
+    context.outcomes = {}
+    for command in COMMANDS:
+        text = io.StringIO()
+        try:
+            with contextlib.redirect_stdout(text):
+                main([command, "--help"])
+        except SystemExit as ending:
+            context.outcomes[command] = (ending.code, text.getvalue())
+
+
+@then("each is printed without an error")
+def check_help(context):
+    assert set(context.outcomes) == set(COMMANDS)
+    for command, (code, text) in context.outcomes.items():
+        assert code == 0 and command in text, (command, code, text)
--- a/src/bramleystair/bench/__init__.py
+++ b/src/bramleystair/bench/__init__.py
@@ -1,5 +1,7 @@
 """Measurements of the decision modules."""
 
+from collections.abc import Sequence
+
 import defopt
 
 from bramleystair.bench._capacity import measure_capacity
@@ -23,6 +25,6 @@
 }
 
 
-def main() -> None:
-    """Run `bramleystair-bench`."""
-    defopt.run(COMMANDS)
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run `bramleystair-bench` with `arguments`, or those of the process."""
+    defopt.run(COMMANDS, argv=arguments)
