Keep packets that arrive before the table they belong to

Cause: an agent that joined or restarted refused packets of its service until it held the table that the balancers already used, which stalled open flows for seconds. Change: such packets wait up to 3 s, at most 4,096, and are handled when the view arrives; an agent whose row was removed still follows its redirects.

--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -1,6 +1,7 @@
 """State machine that decides what an agent does with flows."""
 
 import random as random_module
+from collections import deque
 
 import attrs
 from result import Err, Ok, Result
@@ -78,6 +79,7 @@
         self._registrar = Registrar(server, settings)
         self._rotated_s: float | None = None
         self._waiting: dict[bytes, WaitingFlow] = {}
+        self._early: deque[tuple[float, str, Forward]] = deque()
         self._placement = Placement(server, settings, random)
         self._refusals: dict[bytes, tuple[float, str]] = {}
         self._now = 0.0
@@ -186,7 +188,7 @@
             return
         service = self._services.get(message.service_id)
         if service is None or service.row is None:
-            self._refuse_service(sender, message)
+            self._refuse_or_keep(sender, service, message)
             return
         if message.place:
             self._accept_placement(sender, message, headers)
@@ -211,6 +213,30 @@
                 return
         self._deliver(entry, headers, message.packet)
 
+    def _refuse_or_keep(
+        self, sender: str, service: Service | None, message: Forward
+    ) -> None:
+        owner = self._redirects.get(message.service_id, message.flow)
+        if owner and not message.place:
+            # Its row was removed, but not all balancers have the new table yet.
+            self._pass_on(owner, message)
+            return
+        version = service.table.version if service else 0
+        is_early = message.table_version > version and not message.place
+        if not is_early or len(self._early) >= self._settings.queue_flows:
+            self._refuse_service(sender, message)
+            return
+        due_s = self._now + self._settings.early_timeout_s
+        self._early.append((due_s, sender, message))
+
+    def _retry_early(self) -> None:
+        early, self._early = self._early, deque()
+        for due_s, sender, message in early:
+            if self._now >= due_s:
+                self._refuse_service(sender, message)
+            else:
+                self._handle_forward(sender, message)
+
     def _refuse_service(self, sender: str, message: Forward) -> None:
         self._outbox.count("flow_refused", "wrong_service")
         if message.place:
@@ -614,6 +640,7 @@
         self._redirects.drop_owners(lambda owner: self._is_gone(owner, view))
         self._change_zone(view)
         self._review_waiting()
+        self._retry_early()
         self._placement.forget(lambda server: not view.is_live(server))
 
     def _is_gone(self, owner: Owner, view: View) -> bool:
@@ -665,6 +692,9 @@
                 self._run_placement(flow, waiting)
             else:
                 self._run_query(flow, waiting)
+        while self._early and self._now >= self._early[0][0]:
+            _, sender, message = self._early.popleft()
+            self._refuse_service(sender, message)
         self._expire_refusals()
         for flow, _ in self._flows.sweep(self._now):
             self._registrar.enqueue(flow)
--- a/src/bramleystair/flows/_settings.py
+++ b/src/bramleystair/flows/_settings.py
@@ -26,6 +26,8 @@
         Interval between repeated queries.
     change_window_s : float
         Time after a change during which nodes may hold different views.
+    early_timeout_s : float
+        How long a packet waits for the table that its sender already holds.
     queue_packets_per_flow, queue_flows : int
         Bounds of the packets and flows that wait for an answer.
     load_fresh_s : float
@@ -69,6 +71,7 @@
     doubt_s: float = 0.5
     query_retry_s: float = 0.2
     change_window_s: float = 10.0
+    early_timeout_s: float = 3.0
     queue_packets_per_flow: int = 8
     queue_flows: int = 4096
     load_fresh_s: float = 3.0
