--- a/src/bramleystair/packets/_headers.py
+++ b/src/bramleystair/packets/_headers.py
@@ -53,6 +53,7 @@
     has_payload: bool
     is_reset: bool
     is_fin: bool
+    has_acknowledgement: bool = False
     sequence: int = 0
     acknowledgement: int = 0
     next_sequence: int = 0
@@ -166,6 +167,7 @@
             payload > 0,
             bool(flags & RST),
             bool(flags & FIN),
+            bool(flags & ACK),
             sequence,
             acknowledgement if flags & ACK else 0,
             (sequence + length) & 0xFFFFFFFF,
--- a/src/bramleystair/packets/_reset.py
+++ b/src/bramleystair/packets/_reset.py
@@ -4,7 +4,6 @@
 
 from bramleystair.packets._headers import (
     ACK,
-    IPV6_BYTES,
     RST,
     TCP,
     TCP_MIN_BYTES,
@@ -14,7 +13,6 @@
 
 HOP_LIMIT = 64
 IPV4_BYTES = 20
-SYN_ACK_NUMBER_OFFSET = 13
 
 _IPV4 = struct.Struct("!BBHHHBBH")
 _IPV6 = struct.Struct("!IHBB")
@@ -31,16 +29,11 @@
     if headers is None or headers.protocol != TCP or headers.is_reset:
         return b""
     flow = reverse_flow(headers.flow)
-    if _has_acknowledgement(packet):
+    if headers.has_acknowledgement:
         return build_segment(flow, headers.acknowledgement, 0, RST)
     return build_segment(flow, 0, headers.next_sequence, RST | ACK)
 
 
-def _has_acknowledgement(packet: bytes) -> bool:
-    start = (packet[0] & 0x0F) * 4 if packet[0] >> 4 == 4 else IPV6_BYTES
-    return bool(packet[start + SYN_ACK_NUMBER_OFFSET] & ACK)
-
-
 def build_segment(
     flow: bytes, sequence: int, acknowledgement: int, flags: int
 ) -> bytes:
