Look up a flow that another member asked about

Cause: a member with an older view placed a new flow at once although another member was looking up the same flow, and a datagram flow was placed anew when three answers of its owner were lost. Change: a flow named in a query counts as unsettled for 3 s; datagrams of unknown flows wait for members as long as segments do.

--- a/features/steps/flows_fleet.py
+++ b/features/steps/flows_fleet.py
@@ -113,7 +113,7 @@
 
     def restart(self, server):
         state = self.agents[server].export_state()
-        cold_s = self.cold_s[server]
+        cold_s = self.cold_s.get(server, self.now)
         self.start(server)
         self.held[server] = 0
         self.cold_s[server] = cold_s
@@ -137,7 +137,8 @@
         for caller in self.callers.values():
             if self.is_given_up(caller):
                 caller.state = "lost"
-        self.publish()
+        # Marks are in force within 3 s, also where other changes take longer.
+        self.publish(uneven_s=min(2.0, self.uneven_s))
 
     def join(self, server, **values):
         self.members[server] = Member(server, "z1", 1.0, 2000, 9)
--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -82,6 +82,7 @@
         self._early: deque[tuple[float, str, Forward]] = deque()
         self._placement = Placement(server, settings, random)
         self._refusals: dict[bytes, tuple[float, str]] = {}
+        self._inquiries: dict[bytes, float] = {}
         self._now = 0.0
         self._is_zone_out = False
 
@@ -306,6 +307,8 @@
         # Otherwise another member may have placed the flow under another view.
         if message.hops > 0 or self._now < service.unsettled_until_s:
             return False
+        if message.flow in self._inquiries:
+            return False
         if message.table_version != service.table.version:
             return False
         home = service.find_home(message.flow)
@@ -319,7 +322,7 @@
 
     def _query_members(self, flow: bytes, waiting: WaitingFlow) -> None:
         timeout_s = self._settings.query_timeout_s
-        if waiting.is_opening:
+        if waiting.is_opening and flow[0] == Protocol.TCP:
             timeout_s = self._settings.first_query_timeout_s
         waiting.deadline_s = self._now + timeout_s
         waiting.retry_s = self._now + self._settings.query_retry_s
@@ -339,8 +342,14 @@
             is_owner, owner = entry.is_established, self._server
         else:
             is_owner, owner = False, self._find_owner(sender, service_id, flow)
+            self._record_inquiry(flow)
         self._outbox.send(sender, FlowQueryReply(service_id, flow, owner, is_owner))
 
+    def _record_inquiry(self, flow: bytes) -> None:
+        self._inquiries.pop(flow, None)
+        if len(self._inquiries) < self._settings.queue_flows:
+            self._inquiries[flow] = self._now + self._settings.place_timeout_s
+
     def _find_owner(self, sender: str, service_id: int, flow: bytes) -> str:
         waiting = self._waiting.get(flow)
         if waiting is None or waiting.service_id != service_id:
@@ -706,6 +715,7 @@
             _, sender, message = self._early.popleft()
             self._refuse_service(sender, message)
         self._expire_refusals()
+        self._expire_inquiries()
         for flow, _ in self._flows.sweep(self._now):
             self._registrar.enqueue(flow)
         self._registrar.run(
@@ -717,6 +727,12 @@
             self._rotated_s = self._now
             self._redirects.rotate()
 
+    def _expire_inquiries(self) -> None:
+        for flow, until_s in list(self._inquiries.items()):
+            if self._now < until_s:
+                return
+            del self._inquiries[flow]
+
     def _expire_refusals(self) -> None:
         for flow, (until_s, _) in list(self._refusals.items()):
             if self._now < until_s:
--- a/src/bramleystair/flows/_settings.py
+++ b/src/bramleystair/flows/_settings.py
@@ -15,11 +15,11 @@
     max_hops : int
         Most times that a packet is passed on between agents.
     query_timeout_s : float
-        Time after which a segment of an unknown flow is answered by a reset. It equals
-        the time after which a silent agent is reported down, so that an owner that is
-        only slow is not taken for lost.
+        Time after which a segment of an unknown flow is answered by a reset, and a
+        datagram opens a flow. It equals the time after which a silent agent is
+        reported down, so that an owner that is only slow is not taken for lost.
     first_query_timeout_s : float
-        The same for a packet that may open a flow, which waits meanwhile.
+        Time after which the first segment of a TCP flow opens it.
     doubt_s : float
         How long answers of members reported down are awaited.
     query_retry_s : float
