Ask the member that inquired about a flow

Cause: a member that had just joined looked up a flow, and a member whose view did not contain it yet looked up the same flow without asking it. Change: a lookup also asks the sender of a recent query for the same flow; simulated callers acknowledge as soon as they are connected.

--- a/features/steps/flows_fleet.py
+++ b/features/steps/flows_fleet.py
@@ -341,6 +341,8 @@
             return
         if caller.state == "opening":
             caller.state, caller.server = "open", server
+            if is_syn:
+                self.schedule(0.002, lambda: self.send(caller, ACK))
         caller.waits = False
         if self.protocol is Protocol.UDP:
             answer = build_udp(reverse_flow(flow))
--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -82,7 +82,7 @@
         self._early: deque[tuple[float, str, Forward]] = deque()
         self._placement = Placement(server, settings, random)
         self._refusals: dict[bytes, tuple[float, str]] = {}
-        self._inquiries: dict[bytes, float] = {}
+        self._inquiries: dict[bytes, tuple[float, str]] = {}
         self._now = 0.0
         self._is_zone_out = False
 
@@ -327,8 +327,11 @@
         waiting.deadline_s = self._now + timeout_s
         waiting.retry_s = self._now + self._settings.query_retry_s
         service = self._services.get(waiting.service_id)
-        for server in service.peers:
-            self._ask(flow, waiting, server)
+        # A member that asked for the flow may not be in this agent's view yet.
+        _, inquirer = self._inquiries.get(flow, (0.0, ""))
+        for server in dict.fromkeys((*service.peers, inquirer)):
+            if server:
+                self._ask(flow, waiting, server)
         if not waiting.members:
             self._end_query(flow, waiting)
 
@@ -342,13 +345,14 @@
             is_owner, owner = entry.is_established, self._server
         else:
             is_owner, owner = False, self._find_owner(sender, service_id, flow)
-            self._record_inquiry(flow)
+            self._record_inquiry(sender, flow)
         self._outbox.send(sender, FlowQueryReply(service_id, flow, owner, is_owner))
 
-    def _record_inquiry(self, flow: bytes) -> None:
+    def _record_inquiry(self, sender: str, flow: bytes) -> None:
         self._inquiries.pop(flow, None)
         if len(self._inquiries) < self._settings.queue_flows:
-            self._inquiries[flow] = self._now + self._settings.place_timeout_s
+            until_s = self._now + self._settings.place_timeout_s
+            self._inquiries[flow] = (until_s, sender)
 
     def _find_owner(self, sender: str, service_id: int, flow: bytes) -> str:
         waiting = self._waiting.get(flow)
@@ -700,7 +704,8 @@
                 del self._waiting[flow]
                 self._outbox.count("flow_refused", "zone_out")
             elif not waiting.is_placing:
-                waiting.members.intersection_update(service.peers)
+                known = {*service.peers, *waiting.hints}
+                waiting.members.intersection_update(known)
             elif waiting.targets[0] not in service.live:
                 waiting.targets.pop(0)
                 self._try_target(flow, waiting)
@@ -728,7 +733,7 @@
             self._redirects.rotate()
 
     def _expire_inquiries(self) -> None:
-        for flow, until_s in list(self._inquiries.items()):
+        for flow, (until_s, _) in list(self._inquiries.items()):
             if self._now < until_s:
                 return
             del self._inquiries[flow]
