Await members that the view does not hold yet

Cause: a lookup took a member that had asked for the flow, but is not in this agent's view yet, for one that was reported down, and went on after 0.5 s. Change: only members that the view holds as down are awaited for 0.5 s.

--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -745,8 +745,9 @@
             del self._refusals[flow]
 
     def _run_query(self, flow: bytes, waiting: WaitingFlow) -> None:
-        live = self._services.get(waiting.service_id).live
-        is_doubtful = waiting.members.isdisjoint(live)
+        service = self._services.get(waiting.service_id)
+        down = {server for server in service.peers if server not in service.live}
+        is_doubtful = waiting.members <= down
         if is_doubtful and self._now >= waiting.started_s + self._settings.doubt_s:
             self._end_query(flow, waiting)
             return
