--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -1,6 +1,7 @@
 """State machine that decides what an agent does with flows."""
 
 import random as random_module
+from collections import deque
 
 import attrs
 from result import Err, Ok, Result
@@ -78,8 +79,10 @@
         self._registrar = Registrar(server, settings)
         self._rotated_s: float | None = None
         self._waiting: dict[bytes, WaitingFlow] = {}
+        self._early: deque[tuple[float, str, Forward]] = deque()
         self._placement = Placement(server, settings, random)
         self._refusals: dict[bytes, tuple[float, str]] = {}
+        self._inquiries: dict[bytes, tuple[float, str]] = {}
         self._now = 0.0
         self._is_zone_out = False
 
@@ -186,7 +189,7 @@
             return
         service = self._services.get(message.service_id)
         if service is None or service.row is None:
-            self._refuse_service(sender, message)
+            self._refuse_or_keep(sender, service, message)
             return
         if message.place:
             self._accept_placement(sender, message, headers)
@@ -211,6 +214,30 @@
                 return
         self._deliver(entry, headers, message.packet)
 
+    def _refuse_or_keep(
+        self, sender: str, service: Service | None, message: Forward
+    ) -> None:
+        owner = self._redirects.get(message.service_id, message.flow)
+        if owner and not message.place:
+            # Its row was removed, but not all balancers have the new table yet.
+            self._pass_on(owner, message)
+            return
+        version = service.table.version if service else 0
+        is_early = message.table_version > version and not message.place
+        if not is_early or len(self._early) >= self._settings.queue_flows:
+            self._refuse_service(sender, message)
+            return
+        due_s = self._now + self._settings.early_timeout_s
+        self._early.append((due_s, sender, message))
+
+    def _retry_early(self) -> None:
+        early, self._early = self._early, deque()
+        for due_s, sender, message in early:
+            if self._now >= due_s:
+                self._refuse_service(sender, message)
+            else:
+                self._handle_forward(sender, message)
+
     def _refuse_service(self, sender: str, message: Forward) -> None:
         self._outbox.count("flow_refused", "wrong_service")
         if message.place:
@@ -256,14 +283,14 @@
         self, sender: str, service: Service, message: Forward, headers: PacketHeaders
     ) -> None:
         flow = message.flow
-        if message.hops > 0:
-            # The sender's redirect is out of date.
-            drop = RedirectDrop(service.service_id, (flow,), self._server)
-            self._outbox.send(sender, drop)
         waiting = self._waiting.get(flow)
         if waiting is not None:
             self._queue_packet(waiting, message.packet)
             return
+        if message.hops > 0:
+            # The sender's redirect is out of date.
+            drop = RedirectDrop(service.service_id, (flow,), self._server)
+            self._outbox.send(sender, drop)
         if len(self._waiting) >= self._settings.queue_flows:
             self._outbox.count("packet_dropped", "queue_flows")
             return
@@ -280,6 +307,8 @@
         # Otherwise another member may have placed the flow under another view.
         if message.hops > 0 or self._now < service.unsettled_until_s:
             return False
+        if message.flow in self._inquiries:
+            return False
         if message.table_version != service.table.version:
             return False
         home = service.find_home(message.flow)
@@ -293,13 +322,16 @@
 
     def _query_members(self, flow: bytes, waiting: WaitingFlow) -> None:
         timeout_s = self._settings.query_timeout_s
-        if waiting.is_opening:
+        if waiting.is_opening and flow[0] == Protocol.TCP:
             timeout_s = self._settings.first_query_timeout_s
         waiting.deadline_s = self._now + timeout_s
         waiting.retry_s = self._now + self._settings.query_retry_s
         service = self._services.get(waiting.service_id)
-        for server in service.peers:
-            self._ask(flow, waiting, server)
+        # A member that asked for the flow may not be in this agent's view yet.
+        _, inquirer = self._inquiries.get(flow, (0.0, ""))
+        for server in dict.fromkeys((*service.peers, inquirer)):
+            if server:
+                self._ask(flow, waiting, server)
         if not waiting.members:
             self._end_query(flow, waiting)
 
@@ -313,8 +345,15 @@
             is_owner, owner = entry.is_established, self._server
         else:
             is_owner, owner = False, self._find_owner(sender, service_id, flow)
+            self._record_inquiry(sender, flow)
         self._outbox.send(sender, FlowQueryReply(service_id, flow, owner, is_owner))
 
+    def _record_inquiry(self, sender: str, flow: bytes) -> None:
+        self._inquiries.pop(flow, None)
+        if len(self._inquiries) < self._settings.queue_flows:
+            until_s = self._now + self._settings.place_timeout_s
+            self._inquiries[flow] = (until_s, sender)
+
     def _find_owner(self, sender: str, service_id: int, flow: bytes) -> str:
         waiting = self._waiting.get(flow)
         if waiting is None or waiting.service_id != service_id:
@@ -441,6 +480,9 @@
         flow = message.flow
         waiting = self._waiting.get(flow)
         owner = self._redirects.get(message.service_id, flow)
+        if owner == sender:
+            # It was left the flow when both looked it up.
+            owner = ""
         if owner or (waiting is not None and waiting.is_placing):
             # This agent places the flow, or has placed it, under another view.
             self._reply_place(sender, message, "")
@@ -490,11 +532,17 @@
         if waiting is not None and waiting.targets[:1] == [sender]:
             self._end_placement(flow, waiting, sender, message.accepted)
             return
-        if not message.accepted:
-            return
-        if self._redirects.get(message.service_id, flow) != sender:
-            # The placement was given up, or made elsewhere, before this answer.
-            self._abandon(sender, message.service_id, flow)
+        if message.accepted:
+            self._take_late_acceptance(sender, message.service_id, flow)
+
+    def _take_late_acceptance(self, sender: str, service_id: int, flow: bytes) -> None:
+        is_owned = self._flows.get(service_id, flow) is not None
+        owner = self._redirects.get(service_id, flow)
+        if is_owned or flow in self._waiting or owner not in ("", sender):
+            # The flow was placed elsewhere before this answer.
+            self._abandon(sender, service_id, flow)
+        elif not owner:
+            self._redirects.put(service_id, flow, sender)
 
     def _end_placement(
         self, flow: bytes, waiting: WaitingFlow, target: str, accepted: bool
@@ -604,6 +652,7 @@
         self._flows.end(flow)
 
     def _change_view(self, view: View) -> None:
+        self._cold_start.start(self._now)
         for service in self._services.update(view, self._now):
             self._registrar.start_scan(service.service_id, self._flows.entries)
         self._outbox.blocked = frozenset(
@@ -614,6 +663,7 @@
         self._redirects.drop_owners(lambda owner: self._is_gone(owner, view))
         self._change_zone(view)
         self._review_waiting()
+        self._retry_early()
         self._placement.forget(lambda server: not view.is_live(server))
 
     def _is_gone(self, owner: Owner, view: View) -> bool:
@@ -654,7 +704,8 @@
                 del self._waiting[flow]
                 self._outbox.count("flow_refused", "zone_out")
             elif not waiting.is_placing:
-                waiting.members.intersection_update(service.peers)
+                known = {*service.peers, *waiting.hints}
+                waiting.members.intersection_update(known)
             elif waiting.targets[0] not in service.live:
                 waiting.targets.pop(0)
                 self._try_target(flow, waiting)
@@ -665,7 +716,11 @@
                 self._run_placement(flow, waiting)
             else:
                 self._run_query(flow, waiting)
+        while self._early and self._now >= self._early[0][0]:
+            _, sender, message = self._early.popleft()
+            self._refuse_service(sender, message)
         self._expire_refusals()
+        self._expire_inquiries()
         for flow, _ in self._flows.sweep(self._now):
             self._registrar.enqueue(flow)
         self._registrar.run(
@@ -677,6 +732,12 @@
             self._rotated_s = self._now
             self._redirects.rotate()
 
+    def _expire_inquiries(self) -> None:
+        for flow, (until_s, _) in list(self._inquiries.items()):
+            if self._now < until_s:
+                return
+            del self._inquiries[flow]
+
     def _expire_refusals(self) -> None:
         for flow, (until_s, _) in list(self._refusals.items()):
             if self._now < until_s:
@@ -684,8 +745,9 @@
             del self._refusals[flow]
 
     def _run_query(self, flow: bytes, waiting: WaitingFlow) -> None:
-        live = self._services.get(waiting.service_id).live
-        is_doubtful = waiting.members.isdisjoint(live)
+        service = self._services.get(waiting.service_id)
+        down = {server for server in service.peers if server not in service.live}
+        is_doubtful = waiting.members <= down
         if is_doubtful and self._now >= waiting.started_s + self._settings.doubt_s:
             self._end_query(flow, waiting)
             return
