Send frames from the calling thread while the system takes them

Cause: each message between a balancer and an agent changed threads once more to be written. Change: a connection sends at once when nothing waits, and queues the rest for its writer. Conclusion: the writer is only needed for peers that read slowly.

--- a/src/bramleystair/wire/_stream.py
+++ b/src/bramleystair/wire/_stream.py
@@ -1,8 +1,8 @@
 """Length-prefixed envelopes over TCP."""
 
+import collections
 import concurrent.futures
 import logging
-import queue
 import socket
 import struct
 import threading
@@ -67,7 +67,10 @@
 
 
 class Connection:
-    """One connection with a writer of its own, so that senders never block.
+    """One connection on which senders never block.
+
+    A frame is sent at once while the system takes it, and by the connection's writer
+    otherwise, which saves a change of threads for most frames.
 
     Parameters
     ----------
@@ -86,23 +89,31 @@
         self.peer = peer
         self.address = address
         self._sock = sock
-        self._queue: queue.Queue[bytes | None] = queue.Queue(MAX_QUEUED_MESSAGES)
-        self._is_closed = threading.Event()
+        self._is_open = False
+        self._is_closed = False
+        # The first frame stays in the queue while the writer sends it.
+        self._waiting: collections.deque[bytes | memoryview] = collections.deque()
+        self._changed = threading.Condition()
 
     @property
     def is_closed(self) -> bool:
         """Return whether the connection has ended."""
-        return self._is_closed.is_set()
+        return self._is_closed
 
     def send(self, frame: bytes) -> Result[None, StepError]:
-        """Queue a frame for the writer."""
-        if self.is_closed:
-            return Err(StepError("send frame", self.peer, "connection closed"))
-        try:
-            self._queue.put_nowait(frame)
-        except queue.Full:
-            detail = f"{MAX_QUEUED_MESSAGES} messages are waiting"
-            return Err(StepError("send frame", self.peer, detail))
+        """Send a frame, or queue what the system does not take at once."""
+        with self._changed:
+            if self._is_closed:
+                return Err(StepError("send frame", self.peer, "connection closed"))
+            if len(self._waiting) >= MAX_QUEUED_MESSAGES:
+                detail = f"{MAX_QUEUED_MESSAGES} messages are waiting"
+                return Err(StepError("send frame", self.peer, detail))
+            sent = 0
+            if self._is_open and not self._waiting:
+                sent = self._send_now(frame)
+            if sent < len(frame):
+                self._waiting.append(memoryview(frame)[sent:])
+                self._changed.notify()
         return Ok(None)
 
     def open(self) -> Result[None, StepError]:
@@ -115,18 +126,22 @@
                 self._sock.setsockopt(level, option, value)
         except OSError as error:
             return Err(StepError("connect", self.peer, str(error)))
-        if self.is_closed:
-            self._sock.close()
-            return Err(StepError("connect", self.peer, "connection closed"))
+        with self._changed:
+            if self._is_closed:
+                self._sock.close()
+                return Err(StepError("connect", self.peer, "connection closed"))
+            self._is_open = True
         return Ok(None)
 
     def write_all(self) -> Result[None, StepError]:
         """Write queued frames until the connection ends."""
         timeout = struct.pack("ll", int(SEND_TIMEOUT_S), 0)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeout)
         try:
-            while (frame := self._queue.get()) is not None:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeout)
+            while (frame := self._get_next()) is not None:
                 self._sock.sendall(frame)
+                with self._changed:
+                    self._waiting.popleft()
         except OSError as error:
             return Err(StepError("send frame", self.peer, str(error)))
         finally:
@@ -144,16 +159,27 @@
 
     def close(self) -> None:
         """End the connection, and with it its reader and writer."""
-        if self._is_closed.is_set():
-            return
-        self._is_closed.set()
-        try:
-            self._queue.put_nowait(None)
-        except queue.Full:
-            log.warning("wire: closing %s with a full queue", self.peer)
+        with self._changed:
+            if self._is_closed:
+                return
+            self._is_closed = True
+            self._changed.notify_all()
         if self._sock is not None:
             _shut_down(self._sock)
 
+    def _send_now(self, frame: bytes) -> int:
+        """Return how many bytes the system has taken without waiting."""
+        try:
+            return self._sock.send(frame, socket.MSG_DONTWAIT)
+        except OSError:
+            # The writer meets the same error, if it is one, and ends the connection.
+            return 0
+
+    def _get_next(self) -> bytes | memoryview | None:
+        with self._changed:
+            self._changed.wait_for(lambda: self._waiting or self._is_closed)
+            return None if self._is_closed else self._waiting[0]
+
 
 class StreamServer:
     """Accept connections and pass on the envelopes that arrive.
