Bind the stand-in's TCP and UDP ports together

Cause: with port 0 the port that TCP received could be taken for UDP; the start failed after the HTTP threads had begun, and the test process never ended. Change: bind UDP first, then TCP on the same port, and try again when it is taken; the listener that never answers reads until its peer closes.

--- a/features/steps/backend_steps.py
+++ b/features/steps/backend_steps.py
@@ -48,7 +48,8 @@
         if fault == "ends within the response":
             connection.sendall(HEAD)
         if fault == "never answers":
-            connection.recv(65_536)
+            while connection.recv(65_536):
+                pass
         connection.close()
 
     thread = threading.Thread(target=serve)
--- a/src/bramleystair/standins/_backend.py
+++ b/src/bramleystair/standins/_backend.py
@@ -27,6 +27,7 @@
 FEED_PERIOD_S = 0.1
 TICK_S = 0.01
 STOP_POLL_S = 0.1
+BIND_ATTEMPTS = 20
 REPORT_HISTORY = 1_000
 
 ROUTES = Map(
@@ -136,7 +137,7 @@
             (host, port), self._serve, numthreads=HTTP_THREADS, request_queue_size=256
         )
         self._http.expiration_interval = STOP_POLL_S
-        self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._udp: socket.socket | None = None
         self._pool = concurrent.futures.ThreadPoolExecutor(3)
         self._is_stopping = threading.Event()
 
@@ -147,8 +148,7 @@
 
     def start(self) -> None:
         """Begin to serve."""
-        self._http.prepare()
-        self._udp.bind(self.address)
+        self._bind()
         self._timers.subscribe_every(TICK_S, self._record_report)
         self._pool.submit(self._http.serve)
         self._pool.submit(self._serve_datagrams)
@@ -159,10 +159,26 @@
         self._is_stopping.set()
         self._http.stop()
         # The datagram thread waits in the kernel until the socket has an error.
-        socket.socket(socket.AF_INET, socket.SOCK_DGRAM).sendto(b"", self.address)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as waker:
+            waker.sendto(b"", self.address)
         self._pool.shutdown(wait=True)
         self._udp.close()
 
+    def _bind(self) -> None:
+        host, port = self.address
+        for _ in range(BIND_ATTEMPTS):
+            self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            try:
+                self._udp.bind((host, port))
+                self._http.bind_addr = self._udp.getsockname()
+                self._http.prepare()
+                return
+            except OSError as error:
+                # A port that the system chose for UDP may be taken for TCP.
+                self._udp.close()
+                failure = error
+        raise failure
+
     # HTTP
 
     def _serve(self, environ, start_response):
