--- a/features/metrics.feature
+++ b/features/metrics.feature
@@ -16,3 +16,8 @@
     Given a metrics server
     When the process is not ready
     Then "/healthz" answers 503
+
+  Scenario: The status that the operator's client reads
+    Given a metrics server
+    When 2 threads count "packet_refused" with the reason "malformed" 5 times each
+    Then "/status" names version 3 of "table/feed" and 10 of "packet_refused{malformed}"
--- a/features/steps/metrics_steps.py
+++ b/features/steps/metrics_steps.py
@@ -3,7 +3,7 @@
 import requests
 from behave import given, then, when
 
-from bramleystair.metrics import Metrics, MetricsServer
+from bramleystair.metrics import Metrics, MetricsServer, NodeStatus
 
 TIMEOUT_S = 30
 
@@ -13,7 +13,11 @@
     context.metrics = Metrics({"node": "balancer-1"})
     context.health = {"ready": True}
     context.server = MetricsServer(
-        "127.0.0.1", 0, context.metrics, lambda: context.health
+        "127.0.0.1",
+        0,
+        context.metrics,
+        lambda: context.health,
+        lambda: NodeStatus("balancer-1", "balancer", "zone-1", {"table/feed": 3}),
     )
     context.server.start()
     context.add_cleanup(context.server.close)
@@ -59,3 +63,10 @@
 @then('"/healthz" answers {status:d}')
 def check_health(context, status):
     assert get(context, "/healthz").status_code == status
+
+
+@then('"/status" names version {version:d} of "{key}" and {count:d} of "{counter}"')
+def check_status(context, version, key, count, counter):
+    status = get(context, "/status").json()
+    assert status["versions"] == {key: version}
+    assert status["counters"] == {counter: count}
--- a/src/bramleystair/agent/_daemon.py
+++ b/src/bramleystair/agent/_daemon.py
@@ -25,7 +25,12 @@
     ViewChanged,
 )
 from bramleystair.logs import get_log
-from bramleystair.metrics import Metrics, MetricsServer
+from bramleystair.metrics import (
+    Metrics,
+    MetricsServer,
+    NodeStatus,
+    ServiceStatus,
+)
 from bramleystair.replicas import (
     AgentReplica,
     IncarnationRaised,
@@ -132,20 +137,23 @@
         self._runner.delivery = self._delivery
         self._backend = BackendClient(settings.backend.host, settings.backend.http_port)
         self._requests = self._build_requests(incarnation)
+        # The replica hears of changes from balancers, so only the lease is kept.
         self._platform = PlatformLink(
-            settings.platform, self.threads, self.metrics, lambda _: None
+            settings.platform, self.metrics, lambda _: None, source
         )
         self._metrics_server = MetricsServer(
             settings.host,
             settings.metrics_port,
             self.metrics,
             self.get_health,
+            self.get_status,
             self._set_gauges,
         )
 
     def start(self) -> None:
         """Begin to serve."""
         self._metrics_server.start()
+        self._platform.start()
         self._requests.start()
         self.threads.start("messages", self._messenger.run, self._take_envelope)
         self._run_tick(self._clock.now())
@@ -190,6 +198,30 @@
             "zones": {zone: mark.version for zone, mark in view.zones.items()},
         }
 
+    def get_status(self) -> NodeStatus:
+        """Return the state that `/status` publishes."""
+        with self._lock:
+            versions = {
+                item.key: item.version for item in self._replica.store.list_objects()
+            }
+            names = {
+                t.service_id: t.service for t in self._replica.view.tables.values()
+            }
+        loads = tuple(
+            ServiceStatus(
+                names.get(load.service_id, str(load.service_id)),
+                load.flows,
+                load.requests,
+                load.flow_limit,
+                load.request_limit,
+            )
+            for load in self._list_loads()
+        )
+        state = "draining" if self._is_draining else "ready"
+        return NodeStatus(
+            self._settings.server, "agent", self._settings.zone, versions, state, loads
+        )
+
     def _build_replica(self, incarnation: int) -> AgentReplica:
         settings = self._settings
         return AgentReplica(
--- a/src/bramleystair/balancer/_daemon.py
+++ b/src/bramleystair/balancer/_daemon.py
@@ -10,7 +10,7 @@
 from bramleystair.daemons import Messenger, PlatformLink, Threads, create_incarnation
 from bramleystair.fabric import open_udp_socket
 from bramleystair.logs import get_log
-from bramleystair.metrics import Metrics, MetricsServer
+from bramleystair.metrics import Metrics, MetricsServer, NodeStatus
 from bramleystair.replicas import (
     BalancerReplica,
     IncarnationRaised,
@@ -33,7 +33,6 @@
 # Packets, messages, timers and watch, and platform calls that do not wait.
 THREADS = 12
 BUFFER_BYTES = 1_048_576
-ALL_PREFIXES = ("table/", "zone/", "agent/", "balancer/")
 
 log = get_log("balancer")
 
@@ -80,19 +79,21 @@
         )
         self._caller = self._build_caller(incarnation, source)
         self._platform = PlatformLink(
-            settings.platform, self.threads, self.metrics, self._take_objects
+            settings.platform, self.metrics, self._take_objects, source
         )
         self._metrics_server = MetricsServer(
             settings.host,
             settings.metrics_port,
             self.metrics,
             self.get_health,
+            self.get_status,
             self._set_gauges,
         )
 
     def start(self) -> None:
         """Begin to serve."""
         self._metrics_server.start()
+        self._platform.start()
         self.threads.start("messages", self._messenger.run, self._take_envelope)
         self._handle(Tick())
         self.timers.subscribe_every(TICK_PERIOD_S, lambda now: self._handle(Tick()))
@@ -128,6 +129,17 @@
             "down": sorted(server for server, _ in view.down),
         }
 
+    def get_status(self) -> NodeStatus:
+        """Return the state that `/status` publishes."""
+        with self._lock:
+            versions = {
+                item.key: item.version for item in self._replica.store.list_objects()
+            }
+        state = "stopping" if self._is_stopping else "ready"
+        return NodeStatus(
+            self._settings.node, "balancer", self._settings.zone, versions, state
+        )
+
     @property
     def _incarnation(self) -> int:
         return self._messenger.incarnation
@@ -192,7 +204,7 @@
                 self._forwarder.set_view(view)
                 self._caller.set_view(view)
             case WatchWanted(is_wanted):
-                self._platform.set_watch(ALL_PREFIXES if is_wanted else ())
+                self._platform.set_watch(is_wanted)
             case RenewLease(announcement):
                 lease_s = self._settings.versions.lease_s
                 self._platform.renew(announcement, lease_s)
--- a/src/bramleystair/daemons/_platform_link.py
+++ b/src/bramleystair/daemons/_platform_link.py
@@ -1,33 +1,141 @@
 """Watching the platform and renewing a lease, on threads that may wait."""
 
+import random
+import threading
 from collections.abc import Callable
 
-from bramleystair.daemons._threads import Threads
+from result import Result
+
 from bramleystair.logs import get_log
 from bramleystair.metrics import Metrics
-from bramleystair.tables import Announcement, NodeAnnouncement
+from bramleystair.platform import ErrorKind, PlatformClient
+from bramleystair.tables import (
+    Announcement,
+    NodeAnnouncement,
+    build_key,
+    encode_object,
+)
 from bramleystair.wire import StoredObject
 
+# One watch covers all objects, because the number of watches is limited.
+WATCH_PREFIX = ""
+WATCH_S = 30.0
+# Nodes that lost the platform together must not return together.
+RETRY_MIN_S = 1.0
+RETRY_MAX_S = 5.0
+
 log = get_log("platform")
 
 
 class PlatformLink:
-    """Carry out what a replica wants of the platform."""
+    """Carry out what a replica wants of the platform.
+
+    Parameters
+    ----------
+    url : str
+        URL of the platform; empty to do nothing.
+    metrics : Metrics
+        Counts failed calls.
+    deliver : callable
+        Receives the objects that were listed or changed.
+    source : random.Random
+        Source of the delays between retries.
+    """
 
     def __init__(
         self,
         url: str,
-        threads: Threads,
         metrics: Metrics,
         deliver: Callable[[tuple[StoredObject, ...]], None],
+        source: random.Random,
     ) -> None:
         self._url = url
+        self._metrics = metrics
+        self._deliver = deliver
+        self._random = source
+        self._changed = threading.Condition()
+        self._is_open = True
+        self._is_watch_wanted = False
+        self._pending: tuple[Announcement | NodeAnnouncement, float] | None = None
+        self._cursor: int | None = None
 
-    def set_watch(self, prefixes: tuple[str, ...]) -> None:
-        """Watch the objects under `prefixes`; none ends the watch."""
+    def start(self) -> None:
+        """Start the threads."""
+        if not self._url:
+            return
+        # A watch waits in the platform for long, and must not delay a stop.
+        for target in (self._run_watch, self._run_lease):
+            threading.Thread(target=target, name="platform", daemon=True).start()
 
-    def renew(self, announcement: Announcement | NodeAnnouncement, lease_s: float):
-        """Write `announcement` with a lease."""
+    def set_watch(self, is_wanted: bool) -> None:
+        """Begin to watch, or end it with the present call."""
+        with self._changed:
+            self._is_watch_wanted = is_wanted
+            self._changed.notify_all()
+
+    def renew(
+        self, announcement: Announcement | NodeAnnouncement, lease_s: float
+    ) -> None:
+        """Write `announcement` with a lease, in place of one not yet written."""
+        with self._changed:
+            self._pending = (announcement, lease_s)
+            self._changed.notify_all()
 
     def close(self) -> None:
-        """End the watch."""
+        """Deliver and write nothing from now on."""
+        with self._changed:
+            self._is_open = False
+            self._changed.notify_all()
+
+    def _run_watch(self) -> None:
+        client = PlatformClient(self._url)
+        while self._wait_for(lambda: self._is_watch_wanted):
+            result = self._read_changes(client)
+            if result.is_ok():
+                self._take(result.unwrap())
+                continue
+            if result.unwrap_err().kind is ErrorKind.CURSOR_EXPIRED:
+                self._cursor = None
+            self._fail("watch", result)
+
+    def _read_changes(self, client: PlatformClient) -> Result:
+        if self._cursor is None:
+            return client.list_objects(WATCH_PREFIX)
+        return client.watch(WATCH_PREFIX, self._cursor, WATCH_S)
+
+    def _take(self, answer) -> None:
+        self._cursor = answer.cursor
+        objects = tuple(item.build_stored() for item in answer.objects)
+        if objects and self._is_open:
+            self._deliver(objects)
+
+    def _run_lease(self) -> None:
+        client = PlatformClient(self._url)
+        while self._wait_for(lambda: self._pending is not None):
+            pending = self._pending
+            announcement, lease_s = pending
+            result = client.put_recognised(
+                build_key(announcement),
+                encode_object(announcement).decode(),
+                lease_s=lease_s,
+            )
+            if result.is_err():
+                self._fail("lease", result)
+                continue
+            with self._changed:
+                if self._pending is pending:
+                    self._pending = None
+
+    def _fail(self, step: str, result: Result) -> None:
+        error = result.unwrap_err()
+        self._metrics.count("platform_failed", f"{step}_{error.kind}")
+        log.warning("%s", error)
+        delay_s = self._random.uniform(RETRY_MIN_S, RETRY_MAX_S)
+        with self._changed:
+            self._changed.wait_for(lambda: not self._is_open, delay_s)
+
+    def _wait_for(self, is_met: Callable[[], bool]) -> bool:
+        """Wait until `is_met`, and return whether the link is still open."""
+        with self._changed:
+            self._changed.wait_for(lambda: not self._is_open or is_met())
+            return self._is_open
--- a/src/bramleystair/metrics/__init__.py
+++ b/src/bramleystair/metrics/__init__.py
@@ -2,5 +2,6 @@
 
 from bramleystair.metrics._registry import Metrics
 from bramleystair.metrics._server import MetricsServer
+from bramleystair.metrics._status import NodeStatus, ServiceStatus
 
-__all__ = ["Metrics", "MetricsServer"]
+__all__ = ["Metrics", "MetricsServer", "NodeStatus", "ServiceStatus"]
--- a/src/bramleystair/metrics/_registry.py
+++ b/src/bramleystair/metrics/_registry.py
@@ -42,6 +42,14 @@
                 if known == name and reason in (None, why)
             )
 
+    def list_counts(self) -> dict[str, int]:
+        """Return all counters by ``name{reason}``."""
+        with self._lock:
+            return {
+                f"{name}{{{reason}}}": value
+                for (name, reason), value in self._counts.items()
+            }
+
     def render(self, accepts: tuple[str, ...] = ("text/plain",)) -> tuple[bytes, dict]:
         """Return the body and the headers of a response to `/metrics`."""
         registry = aioprometheus.Registry()
--- a/src/bramleystair/metrics/_server.py
+++ b/src/bramleystair/metrics/_server.py
@@ -1,19 +1,21 @@
-"""HTTP server of `/metrics` and `/healthz`."""
+"""HTTP server of `/metrics`, `/healthz` and `/status`."""
 
 import json
 import threading
 from collections.abc import Callable
 
+import attrs
 from cheroot.wsgi import Server
 from werkzeug import Request, Response
 
 from bramleystair.metrics._registry import Metrics
+from bramleystair.metrics._status import NodeStatus
 
 THREADS = 2
 
 
 class MetricsServer:
-    """Serve the metrics and the health of this process.
+    """Serve the metrics, the health and the status of this process.
 
     Parameters
     ----------
@@ -26,6 +28,8 @@
     get_health : callable
         Returns the process's state; `/healthz` answers 503 unless its value
         ``"ready"`` is true.
+    get_status : callable
+        Returns the state that ``/status`` gives to operators, with all counters.
     before_render : callable, optional
         Called before each response, to set gauges.
     """
@@ -36,10 +40,12 @@
         port: int,
         metrics: Metrics,
         get_health: Callable[[], dict],
+        get_status: Callable[[], NodeStatus],
         before_render: Callable[[], None] | None = None,
     ) -> None:
         self._metrics = metrics
         self._get_health = get_health
+        self._get_status = get_status
         self._before_render = before_render
         self._server = Server(
             (host, port), self._respond, numthreads=THREADS, max=THREADS
@@ -69,6 +75,10 @@
             health = self._get_health()
             status = 200 if health.get("ready") else 503
             return Response(json.dumps(health), status, mimetype="application/json")
+        if request.path == "/status":
+            status = attrs.asdict(self._get_status())
+            status["counters"] = self._metrics.list_counts()
+            return Response(json.dumps(status), mimetype="application/json")
         if request.path != "/metrics":
             return Response("not found\n", 404)
         if self._before_render is not None:
--- a/src/bramleystair/settings/_schemas.py
+++ b/src/bramleystair/settings/_schemas.py
@@ -154,7 +154,7 @@
     http_port : int
         TCP port for requests of callers.
     metrics_port : int
-        TCP port of `/metrics` and `/healthz`.
+        TCP port of `/metrics`, `/healthz` and `/status`.
     platform : str
         URL of the platform; empty to learn from peers only.
     seeds : tuple of SeedSettings
@@ -203,7 +203,7 @@
     message_port : int
         UDP port for messages, and TCP port for requests.
     metrics_port : int
-        TCP port of `/metrics` and `/healthz`.
+        TCP port of `/metrics`, `/healthz` and `/status`.
     platform : str
         URL of the platform; empty to learn from peers only.
     seeds : tuple of SeedSettings
@@ -228,7 +228,7 @@
     services: tuple[str, ...] = option(())
     host: str = option("127.0.0.1", is_ip_address=True)
     message_port: int = option(7947, minimum=1, maximum=MAX_PORT)
-    metrics_port: int = option(9101, minimum=0, maximum=MAX_PORT)
+    metrics_port: int = option(9100, minimum=0, maximum=MAX_PORT)
     platform: str = option("")
     seeds: tuple[SeedSettings, ...] = option(())
     drain_limit_s: float = option(3600.0, minimum=0)
--- a/src/bramleystair/standins/_demo.py
+++ b/src/bramleystair/standins/_demo.py
@@ -92,6 +92,12 @@
 
     def _start_processes(self) -> None:
         self.say(f"starting {self.deployment.name}")
+        self.fleet.start(
+            "platform",
+            "standin",
+            "platform",
+            *("--host", place.PLATFORM_HOST, "--port", str(place.PLATFORM_PORT)),
+        )
         self.fleet.start(
             "fabric",
             "standin",
--- a/src/bramleystair/standins/_main.py
+++ b/src/bramleystair/standins/_main.py
@@ -6,6 +6,7 @@
 from bramleystair.standins._backend import run_backend
 from bramleystair.standins._caller import run_caller
 from bramleystair.standins._fabric import run_fabric
+from bramleystair.standins._platform import run_platform
 
 
 def main() -> None:
@@ -13,6 +14,7 @@
     set_up_logs("standin")
     defopt.run(
         {
+            "platform": run_platform,
             "fabric": run_fabric,
             "backend": run_backend,
             "caller": run_caller,
--- a/src/bramleystair/standins/_operator.py
+++ b/src/bramleystair/standins/_operator.py
@@ -1,22 +1,30 @@
 """Changes that the demonstration makes as an operator does."""
 
-import socket
-
-from bramleystair.standins import _deployments as place
+from bramleystair.operators._push import list_balancers
+from bramleystair.operators._reports import WriteOutcome, WriteReport
+from bramleystair.operators._session import OperatorSession
+from bramleystair.platform import ErrorKind, PlatformClient
 from bramleystair.tables import Table, ZoneMark, build_key, encode_object
-from bramleystair.wire import Objects, StoredObject, encode
+
+EDITOR = "demo"
 
 
 class Operator:
-    """Push changes to two balancers; the platform's client is not merged yet."""
+    """Write tables and marks as the operator's client does, with push.
+
+    Parameters
+    ----------
+    url : str
+        URL of the platform.
+    """
 
     def __init__(self, url: str) -> None:
-        self._version = 0
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._client = PlatformClient(url)
+        self._session = OperatorSession(self._client, EDITOR)
 
     def is_up(self) -> bool:
         """Return whether the platform answers."""
-        return True
+        return self._client.list_objects().is_ok()
 
     def put_table(self, table: Table) -> int:
         """Write `table` and return its version."""
@@ -26,11 +34,23 @@
         """Write the mark of `zone` and return its version."""
         return self._put(ZoneMark(zone, is_in_service))
 
-    def _put(self, item) -> int:
-        self._version += 1
-        stored = StoredObject(build_key(item), self._version, "", encode_object(item))
-        for number in (2, 3):
-            address = (place.BALANCER_HOST.format(number), place.MESSAGE_PORT)
-            data = encode("operator", 1, Objects((stored,)))
-            self._socket.sendto(data, address)
-        return self._version
+    def _put(self, item: Table | ZoneMark) -> int:
+        key = build_key(item)
+        found = self._client.get_object(key)
+        if found.is_err() and found.unwrap_err().kind is not ErrorKind.NOT_FOUND:
+            raise RuntimeError(str(found.unwrap_err()))
+        report = self._session.put(
+            key,
+            encode_object(item).decode(),
+            found.unwrap_or(None),
+            list_balancers(self._client.list_objects("balancer/").unwrap().objects),
+            (),
+            self._session.create_nonce(),
+        )
+        return _read_version(report)
+
+
+def _read_version(report: WriteReport | None) -> int:
+    if report is None or report.outcome is not WriteOutcome.ACCEPTED:
+        raise RuntimeError(f"the write was not accepted: {report}")
+    return report.version
