--- a/src/bramleystair/operators/_cli.py
+++ b/src/bramleystair/operators/_cli.py
@@ -12,7 +12,8 @@
 import defopt
 
 from bramleystair.operators import _status, _tables, _zones
-from bramleystair.operators._reports import ExitCode, FailureReport, format_report
+from bramleystair.operators._config import check_settings_file
+from bramleystair.operators._reports import ExitCode, format_report
 from bramleystair.operators._session import OperatorSession
 from bramleystair.platform import PlatformClient
 from bramleystair.tables import Member, Protocol, write_table_csv
@@ -322,8 +323,7 @@
     format
         Output as text or JSON.
     """
-    # Filled in when the settings module is available.
-    return _show(FailureReport(f"{file}: not checked", ExitCode.USAGE), format)
+    return _show(check_settings_file(file), format)
 
 
 def edit_rows(
--- a/src/bramleystair/platform/_client.py
+++ b/src/bramleystair/platform/_client.py
@@ -2,7 +2,6 @@
 
 import collections
 import functools
-import logging
 import random
 import time
 import uuid
@@ -13,6 +12,7 @@
 import requests
 from result import Err, Ok, Result
 
+from bramleystair.logs import get_log
 from bramleystair.platform._types import (
     HISTORY_LENGTH,
     Accepted,
@@ -25,7 +25,7 @@
     structure_answer,
 )
 
-log = logging.getLogger(__name__)
+log = get_log("platform")
 
 # A watch answers after its own timeout; this covers the way there and back.
 WATCH_MARGIN_S = 2.0
@@ -246,7 +246,7 @@
         present = result.unwrap()
         written = present.find_write(nonce)
         if written is not None:
-            log.info("recognised the write of %s as version %d", key, written.version)
+            log.debug("recognised the write of %s as version %d", key, written.version)
             return Ok(Accepted(written.version))
         if if_match is None or present.version == if_match:
             return None
