Refuse packets for another service's address

Cause: while a table's address changes, a balancer with the older table forwards packets of another service's address, and the agent took them as its own. Change: a flow that is not owned must have the endpoint of the service's table. Conclusion: an agent with the newer table never delivers such packets.

--- a/features/flows.feature
+++ b/features/flows.feature
@@ -112,3 +112,15 @@
   Scenario: Damaged state is refused
     When exported state is cut and changed at every byte
     Then every import is refused with step "import flows"
+
+  Scenario Outline: A packet of another service is never delivered
+    Guards against a packet that reaches a service other than its own.
+
+    When an agent that owns a flow receives <packet>
+    Then nothing is delivered and <counter> is counted with <reason>
+
+    Examples:
+      | packet                               | counter        | reason        |
+      | a flow to an address of another one  | flow_refused   | wrong_service |
+      | its flow under another service       | flow_refused   | wrong_service |
+      | a packet that differs from its key   | packet_dropped | malformed     |
--- a/features/steps/flows_steps.py
+++ b/features/steps/flows_steps.py
@@ -595,3 +595,23 @@
 def check_damaged(context, step):
     assert context.results
     assert all(result.unwrap_err().step == step for result in context.results)
+
+
+@when("an agent that owns a flow receives {packet}")
+def receive_foreign(context, packet):
+    agent, flow = build_agent(now=-20.0), build_flow(1)
+    open_flow(agent, flow)
+    message = build_forward(flow, ACK)
+    if packet.startswith("a flow to"):
+        message = build_forward(build_flow(2, service="sheet"))
+    elif packet.startswith("its flow"):
+        other = build_view(()).tables["datagrams"].service_id
+        message = attrs.evolve(message, service_id=other)
+    else:
+        message = attrs.evolve(message, packet=build_segment(build_flow(2), 1, 1, ACK))
+    context.actions = agent.handle(MessageArrived("balancer", message), 1.0)
+
+
+@then("nothing is delivered and {counter} is counted with {reason}")
+def check_foreign(context, counter, reason):
+    assert context.actions == [Count(counter, reason)]
--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -26,7 +26,7 @@
     pack_state,
     unpack_state,
 )
-from bramleystair.packets import TCP, UDP, PacketHeaders, read_headers
+from bramleystair.packets import TCP, UDP, PacketHeaders, get_endpoint, read_headers
 from bramleystair.views import View
 from bramleystair.wire import (
     FlowQuery,
@@ -191,7 +191,11 @@
             # The caller uses its port again for a new flow.
             self._flows.end(message.flow)
         service = self._services.get(message.service_id)
-        if service is None or service.row is None:
+        if (
+            service is None
+            or service.row is None
+            or service.endpoint != get_endpoint(message.flow)
+        ):
             self._refuse_or_keep(sender, service, message)
             return
         if message.place:
--- a/src/bramleystair/flows/_services.py
+++ b/src/bramleystair/flows/_services.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from bramleystair.packets import pack_endpoint
 from bramleystair.routing import find_home
 from bramleystair.tables import Member, Table
 from bramleystair.views import Candidate, View
@@ -16,6 +17,8 @@
 
     Parameters
     ----------
+    endpoint : bytes
+        Protocol, address and port, as in the flow keys of the service.
     row : Member or None
         This server's row.
     is_zone_out : bool
@@ -33,6 +36,7 @@
 
     service_id: int
     table: Table
+    endpoint: bytes
     row: Member | None
     is_zone_out: bool
     candidates: tuple[Candidate, ...]
@@ -111,6 +115,7 @@
         return Service(
             service_id,
             table,
+            pack_endpoint(table.protocol, table.address, table.port),
             row,
             not view.is_in_service(self._zone)
             or (row is not None and not view.is_in_service(row.zone)),
