Refuse new work once the view shows this server draining

Cause: an agent took its own draining state only from DrainRequested, so a drain that was announced otherwise did not stop new work; and a cold agent could admit twice its rate within one second after a pause. Change: the agent's own announcement counts as well, and unused rate is kept for 0.1 s. Figures: the new admission example and the rate scenario fail without the change. Conclusion: the fleet also checks that no server takes a flow 3 s after it was marked as draining.

--- a/features/flows.feature
+++ b/features/flows.feature
@@ -27,6 +27,11 @@
     When 4000 flows are opened within 30 s
     Then no agent was over its cold limit or its cap, and refusals say cold
 
+  Scenario: Cold agents admit new flows at a limited rate
+    Given a cold agent that admits 200 flows a second when warm
+    When 100 placements arrive in every other second for 10 s
+    Then no second has over 110 % of 200 times the warm fraction, or under 80 %
+
   Scenario Outline: Flows follow the table's shares
     Guards against an imbalance above 10 % of a member's share.
 
@@ -59,6 +64,7 @@
       | no row, zone out, draining  | wrong_service |
       | zone out, draining, full    | zone_out      |
       | draining, full              | draining      |
+      | announced draining          | draining      |
       | full, cold                  | cap           |
       | cold                        | cold          |
 
--- a/features/steps/flows_fleet.py
+++ b/features/steps/flows_fleet.py
@@ -81,6 +81,7 @@
         self.incarnations = itertools.count(1)
         self.callers, self.connections, self.left = {}, {}, {}
         self.cold_s, self.was_out, self.out_s = {}, set(), {}
+        self.announced_s = {}
         self.broken, self.counts, self.sent = [], {}, {}
         for member in members:
             self.start(member.server)
@@ -123,6 +124,8 @@
     def announce(self, server, state):
         known = self.announcements[server]
         self.announcements[server] = attrs.evolve(known, state=state)
+        if state is not known.state:
+            self.announced_s[server] = self.now
         self.publish()
 
     def change_row(self, server, **values):
@@ -331,7 +334,9 @@
         key = (server, flow)
         is_syn = self.protocol is Protocol.TCP and packet[33] & (SYN | ACK) == SYN
         if is_syn or (self.protocol is Protocol.UDP and not caller.server):
-            self.connections.setdefault(key, True)
+            if key not in self.connections:
+                self.check_drain(server)
+            self.connections[key] = True
             self.check_limit(server)
         elif caller.state == "open" and caller.server != server:
             if self.is_given_up(caller):
@@ -351,6 +356,13 @@
             answer = build_segment(reverse_flow(flow), 200, 101, flags)
         self.schedule(0, lambda: self.handle(server, OutboundSeen(flow, answer)))
 
+    def check_drain(self, server):
+        is_draining = self.announcements[server].state is AgentState.DRAINING
+        drained_s = self.now - self.announced_s.get(server, self.now)
+        # Views that are later than the promise allows are no fault of the agent.
+        if is_draining and drained_s > max(3.0, self.uneven_s):
+            self.broken.append(("new work while draining", server, self.now))
+
     def check_limit(self, server):
         agent, row = self.agents[server], self.members.get(server)
         if row is None:
--- a/features/steps/flows_steps.py
+++ b/features/steps/flows_steps.py
@@ -38,7 +38,7 @@
 from bramleystair.flows._placement import Load, compute_shares
 from bramleystair.packets import read_headers, reverse_flow
 from bramleystair.routing import find_home
-from bramleystair.tables import Announcement, Protocol, Table, ZoneMark
+from bramleystair.tables import AgentState, Announcement, Protocol, Table, ZoneMark
 from bramleystair.views import View
 from bramleystair.wire import (
     FlowQuery,
@@ -221,6 +221,28 @@
         assert 0.7 * limit < agent.flow_count <= limit + 1, server
 
 
+@given("a cold agent that admits 200 flows a second when warm")
+def create_cold_agent(context):
+    context.agent = build_agent(flow_settings=COLD)
+
+
+@when("{rate:d} placements arrive in every other second for {seconds:d} s")
+def place_in_bursts(context, rate, seconds):
+    context.admitted = dict.fromkeys(range(0, seconds, 2), 0)
+    for number in range(rate * seconds):
+        now = number / rate
+        if int(now) in context.admitted:
+            actions = forward(context.agent, now, build_flow(number), place=True)
+            context.admitted[int(now)] += len(select(actions, Deliver))
+
+
+@then("no second has over 110 % of 200 times the warm fraction, or under 80 %")
+def check_rate(context):
+    for second, admitted in context.admitted.items():
+        limit = 200 * (0.1 + 0.9 * (second + 1) / 60)
+        assert 0.8 * limit < admitted <= 1.1 * limit, (second, admitted, limit)
+
+
 @when("{count:d} flows are opened at a steady rate")
 def open_steadily(context, count):
     for _ in range(count // 40):
@@ -323,6 +345,10 @@
     forward(agent, 0.0, build_flow(1), place=True, sender="b1")
     if "cold" in faults:
         forward(agent, 0.0, build_flow(2), place=True, sender="b1")
+    if "announced draining" in faults:
+        agents = dict(view.agents)
+        agents["b0"] = attrs.evolve(agents["b0"], state=AgentState.DRAINING)
+        agent.handle(ViewChanged(attrs.evolve(view, agents=agents)), 0.0)
     if "draining" in faults:
         agent.handle(DrainRequested(), 0.0)
     if "zone out" in faults:
--- a/src/bramleystair/flows/_admission.py
+++ b/src/bramleystair/flows/_admission.py
@@ -4,6 +4,9 @@
 from bramleystair.flows._settings import FlowSettings
 from bramleystair.tables import Member
 
+# Unused rate that may be made up for; more would admit a burst to a cold server.
+MAX_BURST_S = 0.1
+
 
 class Admission:
     """Check the owner's limits in the order of the design."""
@@ -49,7 +52,8 @@
             return True
         rate = self._rate * fraction
         elapsed = max(0.0, now - self._refilled_at_s)
-        self._tokens = min(max(1.0, rate), self._tokens + elapsed * rate)
+        burst = max(1.0, rate * MAX_BURST_S)
+        self._tokens = min(burst, self._tokens + elapsed * rate)
         self._refilled_at_s = now
         if self._tokens < 1.0:
             return False
--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -27,6 +27,7 @@
     unpack_state,
 )
 from bramleystair.packets import TCP, UDP, PacketHeaders, get_endpoint, read_headers
+from bramleystair.tables import AgentState
 from bramleystair.views import View
 from bramleystair.wire import (
     FlowQuery,
@@ -84,6 +85,7 @@
         self._inquiries: dict[bytes, tuple[float, str]] = {}
         self._now = 0.0
         self._is_zone_out = False
+        self._is_leaving = False
 
     @property
     def flow_count(self) -> int:
@@ -155,6 +157,7 @@
             case events.ViewChanged(view):
                 self._change_view(view)
             case events.DrainRequested():
+                self._is_leaving = True
                 self._admission.is_draining = True
             case events.Tick():
                 self._run_timers()
@@ -661,6 +664,9 @@
 
     def _change_view(self, view: View) -> None:
         self._cold_start.start(self._now)
+        own = view.agents.get(self._server)
+        is_announced = own is not None and own.state is AgentState.DRAINING
+        self._admission.is_draining = self._is_leaving or is_announced
         for service in self._services.update(view, self._now):
             self._registrar.start_scan(service.service_id, self._flows.entries)
         self._outbox.blocked = frozenset(
