--- a/features/flows.feature
+++ b/features/flows.feature
@@ -27,6 +27,11 @@
     When 4000 flows are opened within 30 s
     Then no agent was over its cold limit or its cap, and refusals say cold
 
+  Scenario: Cold agents admit new flows at a limited rate
+    Given a cold agent that admits 200 flows a second when warm
+    When 100 placements arrive in every other second for 10 s
+    Then no second has over 110 % of 200 times the warm fraction, or under 80 %
+
   Scenario Outline: Flows follow the table's shares
     Guards against an imbalance above 10 % of a member's share.
 
@@ -59,6 +64,7 @@
       | no row, zone out, draining  | wrong_service |
       | zone out, draining, full    | zone_out      |
       | draining, full              | draining      |
+      | announced draining          | draining      |
       | full, cold                  | cap           |
       | cold                        | cold          |
 
@@ -112,3 +118,15 @@
   Scenario: Damaged state is refused
     When exported state is cut and changed at every byte
     Then every import is refused with step "import flows"
+
+  Scenario Outline: A packet of another service is never delivered
+    Guards against a packet that reaches a service other than its own.
+
+    When an agent that owns a flow receives <packet>
+    Then nothing is delivered and <counter> is counted with <reason>
+
+    Examples:
+      | packet                               | counter        | reason        |
+      | a flow to an address of another one  | flow_refused   | wrong_service |
+      | its flow under another service       | flow_refused   | wrong_service |
+      | a packet that differs from its key   | packet_dropped | malformed     |
