--- a/src/bramleystair/backend/__init__.py
+++ b/src/bramleystair/backend/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP protocol used with the backend server beside an agent."""
+"""Protocols with the backend server beside an agent."""
 
 from bramleystair.backend._client import (
     BackendClient,
@@ -8,5 +8,19 @@
     RunOutcome,
     Shed,
 )
+from bramleystair.backend._delivery import Delivery, ReplyHandler, UdpDelivery
+from bramleystair.backend._tun import TunDelivery, open_tun
 
-__all__ = ["BackendClient", "BackendLoad", "Failed", "Ran", "RunOutcome", "Shed"]
+__all__ = [
+    "BackendClient",
+    "BackendLoad",
+    "Delivery",
+    "Failed",
+    "Ran",
+    "ReplyHandler",
+    "RunOutcome",
+    "Shed",
+    "TunDelivery",
+    "UdpDelivery",
+    "open_tun",
+]
--- /dev/null
+++ b/src/bramleystair/packets/__init__.py
@@ -0,0 +1,22 @@
+"""Fixed header fields of the callers' packets."""
+
+from bramleystair.packets._headers import (
+    PacketHeaders,
+    get_endpoint,
+    is_before,
+    pack_endpoint,
+    read_headers,
+    reverse_flow,
+)
+from bramleystair.packets._reset import build_reset, build_segment
+
+__all__ = [
+    "PacketHeaders",
+    "build_segment",
+    "build_reset",
+    "get_endpoint",
+    "is_before",
+    "pack_endpoint",
+    "read_headers",
+    "reverse_flow",
+]
