Flush answers before a stop and keep tickets that callers hold

Cause: a stopping agent dropped large answers that its peer had not taken yet; a late copy of Reserved cancelled the ticket that its caller had received; HEAD on a location failed. Change: connections are flushed for up to 5 s before they close; the dispatcher remembers the attempts whose ticket it handed out; HEAD is handled as GET without a body; answers that can't be sent are counted.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -85,6 +85,7 @@
       | post, reserved, answer, answer       | reserve, run, 200                      |
       | post, reserved, hang_up, answer      | reserve, run, cancel                   |
       | post, hang_up, reserved              | reserve, cancel                        |
+      | reserve, reserved, reserved          | reserve, 201                           |
 
   Scenario: A changed ticket is never accepted
     Guards against forged tickets.
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -181,6 +181,8 @@
             case "post" | "idempotent":
                 call = CallArrived(1, Call.POST, SERVICE, body=b"body", deadline_s=3.0)
                 return self.send(attrs.evolve(call, is_idempotent=event != "post"))
+            case "reserve":
+                return self.send(CallArrived(1, Call.RESERVE, SERVICE))
             case "reserved":
                 self.ticket = self.build_ticket()
                 return self.answer(Reserved)
--- a/src/bramleystair/agent/_requests.py
+++ b/src/bramleystair/agent/_requests.py
@@ -122,8 +122,10 @@
         for action in actions:
             match action:
                 case Send(peer, message):
-                    # A balancer that has gone asks again on its next connection.
-                    self._stream.send(peer, message)
+                    sent = self._stream.send(peer, message)
+                    if sent.is_err():
+                        # The balancer asks again on its next connection.
+                        self._count(Count("answers_unsent", sent.err().step))
                 case StartBackend():
                     self._pool.submit(self._run, action)
                 case CancelBackend():
--- a/src/bramleystair/caller/_server.py
+++ b/src/bramleystair/caller/_server.py
@@ -307,7 +307,7 @@
 def _find_call(method: str, body: bytes) -> Call:
     if method == "POST":
         return Call.POST if body else Call.RESERVE
-    return Call(method.lower())
+    return Call.GET if method == "HEAD" else Call(method.lower())
 
 
 def _refuse(request: Request, status: int, reason: str) -> Reply:
--- a/src/bramleystair/requests/_dispatcher.py
+++ b/src/bramleystair/requests/_dispatcher.py
@@ -1,5 +1,6 @@
 """The balancer's decisions about requests."""
 
+import collections
 import enum
 import hashlib
 import heapq
@@ -67,6 +68,7 @@
     "deadline": TIMED_OUT,
 }
 MAX_RESEND_FACTOR = 8
+MAX_HANDED_OUT = 10_000
 RETRY_AFTER_SPREAD = 3.0
 # The fence must leave most of a short deadline to the request itself.
 MAX_FENCE_SHARE = 0.25
@@ -129,6 +131,8 @@
         self._attempts: dict[int, Pending] = {}
         self._due: list[tuple[float, int, Pending]] = []
         self._order = itertools.count()
+        # Attempts whose ticket a caller holds; late copies must not cancel it.
+        self._handed_out: collections.OrderedDict[int, None] = collections.OrderedDict()
         # A restarted balancer must not take answers to its predecessor's requests.
         self._request_ids = itertools.count(source.getrandbits(62))
 
@@ -277,7 +281,7 @@
 
     def _drop_late(self, sender: str, message: Message) -> list[DispatcherAction]:
         count = Count("answers_dropped", "late")
-        if isinstance(message, Reserved):
+        if isinstance(message, Reserved) and message.request_id not in self._handed_out:
             # Nobody will use the ticket, so the agent need not hold a place for it.
             return [Send(sender, Cancel(message.request_id, message.ticket)), count]
         return [count]
@@ -296,6 +300,9 @@
         pending.incarnation = ticket.incarnation
         if pending.call.call is Call.POST:
             return self._begin(pending, Phase.RUN, now)
+        self._handed_out[pending.request_id] = None
+        if len(self._handed_out) > MAX_HANDED_OUT:
+            self._handed_out.popitem(last=False)
         return self._end(pending, CREATED, None, "", None)
 
     def _handle_refused(
--- a/src/bramleystair/wire/_stream.py
+++ b/src/bramleystair/wire/_stream.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 import threading
+import time
 from collections.abc import Callable
 
 from result import Err, Ok, Result
@@ -24,6 +25,8 @@
 CONNECT_TIMEOUT_S = 2.0
 # A peer that takes no data for this long is treated as lost.
 SEND_TIMEOUT_S = 10.0
+# Longest wait for peers to take their last messages before a stop.
+FLUSH_TIMEOUT_S = 5.0
 READ_CHUNK_BYTES = 2**18
 # A VM that failed sends nothing, so idle connections to it are probed.
 SOCKET_OPTIONS = (
@@ -142,6 +145,7 @@
                 self._sock.sendall(frame)
                 with self._changed:
                     self._waiting.popleft()
+                    self._changed.notify_all()
         except OSError as error:
             return Err(StepError("send frame", self.peer, str(error)))
         finally:
@@ -157,6 +161,13 @@
                 return result.err()
             receive(result.ok())
 
+    def flush(self, timeout_s: float) -> bool:
+        """Wait until nothing is queued; return whether that is so."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: self._is_closed or not self._waiting, timeout_s
+            )
+
     def close(self) -> None:
         """End the connection, and with it its reader and writer."""
         with self._changed:
@@ -230,12 +241,15 @@
         return frame.and_then(connection.send)
 
     def stop(self) -> None:
-        """Close all connections and wait for their threads."""
+        """Send what is queued, close all connections and wait for their threads."""
         self._is_stopping = True
         _shut_down(self._socket)
         with self._lock:
             connections = list(self._connections.values())
+        flushed_s = time.monotonic() + FLUSH_TIMEOUT_S
         for connection in connections:
+            if not connection.flush(max(0.0, flushed_s - time.monotonic())):
+                log.warning("wire: %s did not read its last messages", connection.peer)
             connection.close()
         self._pool.shutdown(wait=True)
 
