Learn what the backend server takes without shedding

Cause: with a cap above the backend server's own limit, overload made it shed more than 20 % of requests, and the agent took it for a cold one again and again. Change: ShedLimit lowers the requests at once by one for each shed request and raises it after 20 successes at the limit; the refusal is counted as "overload". The new scenario fails without the limit.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -123,6 +123,24 @@
     When 4.0 times the capacity is offered to agents that warm up in 20.0 s
     Then the running requests never exceed the cold-start curve
 
+  Scenario: A backend server that sheds at overload is not taken for a cold one
+    Guards against agents that return to the cold state whenever the load is high.
+    When 2.0 times the capacity is offered to agents that warm up in 5.0 s without a queue
+    Then the agents became warm and stayed so
+
+  Scenario Outline: After <outcomes> the admitted share is <share>
+    Guards against a backend server that became cold again without notice.
+    Given a warm limit that starts at 0.2
+    When it observes <outcomes>
+    Then the admitted share is <share>
+
+    Examples:
+      | outcomes                | share |
+      | 20 fast, 20 fast        | 1.0   |
+      | 20 fast, 20 slow        | 0.2   |
+      | 20 fast, 16 fast, 4 shed | 0.2  |
+      | 20 fast, 17 fast, 3 shed | 1.0  |
+
   Scenario: The memory for responses is bounded
     Guards against kept responses that exhaust the memory of the agent.
     When 100 requests with responses of 1 MB each have ended
--- a/features/steps/backend_steps.py
+++ b/features/steps/backend_steps.py
@@ -36,11 +36,13 @@
 
 @given("a listener that {fault}")
 def start_listener(context, fault):
-    listener = socket.create_server(("127.0.0.1", 0))
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    context.add_cleanup(listener.close)
     context.client = BackendClient(*listener.getsockname(), MAX_BODY_BYTES)
     if fault == "is closed":
-        listener.close()
         return
+    listener.listen()
 
     def serve():
         connection, _ = listener.accept()
@@ -53,7 +55,6 @@
 
     thread = threading.Thread(target=serve)
     thread.start()
-    context.add_cleanup(listener.close)
     context.add_cleanup(thread.join)
 
 
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -72,6 +72,7 @@
         self.http = urllib3.HTTPConnectionPool(
             *self.balancer.address, maxsize=8, retries=False, timeout=WAIT_S
         )
+        self.held = socket.socket()
         self.location = ""
         self.thread.start()
 
@@ -87,9 +88,18 @@
             self.parts.remove(each)
             each.stop()
         if not self.parts:
+            self.held.close()
             self.is_stopped.set()
             self.thread.join()
 
+    def stop_and_hold(self, part):
+        """Stop a part; its port stays bound, so that no other process listens there."""
+        address = part.address
+        self.stop(part)
+        self.held = socket.socket()
+        self.held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.held.bind(address)
+
     def call(self, method, path, body=None, **headers):
         chunked = headers.pop("chunked", False)
         headers = {name.replace("_", "-"): text for name, text in headers.items()}
@@ -135,9 +145,9 @@
             case ["SHED"]:
                 self.backend.behaviour.is_draining = True
             case ["BACKEND", "DOWN"]:
-                self.stop(self.backend)
+                self.stop_and_hold(self.backend)
             case ["AGENT", "DOWN"]:
-                self.stop(self.agent)
+                self.stop_and_hold(self.agent)
             case _:
                 raise ValueError(call)
         return None
--- a/features/steps/requests_history.py
+++ b/features/steps/requests_history.py
@@ -97,10 +97,12 @@
         ledger_settings=None,
         dispatcher_settings=None,
         has_load_reports=False,
+        queue_length=50,
     ):
         self.source = random.Random(seed)
         self.faults = faults
         self.slots = slots
+        self.queue_length = queue_length
         self.service_time_s = service_time_s
         self.ledger_settings = ledger_settings or LedgerSettings(
             ticket_lifetime_s=4.0,
@@ -227,9 +229,11 @@
     # Backend servers
 
     def start_backend(self, agent, action):
-        if self.happens(self.faults.backend_shed) or len(agent.waiting) > 50:
+        is_free = agent.running < self.slots
+        is_full = not is_free and len(agent.waiting) >= self.queue_length
+        if is_full or self.happens(self.faults.backend_shed):
             self.report(agent, agent.ledger, BackendShed(action.ticket))
-        elif agent.running < self.slots:
+        elif is_free:
             self.run_backend(agent, agent.ledger, action)
         else:
             agent.waiting.append((agent.ledger, action, self.now + action.deadline_s))
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -31,6 +31,7 @@
     export_ledger,
     import_ledger,
 )
+from bramleystair.requests._admission import WarmLimit
 from bramleystair.tables import (
     Announcement,
     Member,
@@ -360,6 +361,44 @@
     assert max(running for _, running in context.running) >= 5
 
 
+@when(
+    "{load:f} times the capacity is offered to agents that warm up in {warm_up:f} s "
+    "without a queue"
+)
+def overload_without_queue(context, load, warm_up):
+    settings = LedgerSettings(initial_fraction=0.2, warm_up_s=warm_up)
+    context.world = World(1, Faults(), ledger_settings=settings, queue_length=0)
+    offer_load(context.world, load)
+
+
+@then("the agents became warm and stayed so")
+def check_warm(context):
+    assert context.world.counts["requests_refused", "shed"] > 20
+    for agent in context.world.agents.values():
+        warm_limit = agent.ledger.admission.warm_limit
+        assert warm_limit.started_s < 1.0, warm_limit.started_s
+        assert warm_limit.compute_fraction(context.world.now) == 1.0
+
+
+@given("a warm limit that starts at {fraction:f}")
+def create_warm_limit(context, fraction):
+    context.warm_limit = WarmLimit(fraction, 10.0)
+    context.warm_limit.compute_fraction(0.0)
+
+
+@when("it observes {outcomes}")
+def observe(context, outcomes):
+    for count, kind in (words.split() for words in outcomes.split(", ")):
+        latency_s = 0.5 if kind == "slow" else 0.1
+        for _ in range(int(count)):
+            context.warm_limit.observe(latency_s, kind == "shed", 20.0)
+
+
+@then("the admitted share is {share:f}")
+def check_share(context, share):
+    assert context.warm_limit.compute_fraction(20.0) == share
+
+
 @when("{count:d} requests with responses of 1 MB each have ended")
 def fill_memory(context, count):
     context.script = script = LedgerScript(3)
--- a/src/bramleystair/requests/_admission.py
+++ b/src/bramleystair/requests/_admission.py
@@ -18,6 +18,8 @@
 COLD_LATENCY_FACTOR = 4.0
 COLD_SHED_FRACTION = 0.2
 BASELINE_GAIN = 0.1
+# One shed request in 20 is well below the share that indicates a cold backend server.
+RAISE_AFTER_SUCCESSES = 20
 LATENCY_GAIN = 0.2
 # An estimate that refuses every request would never be corrected, so it fades.
 ESTIMATE_HALF_LIFE_S = 5.0
@@ -101,6 +103,32 @@
         return False
 
 
+class ShedLimit:
+    """Limit the requests at once to what the backend server takes without shedding.
+
+    Without it, a cap above the backend server's own limit would look like a cold
+    backend server as soon as the load is high.
+    """
+
+    def __init__(self) -> None:
+        self.limit = math.inf
+        self._successes = 0
+
+    def observe(self, load: int, is_shed: bool) -> None:
+        """Take the outcome of a request that started as the `load`-th at once."""
+        if is_shed:
+            known = load if math.isinf(self.limit) else self.limit
+            self.limit = max(1, known - 1)
+            self._successes = 0
+            return
+        if load < self.limit:
+            return
+        self._successes += 1
+        if self._successes >= RAISE_AFTER_SUCCESSES:
+            self.limit += 1
+            self._successes = 0
+
+
 class LatencyEstimate:
     """Estimate how long a request takes from those that met the same load."""
 
@@ -149,6 +177,7 @@
         self._held: collections.Counter[int] = collections.Counter()
         self._holds: collections.OrderedDict[bytes, _Hold] = collections.OrderedDict()
         self._latency = LatencyEstimate()
+        self._shed_limit = ShedLimit()
         self.warm_limit = WarmLimit(settings.initial_fraction, settings.warm_up_s)
 
     def set_view(self, view: View) -> None:
@@ -188,6 +217,8 @@
         if used >= self.warm_limit.limit(cap, now):
             return "cold"
         load = self.count_running() + 1
+        if load > self._shed_limit.limit:
+            return "overload"
         if 0 < deadline_s < self._latency.estimate(service_id, load, now):
             return "infeasible"
         return ""
@@ -231,8 +262,9 @@
         """Count a request that left; return whether a new warm-up starts."""
         self._running[entry.service_id] -= 1
         latency_s = now - entry.started_s
+        load = entry.load_at_start
+        self._shed_limit.observe(load, is_shed)
         if not is_shed:
-            load = entry.load_at_start
             self._latency.observe(entry.service_id, load, latency_s, now)
         return self.warm_limit.observe(latency_s, is_shed, now)
 
--- a/src/bramleystair/requests/_dispatcher.py
+++ b/src/bramleystair/requests/_dispatcher.py
@@ -58,6 +58,7 @@
     "too_large": TOO_LARGE,
     "cap": TOO_MANY,
     "cold": TOO_MANY,
+    "overload": TOO_MANY,
     "deadline": TIMED_OUT,
 }
 UNKNOWN_STATUSES = {
--- a/src/bramleystair/wire/_stream.py
+++ b/src/bramleystair/wire/_stream.py
@@ -332,12 +332,15 @@
             return frame
         with self._lock:
             connection = self._connections.get(peer)
-            if connection is None or not _is_usable(connection, address):
-                opened = self._open(peer, address)
-                if opened.is_err():
-                    return opened
-                connection = opened.ok()
-        return connection.send(frame.ok())
+            if connection is not None and _is_usable(connection, address):
+                return connection.send(frame.ok())
+            opened = self._open(peer, address)
+            if opened.is_err():
+                return opened
+            # The frame is queued first, so that a failure is reported only once.
+            opened.ok().send(frame.ok())
+            self._pool.submit(self._carry, opened.ok())
+        return Ok(None)
 
     def stop(self) -> None:
         """Close all connections and wait for their threads."""
@@ -358,7 +361,6 @@
             old.close()
         connection = Connection(peer, address=address)
         self._connections[peer] = connection
-        self._pool.submit(self._carry, connection)
         return Ok(connection)
 
     def _carry(self, connection: Connection) -> None:
