Hand the ledger over on an upgrade, and cancel runs on their way

Cause: the export of the ledger had no place in the agent's request server, and a cancellation could reach the backend server before the run that it ends. Change: RequestServer.hand_over drains, waits and exports; a cancellation that the backend server does not know is repeated up to five times while the run is in progress. Figures: tickets and responses survive an upgrade in two scenarios over loopback.

--- a/features/caller.feature
+++ b/features/caller.feature
@@ -25,6 +25,8 @@
       | POST, PUT forged           | 201, 502           | unknown | forged          | 0    |
       | PUT malformed              | 404                | unknown | malformed       | 0    |
       | POST, PUT, PUT large       | 201, 200, 413      | unknown | too_large       | 1    |
+      | POST, UPGRADE, PUT         | 201, 200           |         |                 | 1    |
+      | POST, PUT, UPGRADE, PUT    | 201, 200, 200      |         |                 | 1    |
       | POST large                 | 413                | not_run | too_large       | 0    |
       | POST chunked               | 200                |         |                 | 1    |
       | POST large chunked         | 413                | not_run | too_large       | 0    |
--- a/features/steps/backend_steps.py
+++ b/features/steps/backend_steps.py
@@ -68,7 +68,7 @@
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
         outcome = pool.submit(context.client.run, "sheets", "r1", b"body", "", 50.0)
         wait_for_run(context)
-        assert context.client.cancel("r1").is_ok()
+        assert context.client.cancel("r1").unwrap()
         context.outcome = outcome.result()
 
 
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -18,6 +18,7 @@
     DispatcherSettings,
     LedgerSettings,
     RequestLedger,
+    import_ledger,
 )
 from bramleystair.standins._backend import Backend, Behaviour
 from bramleystair.tables import Announcement, Member, Protocol, Table
@@ -26,6 +27,7 @@
 
 MAX_BODY_BYTES = 100_000
 WAIT_S = 10.0
+LEDGER_SETTINGS = LedgerSettings(warm_up_s=0.0, max_body_bytes=MAX_BODY_BYTES)
 
 
 class Loopback:
@@ -40,16 +42,8 @@
             "s0", ["sheets"], "127.0.0.1", 0, Behaviour(service_time_s=0.005)
         )
         self.backend.start()
-        settings = LedgerSettings(warm_up_s=0.0, max_body_bytes=MAX_BODY_BYTES)
-        self.agent = RequestServer(
-            "127.0.0.1",
-            0,
-            RequestLedger("s0", 1, settings, random.Random(1)),
-            BackendClient(*self.backend.address),
-            self.timers,
-            self.count,
-            lambda latency_s, is_shed: None,
-        )
+        ledger = RequestLedger("s0", 1, LEDGER_SETTINGS, random.Random(1))
+        self.agent = self.build_agent(0, ledger)
         self.balancer = CallerServer(
             "127.0.0.1",
             0,
@@ -65,9 +59,9 @@
         member = Member("s0", "z", 1.0, 9, 9)
         table = Table("sheets", "127.0.0.1", 80, Protocol.TCP, (member,))
         agent = Announcement("s0", "z", *self.agent.address, 1)
-        view = View({"sheets": table}, {}, {"s0": agent})
-        self.agent.set_view(view)
-        self.balancer.set_view(view)
+        self.view = View({"sheets": table}, {}, {"s0": agent})
+        self.agent.set_view(self.view)
+        self.balancer.set_view(self.view)
         self.parts = [self.balancer, self.agent, self.backend]
         self.http = urllib3.HTTPConnectionPool(
             *self.balancer.address, maxsize=8, retries=False, timeout=WAIT_S
@@ -76,6 +70,27 @@
         self.location = ""
         self.thread.start()
 
+    def build_agent(self, port, ledger):
+        return RequestServer(
+            "127.0.0.1",
+            port,
+            ledger,
+            BackendClient(*self.backend.address),
+            self.timers,
+            self.count,
+            lambda latency_s, is_shed: None,
+        )
+
+    def upgrade_agent(self):
+        port = self.agent.address[1]
+        data = self.agent.hand_over(WAIT_S)
+        ledger = import_ledger(data, LEDGER_SETTINGS, random.Random(3)).unwrap()
+        self.parts.remove(self.agent)
+        self.agent = self.build_agent(port, ledger)
+        self.agent.start()
+        self.agent.set_view(self.view)
+        self.parts.insert(1, self.agent)
+
     def count(self, count):
         self.counts[count.name, count.reason] += count.amount
 
@@ -142,6 +157,8 @@
                 return self.call(method, self.location)
             case ["DRAIN"]:
                 self.agent.start_drain()
+            case ["UPGRADE"]:
+                self.upgrade_agent()
             case ["SHED"]:
                 self.backend.behaviour.is_draining = True
             case ["BACKEND", "DOWN"]:
--- a/src/bramleystair/agent/_requests.py
+++ b/src/bramleystair/agent/_requests.py
@@ -17,6 +17,7 @@
     RequestLedger,
     StartBackend,
     StopRequested,
+    export_ledger,
 )
 from bramleystair.timers import TimerService
 from bramleystair.views import View
@@ -28,6 +29,8 @@
 MAX_BACKEND_CALLS = 256
 # Cancellations must not wait behind the calls that they end.
 MAX_BACKEND_CANCELS = 8
+CANCEL_ATTEMPTS = 5
+CANCEL_RETRY_S = 0.05
 DRAIN_POLL_S = 0.05
 
 
@@ -67,6 +70,7 @@
         self._count = count
         self._observe = observe
         self._lock = threading.Lock()
+        self._running: set[bytes] = set()
         self._pool = concurrent.futures.ThreadPoolExecutor(MAX_BACKEND_CALLS)
         self._cancel_pool = concurrent.futures.ThreadPoolExecutor(MAX_BACKEND_CANCELS)
         self._stream = StreamServer(
@@ -116,6 +120,16 @@
         self._subscription.cancel()
         self._stream.stop()
 
+    def hand_over(self, timeout_s: float) -> bytes:
+        """Stop for a planned upgrade and return the ledger for the successor.
+
+        Requests that still run after `timeout_s` have an unknown outcome.
+        """
+        self.start_drain()
+        self.wait_idle(timeout_s)
+        self.stop()
+        return export_ledger(self._ledger)
+
     def _submit(self, event: LedgerEvent) -> None:
         with self._lock:
             actions = self._ledger.handle(event, self._timers.clock.now())
@@ -126,7 +140,8 @@
                     if sent.is_err():
                         # The balancer asks again on its next connection.
                         self._count(Count("answers_unsent", sent.err().step))
-                case StartBackend():
+                case StartBackend(ticket):
+                    self._running.add(ticket)
                     self._pool.submit(self._run, action)
                 case CancelBackend():
                     self._cancel_pool.submit(self._cancel, action)
@@ -149,14 +164,21 @@
         except Exception:
             log.exception("agent: running a request failed")
             outcome = Failed("agent_error")
+        self._running.discard(action.ticket)
         self._submit(_build_event(action.ticket, outcome))
         latency_s = self._timers.clock.now() - started_s
         self._observe(latency_s, isinstance(outcome, Shed))
 
     def _cancel(self, action: CancelBackend) -> None:
-        cancelled = self._backend.cancel(action.request_name)
-        if cancelled.is_err():
-            log.warning("agent: %s", cancelled.err())
+        """Cancel a request, which may still be on its way to the backend server."""
+        for _ in range(CANCEL_ATTEMPTS):
+            cancelled = self._backend.cancel(action.request_name)
+            if cancelled.is_err():
+                log.warning("agent: %s", cancelled.err())
+                return
+            if cancelled.ok() or action.ticket not in self._running:
+                return
+            threading.Event().wait(CANCEL_RETRY_S)
 
 
 def _build_event(ticket: bytes, outcome: RunOutcome) -> LedgerEvent:
--- a/src/bramleystair/backend/_client.py
+++ b/src/bramleystair/backend/_client.py
@@ -114,10 +114,12 @@
             return Failed("backend_connection_lost")
         return self._read_outcome(response)
 
-    def cancel(self, request_name: str) -> Result[None, StepError]:
-        """Ask the backend server to stop a request."""
+    def cancel(self, request_name: str) -> Result[bool, StepError]:
+        """Ask the backend server to stop a request; return whether it had it."""
         step = "cancel request"
-        return self._query(step, "DELETE", f"/run/{request_name}").map(lambda _: None)
+        return self._query(step, "DELETE", f"/run/{request_name}").map(
+            lambda response: response.status == OK
+        )
 
     def check_health(self) -> Result[bool, StepError]:
         """Return whether the backend server says that it is healthy."""
