Close the daemons' sockets on a stop

A daemon that was stopped within a living process kept its UDP ports. Found by a scenario that restarts both daemons against a platform that answers rubbish.

--- a/features/daemons.feature
+++ b/features/daemons.feature
@@ -35,3 +35,10 @@
     Then a new request is not accepted
     And the request in hand receives its whole response
 
+
+  Scenario: A platform that answers rubbish
+    Given a platform that answers rubbish to every second call and else rubbish objects
+    When both daemons are restarted with that platform
+    Then both daemons have counted failed calls to the platform
+    And the balancer has counted rubbish objects
+    And a new connection still reaches the backend server
--- a/features/steps/daemons_steps.py
+++ b/features/steps/daemons_steps.py
@@ -1,6 +1,8 @@
 import contextlib
 import http.server
 import itertools
+import json
+import logging
 import os
 import random
 import socket
@@ -62,14 +64,16 @@
 
 @given("a balancer, and an agent whose backend server is behind a TUN device")
 def start_daemons(context):
+    logging.getLogger("bramleystair").setLevel(logging.CRITICAL)
     context.fabric = open_udp_socket(build_host(), 0)
     context.fabric.settimeout(WAIT_S)
     context.add_cleanup(context.fabric.close)
+    context.stopped = {}
     context.pool = ThreadPoolExecutor(4)
     context.add_cleanup(context.pool.shutdown)
     start_backend(context)
     context.balancer_host, context.agent_host = build_host(), build_host()
-    context.platform = start_platform(context)
+    context.platform = ""
     start_balancer(context)
     start_agent(context)
 
@@ -151,17 +155,17 @@
 
 def start(context, daemon):
     daemon.start()
-    context.stopped = {}
+    context.add_cleanup(stop_daemon, context, daemon)
 
-    def stop():
-        # Two requests make a daemon stop without waiting for work in hand.
-        daemon.threads.request_stop()
-        daemon.threads.request_stop()
-        if not context.stopped.get(daemon):
-            daemon.stop()
-        assert not daemon.threads.has_failed
 
-    context.add_cleanup(stop)
+def stop_daemon(context, daemon):
+    # Two requests make a daemon stop without waiting for work in hand.
+    daemon.threads.request_stop()
+    daemon.threads.request_stop()
+    if daemon not in context.stopped:
+        stop_as_planned(context, daemon)
+    context.stopped[daemon].result(WAIT_S)
+    assert not daemon.threads.has_failed
 
 
 def stop_as_planned(context, daemon):
@@ -362,5 +366,71 @@
     context.stopped[context.balancer].result(WAIT_S)
 
 
+RUBBISH = [
+    (200, b""),
+    (200, b"<html>not json"),
+    (200, b'{"objects": 3, "cursor": "x"}'),
+    (200, b'{"objects": [{"key": 1, "version": "2"}], "cursor": 1}'),
+    (200, b'{"version": null}'),
+    (200, b"[" * 100_000),
+    (418, b"\xff\xfe"),
+    (500, b"{}"),
+]
+RUBBISH_BODIES = ["", "{", "[]", "3", '{"service": 1}', "\u0000", "[" * 100_000]
+
+
+class RubbishHandler(http.server.BaseHTTPRequestHandler):
+    """Platform that answers rubbish, and in between lists rubbish objects."""
+
+    def answer(self):
+        number = next(self.server.numbers)
+        is_rubbish = number % 2 or self.command != "GET"
+        status, body = RUBBISH[number // 2 % len(RUBBISH)]
+        if not is_rubbish:
+            status, body = 200, json.dumps(build_rubbish_listing(number)).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    do_GET = do_PUT = answer  # noqa: N815, the names are given by the library
+
+    def log_message(self, *_):
+        pass
+
+
+def build_rubbish_listing(number):
+    prefixes = ("table/", "zone/", "agent/", "balancer/", "unknown/", "")
+    objects = [
+        {"key": f"{prefix}{index}", "version": number + 1, "body": body}
+        for prefix in prefixes
+        for index, body in enumerate(RUBBISH_BODIES)
+    ]
+    return {"objects": objects, "cursor": number}
+
+
+@given("a platform that answers rubbish to every second call and else rubbish objects")
 def start_platform(context):
-    return ""
+    server = start_server(context, RubbishHandler)
+    server.numbers = itertools.count()
+    context.platform = "http://{}:{}".format(*server.server_address)
+
+
+@when("both daemons are restarted with that platform")
+def restart(context):
+    for daemon in (context.agent, context.balancer):
+        stop_daemon(context, daemon)
+    start_balancer(context)
+    start_agent(context)
+    push_table(context)
+
+
+@then("both daemons have counted failed calls to the platform")
+def check_failed_calls(context):
+    for daemon in (context.agent, context.balancer):
+        wait_until(lambda d=daemon: d.metrics.get_count("platform_failed") >= 2)
+
+
+@then("the balancer has counted rubbish objects")
+def check_rubbish_objects(context):
+    wait_until(lambda: context.balancer.metrics.get_count("objects_refused"))
--- a/src/bramleystair/agent/_daemon.py
+++ b/src/bramleystair/agent/_daemon.py
@@ -171,6 +171,7 @@
         self._platform.close()
         self._metrics_server.close()
         self.threads.close()
+        self._messenger.close()
         self._fabric.close()
         self._backend.close()
         log.info("stopped")
--- a/src/bramleystair/balancer/_daemon.py
+++ b/src/bramleystair/balancer/_daemon.py
@@ -111,6 +111,8 @@
         self._messenger.stop()
         self._metrics_server.close()
         self.threads.close()
+        self._forwarder.close()
+        self._messenger.close()
         log.info("stopped")
 
     def get_health(self) -> dict:
--- a/src/bramleystair/balancer/_forwarding.py
+++ b/src/bramleystair/balancer/_forwarding.py
@@ -66,6 +66,10 @@
         """Make `run` return."""
         self._is_running = False
 
+    def close(self) -> None:
+        """Close the socket, after `run` has returned."""
+        self._udp.close()
+
     def run(self) -> None:
         """Forward packets until `stop`."""
         self._udp.settimeout(RECEIVE_TIMEOUT_S)
--- a/src/bramleystair/daemons/_messenger.py
+++ b/src/bramleystair/daemons/_messenger.py
@@ -80,6 +80,10 @@
         """Make `run` return."""
         self._is_open = False
 
+    def close(self) -> None:
+        """Close the socket, after `run` has returned."""
+        self._udp.close()
+
     def _take(
         self, data: bytes, address: tuple, deliver: Callable[[Envelope], None]
     ) -> None:
