--- a/features/steps/replicas_steps.py
+++ b/features/steps/replicas_steps.py
@@ -7,11 +7,14 @@
 
 from bramleystair.bench import Carrier, Faults, build_fleet, introduce
 from bramleystair.replicas import (
+    LISTED_PREFIXES,
+    WATCHED_PREFIXES,
     AgentReplica,
     IncarnationRaised,
     LoadsChanged,
     ObjectStore,
     Peer,
+    PlatformListed,
     PlatformObjects,
     RenewLease,
     ReplicaSettings,
@@ -56,6 +59,7 @@
         return version
 
     def report(self, items):
+        items = tuple(o for o in items if o.key.startswith(WATCHED_PREFIXES))
         for name in sorted(self.watchers & set(self.carrier.replicas)):
             self.carrier.give(name, PlatformObjects(items))
 
@@ -63,6 +67,14 @@
         self.is_up = is_up
         if is_up:
             self.report(tuple(self.objects.values()))
+            self.list_announcements()
+
+    def list_announcements(self):
+        for prefix in LISTED_PREFIXES:
+            found = (o for key, o in self.objects.items() if key.startswith(prefix))
+            event = PlatformListed(prefix, tuple(found))
+            for name in sorted(self.watchers & set(self.carrier.replicas)):
+                self.carrier.give(name, event)
 
     def observe(self, now, name, actions):
         for action in actions:
@@ -190,7 +202,12 @@
 @when('the leases of "{names}" lapse')
 def lapse(context, names):
     for name in names.split(","):
-        context.history.platform.write(f"agent/{name}", b"")
+        del context.history.platform.objects[f"agent/{name}"]
+
+
+@when("the announcements are listed")
+def list_announcements(context):
+    context.history.platform.list_announcements()
 
 
 @when('"{name}" restarts with incarnation {incarnation:d}')
@@ -422,6 +439,40 @@
     assert is_everywhere()
 
 
+@given("{count:d} balancers that hold {marks:d} marks, with seed {seed:d}")
+def create_holders(context, count, marks, seed):
+    context.fleet = build_fleet(count + 1, 0, 3, (), seed)
+    context.started = context.fleet.pop(f"b{count}")
+    names = (f"z{index}" for index in range(marks))
+    introduce(
+        context.fleet,
+        tuple(
+            StoredObject(f"zone/{name}", 1, "", encode_object(ZoneMark(name, True)))
+            for name in names
+        ),
+    )
+    context.carrier = Carrier(random.Random(seed))
+    for name, replica in context.fleet.items():
+        context.carrier.add(name, replica)
+    context.carrier.run(2)
+
+
+@when("a fifth starts and {loss:d} % of messages are lost")
+def start_fifth(context, loss):
+    context.carrier.faults.loss = loss / 100
+    context.carrier.add("b4", context.started)
+
+
+@then(
+    "it holds the {marks:d} marks within {limit:d} s"
+    " and never has more than {kilobytes:d} KB in flight"
+)
+def check_caught_up(context, marks, limit, kilobytes):
+    context.carrier.run(limit)
+    assert len(context.started.view.zones) == marks, len(context.started.view.zones)
+    assert context.carrier.peak_in_flight["b4"] < kilobytes * 1024
+
+
 @when("generated versions arrive at two stores in different orders")
 def fill_stores(context):
     context.stores = []
