--- /dev/null
+++ b/src/bramleystair/replay/_run.py
@@ -0,0 +1,114 @@
+"""Running of a trace and comparison with its stated outcomes."""
+
+import random
+from collections.abc import Iterator
+
+import attrs
+
+from bramleystair.replay._measures import INVARIANTS, Violation
+from bramleystair.replay._trace import Bound, Event, Trace
+from bramleystair.replay._world import WARM_UP_S, World
+
+MAX_SHOWN_VIOLATIONS = 5
+
+
+@attrs.frozen
+class Failure:
+    """A stated outcome or an invariant that was not kept."""
+
+    measure: str
+    value: float
+    allowed: str
+
+    def __str__(self) -> str:
+        """Return a single line for terminals."""
+        return f"{self.measure} is {self.value:g}, allowed is {self.allowed}"
+
+
+@attrs.frozen
+class Outcome:
+    """Result of a replay.
+
+    Parameters
+    ----------
+    trace : str
+        Name of the trace.
+    seed : int
+        Seed of the replay.
+    measures : dict of str to float
+        Measured values.
+    counters : dict of str to int
+        What the decision modules counted.
+    failures : tuple of Failure
+        Stated outcomes and invariants that were not kept.
+    violations : tuple of Violation
+        The first violations.
+    """
+
+    trace: str
+    seed: int
+    measures: dict[str, float]
+    counters: dict[str, int]
+    failures: tuple[Failure, ...]
+    violations: tuple[Violation, ...]
+
+    def list_lines(self) -> Iterator[str]:
+        """Yield the lines for a terminal."""
+        word = "FAILED" if self.failures else "ok"
+        yield f"{self.trace} seed {self.seed}: {word}"
+        yield from (f"  {failure}" for failure in self.failures)
+        for violation in self.violations[:MAX_SHOWN_VIOLATIONS]:
+            yield f"  {violation}"
+
+
+def run_trace(trace: Trace, seed: int | None = None) -> Outcome:
+    """Replay a trace and compare the measures with the stated outcomes.
+
+    Parameters
+    ----------
+    trace : Trace
+        Setup, events and stated outcomes.
+    seed : int or None
+        Seed of every random choice; by default that of the setup.
+    """
+    seed = int(trace.setup.get("seed", 1)) if seed is None else seed
+    world = World(trace.setup, seed)
+    _advance(world, WARM_UP_S)
+    for event in trace.events:
+        _advance(world, WARM_UP_S + event.time_s)
+        world.apply(event)
+    _advance(world, WARM_UP_S + trace.end_s)
+    world.finish()
+    measures = world.measures
+    bounds = [*trace.bounds, *(Bound(name, None, 0.0) for name in INVARIANTS)]
+    failures = tuple(_find_failures(bounds, measures.values))
+    return Outcome(
+        trace.name,
+        seed,
+        dict(measures.values),
+        dict(measures.counters),
+        failures,
+        tuple(measures.violations),
+    )
+
+
+def shift_events(events: list[Event], source: random.Random) -> list[Event]:
+    """Return `events` with their times moved by up to a tenth of a second."""
+    return [
+        attrs.evolve(event, time_s=event.time_s + 0.1 * source.random())
+        for event in events
+    ]
+
+
+def _advance(world: World, end_s: float) -> None:
+    measures = world.measures
+    while world.carrier.step(end_s):
+        measures.step += 1
+        measures.now = world.carrier.now - WARM_UP_S
+
+
+def _find_failures(bounds: list[Bound], values: dict[str, float]) -> Iterator[Failure]:
+    for bound in bounds:
+        value = values.get(bound.measure, 0.0)
+        if not bound.is_kept(value):
+            yield Failure(bound.measure, value, str(bound))
