--- a/src/bramleystair/replay/_cli.py
+++ b/src/bramleystair/replay/_cli.py
@@ -1,5 +1,6 @@
 """Command line of `bramleystair-replay`."""
 
+import concurrent.futures
 import json
 import sys
 from collections.abc import Sequence
@@ -10,7 +11,8 @@
 import defopt
 
 from bramleystair.replay._run import Outcome, run_trace
-from bramleystair.replay._trace import read_trace
+from bramleystair.replay._soak import generate_histories
+from bramleystair.replay._trace import Trace, read_trace, write_trace
 
 OK, FAILED, USAGE = 0, 1, 2
 
@@ -25,6 +27,9 @@
 def replay(
     *traces: Path,
     seed: int = -1,
+    soak: int = 0,
+    processes: int = 1,
+    output: Path = Path("."),
     format: Literal["text", "json"] = "text",
     verbose: bool = False,
 ) -> int:
@@ -36,11 +41,19 @@
         Files of JSON Lines; see docs/traces.md.
     seed
         Seed of every random choice; -1 takes that of the trace.
+    soak
+        Run this many generated histories of pairs of faults instead of files.
+    processes
+        Processes that share the generated histories.
+    output
+        Directory to which the trace of each failed history is written.
     format
         Output as text or JSON.
     verbose
         Print every measure and counter.
     """
+    if soak:
+        return _run_soak(soak, max(seed, 0), processes, output, format)
     code = OK
     for path in traces:
         result = read_trace(path)
@@ -53,6 +66,24 @@
     return code
 
 
+def _run_soak(count: int, seed: int, processes: int, output: Path, style: str) -> int:
+    failed = 0
+    with concurrent.futures.ProcessPoolExecutor(processes) as pool:
+        traces = (history.trace for history in generate_histories(count, seed))
+        for trace, outcome in pool.map(_run_history, traces):
+            if not outcome.failures:
+                continue
+            failed += 1
+            write_trace(output / f"{trace.name}.jsonl", trace)
+            _show(outcome, style, False)
+    print(f"{count} histories with seed {seed}, {failed} failed", file=sys.stderr)
+    return FAILED if failed else OK
+
+
+def _run_history(trace: Trace) -> tuple[Trace, Outcome]:
+    return trace, run_trace(trace)
+
+
 def _show(outcome: Outcome, style: str, is_verbose: bool) -> None:
     if style == "json":
         print(json.dumps(attrs.asdict(outcome)))
--- a/src/bramleystair/replay/_run.py
+++ b/src/bramleystair/replay/_run.py
@@ -1,12 +1,11 @@
 """Running of a trace and comparison with its stated outcomes."""
 
-import random
 from collections.abc import Iterator
 
 import attrs
 
 from bramleystair.replay._measures import INVARIANTS, Violation
-from bramleystair.replay._trace import Bound, Event, Trace
+from bramleystair.replay._trace import Bound, Trace
 from bramleystair.replay._world import WARM_UP_S, World
 
 MAX_SHOWN_VIOLATIONS = 5
@@ -92,14 +91,6 @@
     )
 
 
-def shift_events(events: list[Event], source: random.Random) -> list[Event]:
-    """Return `events` with their times moved by up to a tenth of a second."""
-    return [
-        attrs.evolve(event, time_s=event.time_s + 0.1 * source.random())
-        for event in events
-    ]
-
-
 def _advance(world: World, end_s: float) -> None:
     measures = world.measures
     while world.carrier.step(end_s):
