Keep watching after an answer that cannot be handled

An answer nested too deeply raised RecursionError in the platform's client, which ended the watch of that balancer for good. The client now reports such an answer as malformed, and the threads that use it go on after any exception and count it.

--- a/src/bramleystair/daemons/_platform_link.py
+++ b/src/bramleystair/daemons/_platform_link.py
@@ -64,8 +64,10 @@
         if not self._url:
             return
         # A watch waits in the platform for long, and must not delay a stop.
-        for target in (self._run_watch, self._run_lease):
-            threading.Thread(target=target, name="platform", daemon=True).start()
+        for loop in (self._run_watch, self._run_lease):
+            threading.Thread(
+                target=self._guard, args=(loop,), name="platform", daemon=True
+            ).start()
 
     def set_watch(self, is_wanted: bool) -> None:
         """Begin to watch, or end it with the present call."""
@@ -87,6 +89,17 @@
             self._is_open = False
             self._changed.notify_all()
 
+    def _guard(self, loop: Callable[[], None]) -> None:
+        # The platform is not needed to serve, so no answer of it may stop a node or
+        # end its watch for good.
+        while self._is_open:
+            try:
+                loop()
+            except Exception:
+                log.exception("handling an answer failed")
+                self._metrics.count("platform_failed", "exception")
+                self._pause()
+
     def _run_watch(self) -> None:
         client = PlatformClient(self._url)
         while self._wait_for(lambda: self._is_watch_wanted):
@@ -130,6 +143,9 @@
         error = result.unwrap_err()
         self._metrics.count("platform_failed", f"{step}_{error.kind}")
         log.warning("%s", error)
+        self._pause()
+
+    def _pause(self) -> None:
         delay_s = self._random.uniform(RETRY_MIN_S, RETRY_MAX_S)
         with self._changed:
             self._changed.wait_for(lambda: not self._is_open, delay_s)
--- a/src/bramleystair/platform/_client.py
+++ b/src/bramleystair/platform/_client.py
@@ -333,7 +333,7 @@
             return Err(self._read_refusal(step, response))
         try:
             data = response.json()
-        except (ValueError, requests.RequestException):
+        except (ValueError, RecursionError, requests.RequestException):
             return Err(self._build_malformed(step, "the answer is not JSON"))
         if status != 200:
             return Err(self._build_malformed(step, f"unexpected status {status}"))
