Find the first balancers through the platform

An agent without seeds could not hear of any balancer. It now asks the platform for them at its start, and exits with a message when there are none, so that its supervisor starts it again.

--- a/features/daemons.feature
+++ b/features/daemons.feature
@@ -42,3 +42,8 @@
     Then both daemons have counted failed calls to the platform
     And the balancer has counted rubbish objects
     And a new connection still reaches the backend server
+
+  Scenario: An agent without seeds finds the balancers through the platform
+    Given a platform that holds 2 announcements of balancers and a rubbish one
+    Then an agent without seeds starts with these 2 balancers
+    And an agent without seeds exits while the platform is away
--- a/features/steps/daemons_steps.py
+++ b/features/steps/daemons_steps.py
@@ -19,13 +19,26 @@
 
 from bramleystair.agent import AgentDaemon
 from bramleystair.balancer import BalancerDaemon
+from bramleystair.daemons import require_seeds
 from bramleystair.fabric import decapsulate, encapsulate, open_udp_socket, read_flow_key
 from bramleystair.packets import reverse_flow
-from bramleystair.settings import AgentSettings, BalancerSettings, check_settings
+from bramleystair.platform import PlatformClient
+from bramleystair.settings import (
+    AgentSettings,
+    BalancerSettings,
+    SeedSettings,
+    check_settings,
+)
+from bramleystair.standins._platform import (
+    PlatformApplication,
+    create_platform_server,
+)
 from bramleystair.tables import (
     Member,
+    NodeAnnouncement,
     Protocol,
     Table,
+    build_key,
     compute_service_id,
     encode_object,
 )
@@ -434,3 +447,43 @@
 @then("the balancer has counted rubbish objects")
 def check_rubbish_objects(context):
     wait_until(lambda: context.balancer.metrics.get_count("objects_refused"))
+
+
+@given("a platform that holds {count:d} announcements of balancers and a rubbish one")
+def hold_announcements(context, count):
+    server = create_platform_server(PlatformApplication(), host=build_host(), port=0)
+    server.prepare()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    context.platform_server = server
+    context.add_cleanup(thread.join)
+    context.add_cleanup(server.stop)
+    context.platform = "http://{}:{}".format(*server.bind_addr)
+    client = PlatformClient(context.platform)
+    context.announced = [
+        NodeAnnouncement(f"balancer-{index}", "z", "r", "10.0.0.1", 7946, 8080, 5)
+        for index in range(count)
+    ]
+    for node in context.announced:
+        body = encode_object(node).decode()
+        assert client.put_object(build_key(node), body).is_ok()
+    assert client.put_object("balancer/rubbish", "{").is_ok()
+
+
+@then("an agent without seeds starts with these {count:d} balancers")
+def check_seeds(context, count):
+    seeds = require_seeds((), context.platform)
+    expected = [SeedSettings(n.node, n.host, n.port) for n in context.announced]
+    assert len(expected) == count
+    assert sorted(seeds, key=lambda seed: seed.name) == expected
+
+
+@then("an agent without seeds exits while the platform is away")
+def check_exit(context):
+    context.platform_server.stop()
+    try:
+        require_seeds((), context.platform)
+    except SystemExit as error:
+        assert error.code
+    else:
+        raise AssertionError("the agent would start without a balancer")
--- a/src/bramleystair/agent/_main.py
+++ b/src/bramleystair/agent/_main.py
@@ -3,10 +3,11 @@
 import logging
 from pathlib import Path
 
+import attrs
 import defopt
 
 from bramleystair.agent._daemon import run_agent
-from bramleystair.daemons import read_settings
+from bramleystair.daemons import read_settings, require_seeds
 from bramleystair.logs import set_up_logs
 from bramleystair.settings import AgentSettings
 
@@ -22,6 +23,8 @@
         Whether debug messages are logged too.
     """
     values = read_settings(settings, AgentSettings)
+    seeds = require_seeds(values.seeds, values.platform)
+    values = attrs.evolve(values, seeds=seeds)
     level = logging.DEBUG if verbose else logging.INFO
     set_up_logs(values.server, level)
     raise SystemExit(run_agent(values))
--- a/src/bramleystair/bench/__init__.py
+++ b/src/bramleystair/bench/__init__.py
@@ -5,12 +5,14 @@
 from bramleystair.bench._capacity import measure_capacity
 from bramleystair.bench._carrier import Carrier, Faults
 from bramleystair.bench._fleet import build_fleet, introduce
+from bramleystair.bench._forward import forward
 from bramleystair.bench._spread import measure_spread
 
 __all__ = [
     "Carrier",
     "Faults",
     "build_fleet",
+    "forward",
     "introduce",
     "main",
     "measure_capacity",
@@ -19,6 +21,7 @@
 
 COMMANDS = {
     "capacity": measure_capacity,
+    "forward": forward,
     "spread": measure_spread,
 }
 
--- a/src/bramleystair/bench/_capacity_page.py
+++ b/src/bramleystair/bench/_capacity_page.py
@@ -344,8 +344,8 @@
     )
     return text + (
         f"\n\nA change wakes {show(model.compute_watches())} watches, which the"
-        f" platform answers and gets again. After an outage or a restart of the whole fleet,"
-        f" {model.members:,} announcements are written; at"
+        " platform answers and gets again. After an outage or a restart of the whole"
+        f" fleet, {model.members:,} announcements are written; at"
         f" {sizes.platform_writes_per_s} writes/s this takes {show(first_writes)} s,"
         f" against a lease of {show(3 * sizes.lease_renew_s)} s."
     )
--- a/src/bramleystair/daemons/__init__.py
+++ b/src/bramleystair/daemons/__init__.py
@@ -2,7 +2,12 @@
 
 from bramleystair.daemons._messenger import Messenger
 from bramleystair.daemons._platform_link import PlatformLink
-from bramleystair.daemons._start import create_incarnation, read_settings
+from bramleystair.daemons._start import (
+    create_incarnation,
+    find_seeds,
+    read_settings,
+    require_seeds,
+)
 from bramleystair.daemons._threads import Threads
 
 __all__ = [
@@ -10,5 +15,7 @@
     "PlatformLink",
     "Threads",
     "create_incarnation",
+    "find_seeds",
     "read_settings",
+    "require_seeds",
 ]
--- a/src/bramleystair/daemons/_start.py
+++ b/src/bramleystair/daemons/_start.py
@@ -5,11 +5,14 @@
 from pathlib import Path
 from typing import TypeVar
 
-from bramleystair.settings import load_settings
+from bramleystair.platform import PlatformClient
+from bramleystair.settings import SeedSettings, load_settings
+from bramleystair.tables import BALANCER_PREFIX, decode_object
 
 T = TypeVar("T")
 
 EXIT_SETTINGS = 2
+EXIT_NO_BALANCER = 3
 
 
 def read_settings(path: Path, schema: type[T]) -> T:
@@ -25,3 +28,30 @@
 def create_incarnation() -> int:
     """Return the number of this lifetime, above those of earlier ones."""
     return time.time_ns() // 1_000_000
+
+
+def find_seeds(platform: str) -> tuple[SeedSettings, ...]:
+    """Return the balancers that the platform lists; none while it does not answer."""
+    listing = PlatformClient(platform).list_objects(BALANCER_PREFIX)
+    if listing.is_err():
+        return ()
+    decoded = (
+        decode_object(item.key, item.body.encode()) for item in listing.unwrap().objects
+    )
+    nodes = [result.unwrap() for result in decoded if result.is_ok()]
+    return tuple(SeedSettings(node.node, node.host, node.port) for node in nodes)
+
+
+def require_seeds(
+    seeds: tuple[SeedSettings, ...], platform: str
+) -> tuple[SeedSettings, ...]:
+    """Return `seeds`, or else the balancers that the platform lists, or exit.
+
+    An agent without any balancer could not even hear of one, so its supervisor has to
+    start it again.
+    """
+    found = seeds or (find_seeds(platform) if platform else ())
+    if found:
+        return found
+    print("no balancer is known: set seeds or platform", file=sys.stderr)
+    raise SystemExit(EXIT_NO_BALANCER)
--- a/src/bramleystair/settings/_schemas.py
+++ b/src/bramleystair/settings/_schemas.py
@@ -207,7 +207,8 @@
     platform : str
         URL of the platform; empty to learn from peers only.
     seeds : tuple of SeedSettings
-        Balancers from which a new agent learns when the platform is down.
+        Balancers to which an agent turns first; without any, it asks the platform for
+        them at its start.
     drain_limit_s : float
         Longest wait for flows and requests to end after SIGTERM.
     fabric : FabricSettings
