Judge answers that arrive after a failure or a repeated call by their own call

A flow whose answer was on the way when its backend server left, and a reservation that the caller had repeated, were judged as faults of the system.

--- a/src/bramleystair/replay/_flow_callers.py
+++ b/src/bramleystair/replay/_flow_callers.py
@@ -211,9 +211,8 @@
             return
         if caller.state == "opening" and kind & SYN:
             caller.state, caller.server = "open", node.name
-            if world.agents.get(node.name) is not node:
-                # The backend server failed while its answer was on the way.
-                caller.excuse = "server"
+            # The backend server may have gone while its answer was on the way.
+            caller.excuse = world.find_departure(node)
             world.measures.add("opened_flows")
         if caller.state == "closing" and kind & FIN:
             caller.state = "closed"
--- a/src/bramleystair/replay/_request_callers.py
+++ b/src/bramleystair/replay/_request_callers.py
@@ -74,7 +74,7 @@
         self._world = world
         self._source = source
         self._requests: dict[bytes, Request] = {}
-        self._calls: dict[int, Request] = {}
+        self._calls: dict[int, tuple[Request, bytes]] = {}
         self._call_id = 0
         self._runs: collections.Counter[bytes] = collections.Counter()
         self._not_run: set[bytes] = set()
@@ -119,7 +119,7 @@
         node = self._world.choose_balancer(request.zone)
         self._call_id += 1
         request.call_id = self._call_id
-        self._calls[self._call_id] = request
+        self._calls[self._call_id] = (request, request.ticket)
         if request.is_idempotent:
             kind, body = Call.POST, request.body
         elif request.ticket:
@@ -156,13 +156,13 @@
 
     def take_reply(self, reply: Reply) -> None:
         """Check the answer to a call."""
-        request = self._calls.pop(reply.call_id, None)
+        request, ticket = self._calls.pop(reply.call_id, (None, b""))
         if request is None or request.is_ended:
             return
+        if not ticket and reply.call_id != request.call_id:
+            # The call was repeated; its late answer is about another attempt.
+            return
         if reply.status == CREATED and reply.outcome is None:
-            # A late answer to a reservation that was repeated is not used.
-            if reply.call_id != request.call_id:
-                return
             request.ticket = reply.ticket
             self._call(request)
             return
@@ -171,6 +171,9 @@
         if reply.outcome is Outcome.NOT_RUN:
             measures.add("not_run_requests")
             measures.add(f"refused_{reply.reason}")
+            if request.is_idempotent and request.repeats:
+                # Runs of the earlier calls are not what this answer is about.
+                return
             self._not_run.add(request.body)
             if self._runs[request.body]:
                 detail = f"{request.body} {reply.reason} after a run"
--- a/src/bramleystair/replay/_world.py
+++ b/src/bramleystair/replay/_world.py
@@ -201,6 +201,13 @@
             return "cut"
         return "cut" if self._was_cut(server) else ""
 
+    def find_departure(self, node: Node) -> str:
+        """Return why the flows of an agent may end from now on, or ""."""
+        if self.agents.get(node.name) is not node:
+            return "server"
+        mark = self._marks.get(node.zone)
+        return "" if mark is None or mark.is_in_service else "zone"
+
     # Events of a trace.
 
     def apply(self, event: Event) -> None:
