Close connections into availability zones out of service

Change: a new view closes the connections to agents that are unknown or out of service. Figures: the scenario finds no connection left; it fails before the change.

--- a/features/caller.feature
+++ b/features/caller.feature
@@ -37,6 +37,13 @@
       | BACKEND DOWN, POST body    | 503                | not_run | backend_unreachable | 0 |
       | AGENT DOWN, POST body      | 503                | not_run | connection_lost | 0    |
 
+  Scenario: An availability zone out of service has no connections
+    Guards against packets into an availability zone that was taken out of service.
+    When a caller makes POST, ZONE OUT, PUT
+    Then the statuses are 201, 502
+    And the last outcome is "unknown" with reason "zone_out"
+    And the agent has no connection left
+
   Scenario: Each response belongs to its request
     Guards against responses that are swapped between concurrent calls.
     When 8 callers make 25 calls each at once
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -7,6 +7,7 @@
 import socket
 import threading
 
+import attrs
 import urllib3
 from behave import given, then, when
 
@@ -21,7 +22,7 @@
     import_ledger,
 )
 from bramleystair.standins._backend import Backend, Behaviour
-from bramleystair.tables import Announcement, Member, Protocol, Table
+from bramleystair.tables import Announcement, Member, Protocol, Table, ZoneMark
 from bramleystair.timers import MonotonicClock, TimerService
 from bramleystair.views import View
 
@@ -159,6 +160,10 @@
                 self.agent.start_drain()
             case ["UPGRADE"]:
                 self.upgrade_agent()
+            case ["ZONE", "OUT"]:
+                assert self.agent.count_connections() == 1
+                mark = ZoneMark("z", False)
+                self.balancer.set_view(attrs.evolve(self.view, zones={"z": mark}))
             case ["SHED"]:
                 self.backend.behaviour.is_draining = True
             case ["BACKEND", "DOWN"]:
@@ -208,6 +213,11 @@
     assert response.status not in (429, 503) or int(response.headers["Retry-After"])
 
 
+@then("the agent has no connection left")
+def check_connections(context):
+    wait_until(lambda: context.loopback.agent.count_connections() == 0)
+
+
 @then("the backend server ran {count:d} requests, each once")
 def check_runs(context, count):
     runs = context.loopback.backend.runs
--- a/src/bramleystair/agent/_requests.py
+++ b/src/bramleystair/agent/_requests.py
@@ -82,6 +82,10 @@
         """Return the address that the server listens on."""
         return self._stream.address
 
+    def count_connections(self) -> int:
+        """Return the number of connections from balancers."""
+        return self._stream.count_connections()
+
     def start(self) -> None:
         """Begin to accept connections."""
         self._stream.start()
--- a/src/bramleystair/caller/_server.py
+++ b/src/bramleystair/caller/_server.py
@@ -151,6 +151,13 @@
         """Use `view` from now on."""
         self._view = view
         self._submit(ViewChanged(view))
+        # An idle connection would still carry probes into a zone out of service.
+        reachable = {
+            agent.server
+            for agent in view.agents.values()
+            if view.is_in_service(agent.zone)
+        }
+        self._client.close_others(reachable)
 
     def set_loads(self, server: str, loads: tuple[ServiceLoad, ...]) -> None:
         """Use the loads that the agent of `server` reported."""
--- a/src/bramleystair/wire/_stream.py
+++ b/src/bramleystair/wire/_stream.py
@@ -7,7 +7,7 @@
 import struct
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 from result import Err, Ok, Result
 
@@ -227,6 +227,11 @@
         """Return the address that the server listens on."""
         return self._socket.getsockname()[:2]
 
+    def count_connections(self) -> int:
+        """Return the number of open connections."""
+        with self._lock:
+            return len(self._connections)
+
     def start(self) -> None:
         """Begin to accept connections."""
         self._pool.submit(self._accept)
@@ -342,6 +347,17 @@
             self._pool.submit(self._carry, opened.ok())
         return Ok(None)
 
+    def close_others(self, peers: Set[str]) -> None:
+        """Close the connections to peers other than `peers`."""
+        with self._lock:
+            others = [
+                connection
+                for peer, connection in self._connections.items()
+                if peer not in peers
+            ]
+        for connection in others:
+            connection.close()
+
     def stop(self) -> None:
         """Close all connections and wait for their threads."""
         with self._lock:
