--- a/features/steps/metrics_steps.py
+++ b/features/steps/metrics_steps.py
@@ -1,9 +1,11 @@
 from concurrent.futures import ThreadPoolExecutor
 
+import cattrs
 import requests
 from behave import given, then, when
 
-from bramleystair.metrics import Metrics, MetricsServer
+from bramleystair.metrics import Metrics, MetricsServer, NodeStatus
+from bramleystair.operators import _status as operators_status
 
 TIMEOUT_S = 30
 
@@ -13,7 +15,11 @@
     context.metrics = Metrics({"node": "balancer-1"})
     context.health = {"ready": True}
     context.server = MetricsServer(
-        "127.0.0.1", 0, context.metrics, lambda: context.health
+        "127.0.0.1",
+        0,
+        context.metrics,
+        lambda: context.health,
+        lambda: NodeStatus("balancer-1", "balancer", "zone-1", {"table/feed": 3}),
     )
     context.server.start()
     context.add_cleanup(context.server.close)
@@ -59,3 +65,13 @@
 @then('"/healthz" answers {status:d}')
 def check_health(context, status):
     assert get(context, "/healthz").status_code == status
+
+
+@then('"/status" names version {version:d} of "{key}" and {count:d} of "{counter}"')
+def check_status(context, version, key, count, counter):
+    status = get(context, "/status").json()
+    assert status["versions"] == {key: version}
+    assert status["counters"] == {counter: count}
+    read = cattrs.structure(status, operators_status.NodeStatus)
+    assert (read.node, read.kind, read.zone) == ("balancer-1", "balancer", "zone-1")
+    assert read.list_refusals() == {counter: count}
--- a/src/bramleystair/flows/_settings.py
+++ b/src/bramleystair/flows/_settings.py
@@ -15,17 +15,19 @@
     max_hops : int
         Most times that a packet is passed on between agents.
     query_timeout_s : float
-        Time after which a segment of an unknown flow is answered by a reset. It equals
-        the time after which a silent agent is reported down, so that an owner that is
-        only slow is not taken for lost.
+        Time after which a segment of an unknown flow is answered by a reset, and a
+        datagram opens a flow. It equals the time after which a silent agent is
+        reported down, so that an owner that is only slow is not taken for lost.
     first_query_timeout_s : float
-        The same for a packet that may open a flow, which waits meanwhile.
+        Time after which the first segment of a TCP flow opens it.
     doubt_s : float
         How long answers of members reported down are awaited.
     query_retry_s : float
         Interval between repeated queries.
     change_window_s : float
         Time after a change during which nodes may hold different views.
+    early_timeout_s : float
+        How long a packet waits for the table that its sender already holds.
     queue_packets_per_flow, queue_flows : int
         Bounds of the packets and flows that wait for an answer.
     load_fresh_s : float
@@ -69,6 +71,7 @@
     doubt_s: float = 0.5
     query_retry_s: float = 0.2
     change_window_s: float = 10.0
+    early_timeout_s: float = 3.0
     queue_packets_per_flow: int = 8
     queue_flows: int = 4096
     load_fresh_s: float = 3.0
--- a/src/bramleystair/replicas/_balancer.py
+++ b/src/bramleystair/replicas/_balancer.py
@@ -14,8 +14,11 @@
 )
 from bramleystair.replicas._batches import measure_header, split_batches
 from bramleystair.replicas._events import (
+    LISTED_PREFIXES,
+    WATCHED_PREFIXES,
     MessageArrived,
     Peer,
+    PlatformListed,
     PlatformObjects,
     ReplicaAction,
     ReplicaEvent,
@@ -27,8 +30,8 @@
 from bramleystair.replicas._store import FINE_COUNT
 from bramleystair.replicas._versions import (
     LIVENESS_PREFIX,
+    build_report,
     compute_down_version,
-    encode_liveness,
     get_incarnation,
     refute_version,
 )
@@ -59,6 +62,8 @@
 
 # Silence of this node itself after which it may have missed heartbeats that were sent.
 PAUSE_S = 1.0
+# A member that is silent for longer is asked for a sign of life on each tick.
+PROBE_AFTER_PERIODS = 2.0
 # A report is refuted for a member that was heard within this many heartbeat periods.
 REFUTE_WITHIN_PERIODS = 1.5
 # 100 members per second check 9,100 agents and 1,200 balancers within 103 s. Only the
@@ -67,6 +72,12 @@
 ADOPTION_CHECKS = 100
 
 
+# Versions listed in answer to one digest, about 20 KB.
+MAX_LISTED = 400
+# More missing versions than this after a digest mean that the node is catching up.
+CATCH_UP_PULLS = 64
+
+
 @attrs.frozen
 class _Concerns:
     """Versions that one member needs.
@@ -130,17 +141,16 @@
         self._heard: dict[str, float] = {}
         self._contact_at = 0.0
         self._next_adoption = 0.0
-        self._adopted: set[str] = set()
         self._unchecked: list[str] = []
         self._is_watching = False
-        self._unspread: dict[tuple[str, ...], list[VersionHeader]] = {}
-        self._lapsed: set[str] = set()
+        self._unspread: dict[str, list[VersionHeader]] = {}
         self._seen_membership = -1
         self._offers: dict[str, list[str]] = {}
         self._concerns: dict[str, _Concerns] = {}
         self._peers: list[str] = sorted(self._seeds)
         self._down_peers: list[str] = []
         self._groups: dict[str, list[str]] = {}
+        self._is_catching_up = False
         self._own_spread: dict[str, int] = {}
 
     def handle(self, event: ReplicaEvent, now: float) -> list[ReplicaAction]:
@@ -153,6 +163,9 @@
                 actions += self._take_message(sender, message, now)
             case PlatformObjects(objects):
                 actions += self._take_platform(objects, now)
+            case PlatformListed(prefix, objects):
+                actions += self._take_platform(objects, now)
+                actions += self._remove_lapsed(prefix, objects, now)
             case Tick():
                 actions += self._advance(now)
         actions += self._spread()
@@ -165,16 +178,15 @@
 
     def _take_message(self, sender: str, message, now: float) -> list[ReplicaAction]:
         self._contact_at = now
-        if sender in self._adopted:
-            self._adopted.discard(sender)
-            self._heard.pop(sender, None)
+        if sender in self._heard:
+            self._heard[sender] = now
         match message:
             case Heartbeat():
                 return self._take_heartbeat(sender, message, now)
             case HeartbeatReply(_, headers):
-                return self._take_headers(sender, headers, (sender,), now)
-            case VersionHeaders(headers, _, path):
-                return self._take_headers(sender, headers, path, now)
+                return self._take_headers(sender, headers, now)
+            case VersionHeaders(headers):
+                return self._take_headers(sender, headers, now)
             case Pull():
                 return self._answer_pull(sender, message)
             case Objects(objects):
@@ -186,9 +198,9 @@
         return []
 
     def _advance(self, now: float) -> list[ReplicaAction]:
-        actions = self.owner.renew(now)
-        self._update_peers()
-        actions += self._update_watch()
+        actions = self.owner.renew(now) + self._continue_pulls(now)
+        self._is_catching_up &= bool(self._pulls)
+        actions += self._update_peers()
         actions += self._detect_down(now)
         if now >= self._next_heartbeat:
             self._next_heartbeat = now + self._settings.heartbeat_period_s
@@ -198,7 +210,7 @@
             actions += self._send_digests()
         if now >= self._next_adoption:
             self._next_adoption = now + ADOPTION_PERIOD_S
-            actions += self._adopt_unheard(now)
+            self._adopt_unheard(now)
         return actions
 
     # Versions
@@ -210,71 +222,86 @@
         for item in objects:
             if self._is_foreign(item.key):
                 continue
-            is_lapse = not item.body and item.key.startswith(
-                (AGENT_PREFIX, BALANCER_PREFIX)
-            )
+            is_lapse = not item.body and item.key.startswith(LISTED_PREFIXES)
             if is_lapse and not self._is_reported_down(item.key):
-                self._lapsed.add(item.key)
                 continue
-            actions += self._accept(self.store.normalise(item), (), now)
+            actions += self._accept(self.store.normalise(item), "", now)
         return actions
 
     def _is_foreign(self, key: str) -> bool:
-        spread = (TABLE_PREFIX, ZONE_PREFIX, AGENT_PREFIX, BALANCER_PREFIX)
+        spread = WATCHED_PREFIXES + LISTED_PREFIXES
         return not key.startswith(spread) or self.owner.owns(key)
 
+    def _remove_lapsed(
+        self, prefix: str, objects: Iterable[StoredObject], now: float
+    ) -> list[ReplicaAction]:
+        """Remove announcements that are no longer listed, of members reported down.
+
+        After an outage longer than a lease, live members are missing from the list.
+        """
+        actions: list[ReplicaAction] = []
+        if prefix not in LISTED_PREFIXES:
+            return actions
+        listed = {item.key for item in objects}
+        for item in self.store.list_objects(prefix):
+            if (
+                item.body
+                and item.key not in listed
+                and self._is_reported_down(item.key)
+            ):
+                lapse = self.store.normalise(StoredObject(item.key))
+                actions += self._accept(lapse, "", now)
+        return actions
+
     def _is_reported_down(self, key: str) -> bool:
         name = key.partition("/")[2]
         return self.store.find_member(name) is None or self.store.is_down(name)
 
     def _accept(
-        self, item: StoredObject, path: tuple[str, ...], now: float
+        self, item: StoredObject, sender: str, now: float
     ) -> list[ReplicaAction]:
         is_new, actions = self._put(item)
         if not is_new:
             return actions
         if self._is_refutable(item, now):
             version = refute_version(item.version)
-            self.store.put(
-                StoredObject(item.key, version, "", encode_liveness(version))
-            )
-            # The nodes on the path hold the report and need the refutation too.
-            path = ()
-        self._note_new(item.key, path)
+            self.store.put(build_report(item.key, version))
+            # The sender holds the report and needs the refutation too.
+            sender = ""
+        if not self._is_catching_up:
+            self._note_new(item.key, sender)
         return actions
 
     def _is_refutable(self, report: StoredObject, now: float) -> bool:
         """Return whether `report` is about a member that was heard just now."""
         name = report.key.removeprefix(LIVENESS_PREFIX)
-        if name == report.key or name in self._adopted or not self.store.is_down(name):
+        if name == report.key or not self.store.is_down(name):
             return False
         heard = self._heard.get(name)
         limit = REFUTE_WITHIN_PERIODS * self._settings.heartbeat_period_s
         return heard is not None and now - heard < limit
 
-    def _note_new(self, key: str, path: tuple[str, ...]) -> None:
+    def _note_new(self, key: str, sender: str) -> None:
         header = VersionHeader(key, self.store.get_version(key))
-        self._unspread.setdefault(path, []).append(header)
+        self._unspread.setdefault(sender, []).append(header)
 
     def _note_own(self) -> None:
         for key in (self.owner.key, self.owner.liveness_key):
             version = self.store.get_version(key)
             if version > self._own_spread.get(key, 0):
                 self._own_spread[key] = version
-                self._note_new(key, ())
+                self._note_new(key, "")
 
     def _spread(self) -> list[ReplicaAction]:
         self._note_own()
         actions: list[ReplicaAction] = []
         limit = self._settings.datagram_bytes
-        for path, headers in self._unspread.items():
-            peers = [peer for peer in self._peers if peer not in path]
+        for sender, headers in self._unspread.items():
+            peers = [peer for peer in self._peers if peer != sender]
             count = min(self._settings.fanout, len(peers))
             chosen = self._random.sample(peers, count)
-            onward = (*path, self.name)
             for batch in split_batches(headers, measure_header, limit):
-                message = VersionHeaders(batch, len(path), onward)
-                actions += [Send(peer, message) for peer in chosen]
+                actions += [Send(peer, VersionHeaders(batch)) for peer in chosen]
         self._unspread = {}
         return actions
 
@@ -282,11 +309,15 @@
         self,
         sender: str,
         headers: Iterable[VersionHeader],
-        path: tuple[str, ...],
         now: float,
     ) -> list[ReplicaAction]:
         actions = self._answer_own(sender, headers)
-        return actions + self._request(sender, headers, path, now)
+        bodiless = [h for h in headers if h.key.startswith(LIVENESS_PREFIX)]
+        for header in bodiless:
+            if not self.owner.owns(header.key):
+                report = build_report(header.key, header.version)
+                actions += self._accept(report, sender, now)
+        return actions + self._request(sender, headers, now)
 
     def _take_objects(
         self, sender: str, objects: Iterable[StoredObject], now: float
@@ -297,9 +328,12 @@
                 header = VersionHeader(item.key, item.version)
                 actions += self._answer_own(sender, (header,))
                 continue
-            pending = self._take_pull(item)
-            path = (sender,) if pending is None else pending.path
-            actions += self._accept(item, path, now)
+            actions += self._accept(item, sender, now)
+        actions += self._continue_pulls(now)
+        if self._is_catching_up and not self._pulls:
+            # What was listed has arrived; the rest follows without waiting a period.
+            actions.append(Send(sender, Digest(tuple(self.store.digest))))
+        self._is_catching_up &= bool(self._pulls)
         return actions
 
     def _send_digests(self) -> list[ReplicaAction]:
@@ -329,9 +363,14 @@
         ]
         limit = self._settings.datagram_bytes
         actions: list[ReplicaAction] = []
+        listed = 0
+        self._random.shuffle(differing)
         for batch in split_batches(differing, self._measure_bucket, limit):
             headers = [h for index in batch for h in self.store.list_headers(index)]
             actions.append(Send(peer, BucketVersions(batch, tuple(headers), False)))
+            listed += len(headers)
+            if listed >= MAX_LISTED:
+                break
         return actions
 
     def _measure_bucket(self, fine_bucket: int) -> int:
@@ -341,11 +380,17 @@
     def _take_buckets(
         self, sender: str, message: BucketVersions, now: float
     ) -> list[ReplicaAction]:
-        actions = self._take_headers(sender, message.headers, (sender,), now)
+        actions = self._take_headers(sender, message.headers, now)
+        if len(self._pulls) + len(self._queue) > CATCH_UP_PULLS:
+            # The peers hold what arrives from now on; announcing it would be in vain.
+            self._is_catching_up = True
         if message.is_reply:
             return actions
         limit = self._settings.datagram_bytes
         newer = self._list_newer(message)
+        if len(newer) > MAX_LISTED:
+            # The peer sends another digest when it has these.
+            newer = self._random.sample(newer, MAX_LISTED)
         return actions + [
             Send(sender, BucketVersions((), batch, True))
             for batch in split_batches(newer, measure_header, limit)
@@ -362,9 +407,9 @@
 
     # Membership
 
-    def _update_peers(self) -> None:
+    def _update_peers(self) -> list[ReplicaAction]:
         if self._seen_membership == self.store.membership_generation:
-            return
+            return []
         self._seen_membership = self.store.membership_generation
         nodes = self.store.nodes
         live = {name: nodes[name] for name in nodes if not self.store.is_down(name)}
@@ -375,6 +420,7 @@
         self._down_peers = [name for name in known if name not in live]
         if not self._peers:
             self._peers = sorted(self._seeds)
+        return self._update_watch()
 
     def _update_watch(self) -> list[ReplicaAction]:
         names = self._groups.get(self._zone, [])
@@ -444,17 +490,23 @@
         if self._is_isolated(now):
             self._restart_waiting(now)
             return []
-        limit = now - self._settings.down_after_s
+        limit = now - PROBE_AFTER_PERIODS * self._settings.heartbeat_period_s
         silent = [name for name, heard in self._heard.items() if heard <= limit]
         actions: list[ReplicaAction] = []
         for name in silent:
-            del self._heard[name]
-            self._adopted.discard(name)
-            self._concerns.pop(name, None)
-            if self._is_chosen_by(name):
-                actions += self._report_down(name, now)
+            actions += self._check_silent(name, now)
         return actions
 
+    def _check_silent(self, name: str, now: float) -> list[ReplicaAction]:
+        """Ask a silent member for a sign of life, and report it down after a while."""
+        is_over = now - self._heard[name] >= self._settings.down_after_s
+        is_chosen = self._is_chosen_by(name)
+        if is_chosen and not is_over:
+            return [Send(name, Pull((build_key(self.store.find_member(name)),)))]
+        del self._heard[name]
+        self._concerns.pop(name, None)
+        return self._report_down(name, now) if is_chosen else []
+
     def _restart_waiting(self, now: float) -> None:
         self._heard = dict.fromkeys(self._heard, now)
 
@@ -465,8 +517,8 @@
             return False
         return is_chosen(self.name, self._zone, member, known.zone, self._groups)
 
-    def _adopt_unheard(self, now: float) -> list[ReplicaAction]:
-        """Ask members that should send heartbeats here, but do not, for a sign of life.
+    def _adopt_unheard(self, now: float) -> None:
+        """Wait for members that should send heartbeats here, but do not.
 
         Without this, the failure of a member together with both of its balancers would
         never be reported.
@@ -475,15 +527,12 @@
             self._unchecked = [*self.store.agents, *self.store.nodes]
         checked = self._unchecked[-ADOPTION_CHECKS:]
         del self._unchecked[-ADOPTION_CHECKS:]
-        actions: list[ReplicaAction] = []
         for name in checked:
             if name in self._heard or not self._is_adoptable(name):
                 continue
-            self._heard[name] = now
-            self._adopted.add(name)
-            key = build_key(self.store.find_member(name))
-            actions.append(Send(name, Pull((key,))))
-        return actions
+            # Early enough that the wait is no reason to refute another's report.
+            period_s = self._settings.heartbeat_period_s
+            self._heard[name] = now - REFUTE_WITHIN_PERIODS * period_s
 
     def _is_adoptable(self, name: str) -> bool:
         member = self.store.find_member(name)
@@ -503,17 +552,7 @@
         incarnation = self.store.find_member(name).incarnation
         key = LIVENESS_PREFIX + name
         version = compute_down_version(incarnation, self.store.get_version(key))
-        report = StoredObject(key, version, "", encode_liveness(version))
-        return self._accept(report, (), now) + self._apply_lapse(name, now)
-
-    def _apply_lapse(self, name: str, now: float) -> list[ReplicaAction]:
-        actions: list[ReplicaAction] = []
-        for key in (AGENT_PREFIX + name, BALANCER_PREFIX + name):
-            if key in self._lapsed:
-                self._lapsed.discard(key)
-                lapse = self.store.normalise(StoredObject(key))
-                actions += self._accept(lapse, (), now)
-        return actions
+        return self._accept(build_report(key, version), "", now)
 
     def _send_report(self, sender: str) -> list[ReplicaAction]:
         """Tell a sender that is reported down, so that it can refute the report."""
@@ -521,4 +560,4 @@
             return []
         key = LIVENESS_PREFIX + sender
         header = VersionHeader(key, self.store.get_version(key))
-        return [Send(sender, VersionHeaders((header,), 0, (self.name,)))]
+        return [Send(sender, VersionHeaders((header,)))]
--- a/src/bramleystair/replicas/_replica.py
+++ b/src/bramleystair/replicas/_replica.py
@@ -24,27 +24,42 @@
 from bramleystair.views import View
 from bramleystair.wire import Objects, Pull, StoredObject, VersionHeader
 
-# A pull that is not answered within this time is repeated with another peer.
-PULL_TIMEOUT_S = 1.0
+# A pull that is not answered within this time is repeated, with another peer if one
+# announced the version too.
+PULL_TIMEOUT_S = 0.4
+PULL_ATTEMPTS = 4
+# Bodies asked for at a time; those of agents fill half of a usual receive buffer.
+PULL_WINDOW = 256
 
 
-@attrs.frozen
+@attrs.define
 class PendingPull:
     """A version that was asked for and has not arrived.
 
     Parameters
     ----------
     version : int
-        The version that the peer announced.
+        The version that the peers announced.
     deadline : float
-        Time in seconds after which another peer is asked.
-    path : tuple of str
-        Nodes that the header has passed.
+        Time in seconds after which it is asked for again; 0 before the first time.
+    peers : list of str
+        Those that announced it, the next to ask first.
+    attempts : int
+        How often it was asked for.
     """
 
     version: int
     deadline: float
-    path: tuple[str, ...]
+    peers: list[str]
+    attempts: int = 0
+
+    def ask(self, now: float) -> str:
+        """Note that the version is asked for now, and return the peer to ask."""
+        peer = self.peers.pop(0)
+        self.peers.append(peer)
+        self.attempts += 1
+        self.deadline = now + PULL_TIMEOUT_S
+        return peer
 
 
 class Replica:
@@ -78,7 +93,9 @@
         self._seeds = {seed.name: seed for seed in seeds if seed.name != name}
         self._settings = settings
         self._random = random
+        # Bodies asked for, and those beyond the window.
         self._pulls: dict[str, PendingPull] = {}
+        self._queue: dict[str, PendingPull] = {}
         self._shown_generation = 0
 
     @property
@@ -110,36 +127,50 @@
         self,
         sender: str,
         headers: Iterable[VersionHeader],
-        path: tuple[str, ...],
         now: float,
     ) -> list[ReplicaAction]:
         """Pull from `sender` what is newer than what is held or asked for."""
-        keys = []
         for header in headers:
-            if self.owner.owns(header.key) or not self._is_wanted(header, now):
-                continue
-            deadline = now + PULL_TIMEOUT_S
-            self._pulls[header.key] = PendingPull(header.version, deadline, path)
-            keys.append(header.key)
-        limit = self._settings.datagram_bytes
-        return [
-            Send(sender, Pull(batch))
-            for batch in split_batches(keys, measure_key, limit)
-        ]
+            if not self.owner.owns(header.key) and self._is_wanted(sender, header):
+                self._pulls.pop(header.key, None)
+                self._queue[header.key] = PendingPull(header.version, 0.0, [sender])
+        return self._continue_pulls(now)
 
-    def _is_wanted(self, header: VersionHeader, now: float) -> bool:
+    def _is_wanted(self, sender: str, header: VersionHeader) -> bool:
         if header.version <= self.store.get_version(header.key):
             return False
-        pending = self._pulls.get(header.key)
-        if pending is None or now >= pending.deadline:
+        pending = self._pulls.get(header.key) or self._queue.get(header.key)
+        if pending is None or header.version > pending.version:
             return True
-        return header.version > pending.version
+        if sender not in pending.peers:
+            pending.peers.insert(0, sender)
+        return False
+
+    def _continue_pulls(self, now: float) -> list[ReplicaAction]:
+        """Ask for what is due, as far as the window allows."""
+        wanted: dict[str, list[str]] = {}
+        for key, pending in list(self._pulls.items()):
+            is_done = pending.version <= self.store.get_version(key)
+            is_due = now >= pending.deadline
+            if is_done or (is_due and pending.attempts >= PULL_ATTEMPTS):
+                # What never arrives is found again by the digests.
+                del self._pulls[key]
+            elif is_due:
+                wanted.setdefault(pending.ask(now), []).append(key)
+        while self._queue and len(self._pulls) < PULL_WINDOW:
+            key = next(iter(self._queue))
+            pending = self._pulls[key] = self._queue.pop(key)
+            wanted.setdefault(pending.ask(now), []).append(key)
+        actions: list[ReplicaAction] = []
+        for peer, keys in wanted.items():
+            actions += self._send_pulls(peer, keys)
+        return actions
 
-    def _take_pull(self, item: StoredObject) -> PendingPull | None:
-        pending = self._pulls.get(item.key)
-        if pending is None or item.version < pending.version:
-            return None
-        return self._pulls.pop(item.key)
+    def _send_pulls(self, peer: str, keys: Iterable[str]) -> list[ReplicaAction]:
+        limit = self._settings.datagram_bytes
+        return [
+            Send(peer, Pull(batch)) for batch in split_batches(keys, measure_key, limit)
+        ]
 
     def _answer_pull(self, sender: str, message: Pull) -> list[ReplicaAction]:
         held = (self.store.get(key) for key in message.keys)
