Keep flows of an owner that is falsely reported down

Cause: a home dropped its redirects to an owner as soon as it was reported down, so a false report made the home reset or place anew flows that were alive. Change: such a redirect is kept but not followed: the flow is looked up, its owner is asked as well, and the redirect goes when no answer comes or the announcement ends. A placement accepted late joins a lookup of the same flow. The generated histories of flows.feature now contain these changes.

--- a/features/steps/flows_fleet.py
+++ b/features/steps/flows_fleet.py
@@ -103,14 +103,45 @@
 
     def fail(self, server):
         self.agents.pop(server)
+        self.lose(server)
+        self.down.add((server, self.announcements[server].incarnation))
+        self.publish(delay_s=3.0)
+
+    def crash(self, server):
+        self.lose(server)
+        self.start(server)
+        self.publish()
+
+    def lose(self, server):
         self.connections = {
             key: value for key, value in self.connections.items() if key[0] != server
         }
         for caller in self.callers.values():
             if caller.server == server:
                 caller.state = "lost"
+
+    def report_down(self, server):
         self.down.add((server, self.announcements[server].incarnation))
-        self.publish(delay_s=3.0)
+        self.publish()
+
+    def refute(self):
+        self.down -= {
+            (server, self.announcements[server].incarnation) for server in self.agents
+        }
+        self.publish()
+
+    def close(self, count):
+        opened = [c for c in self.callers.values() if c.state == "open"]
+        for caller in self.random.sample(opened, min(count, len(opened))):
+            self.send(caller, RST)
+            caller.state, caller.server = "closed", ""
+
+    def reopen(self):
+        for caller in self.callers.values():
+            # Later than any packet of the earlier flow can arrive.
+            if caller.state == "closed" and self.now - caller.sent_s > 5.0:
+                caller.state = "opening"
+                self.send(caller)
 
     def restart(self, server):
         state = self.agents[server].export_state()
--- a/features/steps/flows_steps.py
+++ b/features/steps/flows_steps.py
@@ -148,7 +148,10 @@
 
 
 CHANGES = st.sampled_from(
-    ("plan", "plan", "plan", "fail", "zone", "open", "cap", "wait")
+    (
+        *("plan", "plan", "plan", "fail", "zone", "open", "cap", "wait"),
+        *("crash", "false down", "refute", "close", "reopen"),
+    )
 )
 
 
@@ -191,6 +194,16 @@
         case "cap":
             server = fleet.random.choice(sorted(fleet.members))
             fleet.change_row(server, max_flows=fleet.random.choice((30, 60)))
+        case "crash" if live:
+            fleet.crash(fleet.random.choice(live))
+        case "false down" if live:
+            fleet.report_down(fleet.random.choice(live))
+        case "refute":
+            fleet.refute()
+        case "close" if fleet.protocol is Protocol.TCP:
+            fleet.close(10)
+        case "reopen":
+            fleet.reopen()
         case "open":
             fleet.open(20)
 
--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -84,6 +84,7 @@
         self._refusals: dict[bytes, tuple[float, str]] = {}
         self._inquiries: dict[bytes, tuple[float, str]] = {}
         self._now = 0.0
+        self._down: frozenset[str] = frozenset()
         self._is_zone_out = False
         self._is_leaving = False
 
@@ -205,7 +206,7 @@
             self._accept_placement(sender, message, headers)
             return
         owner = self._redirects.get(message.service_id, message.flow)
-        if owner:
+        if owner and owner not in self._down:
             self._pass_on(owner, message)
             return
         if service.is_zone_out:
@@ -298,7 +299,7 @@
         if waiting is not None:
             self._queue_packet(waiting, message.packet)
             return
-        if message.hops > 0:
+        if message.hops > 0 and not self._redirects.get(service.service_id, flow):
             # The sender's redirect is out of date.
             drop = RedirectDrop(service.service_id, (flow,), self._server)
             self._outbox.send(sender, drop)
@@ -307,6 +308,7 @@
             return
         is_opening = headers.is_first or headers.protocol == UDP
         waiting = WaitingFlow(service.service_id, is_opening, self._now)
+        waiting.former_owner = self._redirects.get(service.service_id, flow)
         waiting.packets.append(message.packet)
         self._waiting[flow] = waiting
         if is_opening and self._is_settled(service, message):
@@ -320,6 +322,9 @@
             return False
         if message.flow in self._inquiries:
             return False
+        if self._redirects.get(service.service_id, message.flow):
+            # The owner is reported down, which may be wrong.
+            return False
         if message.table_version != service.table.version:
             return False
         home = service.find_home(message.flow)
@@ -417,11 +422,13 @@
             self._hand_over(message.flow, waiting, sender)
 
     def _end_query(self, flow: bytes, waiting: WaitingFlow) -> None:
-        unconfirmed = [hint for hint in waiting.hints if hint in waiting.members]
+        silent = waiting.members - self._down
+        unconfirmed = [hint for hint in waiting.hints if hint in silent]
         owners = [*waiting.claims, *unconfirmed]
         if owners:
             self._hand_over(flow, waiting, owners[0])
             return
+        self._redirects.remove(flow)
         if waiting.is_opening:
             self._place_flow(flow, waiting)
             return
@@ -491,8 +498,8 @@
         flow = message.flow
         waiting = self._waiting.get(flow)
         owner = self._redirects.get(message.service_id, flow)
-        if owner == sender:
-            # It was left the flow when both looked it up.
+        if owner == sender or owner in self._down:
+            # The sender was left the flow when both looked it up.
             owner = ""
         if owner or (waiting is not None and waiting.is_placing):
             # This agent places the flow, or has placed it, under another view.
@@ -549,9 +556,13 @@
     def _take_late_acceptance(self, sender: str, service_id: int, flow: bytes) -> None:
         is_owned = self._flows.get(service_id, flow) is not None
         owner = self._redirects.get(service_id, flow)
-        if is_owned or flow in self._waiting or owner not in ("", sender):
+        waiting = self._waiting.get(flow)
+        is_placing = waiting is not None and waiting.is_placing
+        if is_owned or is_placing or owner not in ("", sender):
             # The flow was placed elsewhere before this answer.
             self._abandon(sender, service_id, flow)
+        elif waiting is not None:
+            self._hand_over(flow, waiting, sender)
         elif not owner:
             self._redirects.put(service_id, flow, sender)
 
@@ -674,6 +685,9 @@
             for server, agent in view.agents.items()
             if not view.is_in_service(agent.zone)
         )
+        self._down = frozenset(
+            server for server in view.agents if not view.is_live(server)
+        )
         self._redirects.drop_owners(lambda owner: self._is_gone(owner, view))
         self._change_zone(view)
         self._review_waiting()
@@ -686,7 +700,7 @@
         row = table.get_member(server) if table else None
         if row is not None and not view.is_in_service(row.zone):
             return True
-        return server in self._outbox.blocked or not view.is_live(server)
+        return server in self._outbox.blocked or server not in view.agents
 
     def _change_zone(self, view: View) -> None:
         was_out, self._is_zone_out = (
@@ -761,7 +775,7 @@
     def _run_query(self, flow: bytes, waiting: WaitingFlow) -> None:
         service = self._services.get(waiting.service_id)
         down = {server for server in service.peers if server not in service.live}
-        is_doubtful = waiting.members <= down
+        is_doubtful = waiting.members <= down - {waiting.former_owner}
         if is_doubtful and self._now >= waiting.started_s + self._settings.doubt_s:
             self._end_query(flow, waiting)
             return
--- a/src/bramleystair/flows/_entries.py
+++ b/src/bramleystair/flows/_entries.py
@@ -61,6 +61,8 @@
         Members that hold or place the flow, of which none is established yet.
     hints : list of str
         Owners that other members named; each is queried once more.
+    former_owner : str
+        Owner in the redirect held here, when it is reported down.
     targets : list of str
         Members to try during a placement; the first one has been asked.
     """
@@ -74,6 +76,7 @@
     members: set[str] = attrs.field(factory=set)
     claims: list[str] = attrs.field(factory=list)
     hints: list[str] = attrs.field(factory=list)
+    former_owner: str = ""
     targets: list[str] = attrs.field(factory=list)
 
     @property
--- a/src/bramleystair/flows/_settings.py
+++ b/src/bramleystair/flows/_settings.py
@@ -68,7 +68,7 @@
     max_hops: int = 4
     query_timeout_s: float = 3.0
     first_query_timeout_s: float = 1.0
-    doubt_s: float = 0.5
+    doubt_s: float = 1.0
     query_retry_s: float = 0.2
     change_window_s: float = 10.0
     early_timeout_s: float = 3.0
