Wait for a placement's target that is reported down

Cause: a false report moved a placement on at once, while the first target had taken the flow, so that the caller was connected to one member and routed to another.

--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -446,6 +446,7 @@
     def _place_flow(self, flow: bytes, waiting: WaitingFlow) -> None:
         service = self._services.get(waiting.service_id)
         own = self._find_own_load(service)
+        waiting.started_s = self._now
         waiting.deadline_s = self._now + self._settings.place_timeout_s
         waiting.targets = self._placement.rank(service, own, self._now)
         self._try_target(flow, waiting)
@@ -734,7 +735,7 @@
             elif not waiting.is_placing:
                 known = {*service.peers, *waiting.hints}
                 waiting.members.intersection_update(known)
-            elif waiting.targets[0] not in service.live:
+            elif waiting.targets[0] not in service.peers:
                 waiting.targets.pop(0)
                 self._try_target(flow, waiting)
 
@@ -794,5 +795,10 @@
             self._abandon(waiting.targets[0], waiting.service_id, flow)
             self._reject_flow(flow, waiting.packets[0], "place_timeout")
             return
-        if self._now >= waiting.retry_s:
+        doubt_end_s = waiting.started_s + self._settings.doubt_s
+        if waiting.targets[0] in self._down and self._now >= doubt_end_s:
+            # The report may be wrong, so an answer is awaited for a while.
+            waiting.targets.pop(0)
+            self._try_target(flow, waiting)
+        elif self._now >= waiting.retry_s:
             self._send_placement(flow, waiting)
--- a/src/bramleystair/flows/_settings.py
+++ b/src/bramleystair/flows/_settings.py
@@ -21,7 +21,8 @@
     first_query_timeout_s : float
         Time after which the first segment of a TCP flow opens it.
     doubt_s : float
-        How long answers of members reported down are awaited.
+        How long answers of members reported down are awaited, to a query and to a
+        placement.
     query_retry_s : float
         Interval between repeated queries.
     change_window_s : float
