Repeat the answer to a placement that was passed on

Cause: a member with a redirect from an earlier flow of the same key accepted a placement, passed it on to an owner that had none, and took the flow itself when the placement was repeated, which gave it two owners. Change: accepted answers are remembered like refusals while the home may repeat.

--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -81,7 +81,7 @@
         self._waiting: dict[bytes, WaitingFlow] = {}
         self._early: deque[tuple[float, str, Forward]] = deque()
         self._placement = Placement(server, settings, random)
-        self._refusals: dict[bytes, tuple[float, str]] = {}
+        self._decisions: dict[bytes, tuple[float, str]] = {}
         self._inquiries: dict[bytes, tuple[float, str]] = {}
         self._now = 0.0
         self._down: frozenset[str] = frozenset()
@@ -497,6 +497,10 @@
         self, sender: str, message: Forward, headers: PacketHeaders
     ) -> None:
         flow = message.flow
+        until_s, reason = self._decisions.get(flow, (0.0, ""))
+        if self._now < until_s:
+            self._reply_place(sender, message, reason)
+            return
         waiting = self._waiting.get(flow)
         owner = self._redirects.get(message.service_id, flow)
         if owner == sender or owner in self._down:
@@ -504,13 +508,16 @@
             owner = ""
         if owner or (waiting is not None and waiting.is_placing):
             # This agent places the flow, or has placed it, under another view.
+            self._record_decision(flow, "")
             self._reply_place(sender, message, "")
             self._join_placement(owner, waiting, message)
             return
         service = self._services.get(message.service_id)
-        reason = self._decide_placement(service, flow)
+        reason = self._check_admission(service)
         self._reply_place(sender, message, reason)
         if reason:
+            self._outbox.count("flow_refused", reason)
+            self._record_decision(flow, reason)
             return
         entry = self._create_entry(service, flow, sender)
         self._deliver(entry, headers, message.packet)
@@ -525,19 +532,12 @@
         elif message.packet not in waiting.packets:
             self._queue_packet(waiting, message.packet)
 
-    def _decide_placement(self, service: Service, flow: bytes) -> str:
-        until_s, reason = self._refusals.get(flow, (0.0, ""))
-        if self._now < until_s:
-            return reason
-        reason = self._check_admission(service)
-        if not reason:
-            return ""
-        self._outbox.count("flow_refused", reason)
-        if len(self._refusals) < self._settings.queue_flows:
+    def _record_decision(self, flow: bytes, reason: str) -> None:
+        # A repeated placement gets the same answer, whatever has changed since.
+        self._decisions.pop(flow, None)
+        if len(self._decisions) < self._settings.queue_flows:
             until_s = self._now + self._settings.place_timeout_s
-            self._refusals.pop(flow, None)
-            self._refusals[flow] = (until_s, reason)
-        return reason
+            self._decisions[flow] = (until_s, reason)
 
     def _reply_place(self, sender: str, message: Forward, reason: str) -> None:
         self._outbox.send(
@@ -748,7 +748,7 @@
         while self._early and self._now >= self._early[0][0]:
             _, sender, message = self._early.popleft()
             self._refuse_service(sender, message)
-        self._expire_refusals()
+        self._expire_decisions()
         self._expire_inquiries()
         for flow, _ in self._flows.sweep(self._now):
             self._registrar.enqueue(flow)
@@ -767,11 +767,11 @@
                 return
             del self._inquiries[flow]
 
-    def _expire_refusals(self) -> None:
-        for flow, (until_s, _) in list(self._refusals.items()):
+    def _expire_decisions(self) -> None:
+        for flow, (until_s, _) in list(self._decisions.items()):
             if self._now < until_s:
                 return
-            del self._refusals[flow]
+            del self._decisions[flow]
 
     def _run_query(self, flow: bytes, waiting: WaitingFlow) -> None:
         service = self._services.get(waiting.service_id)
