--- /dev/null
+++ b/features/steps/replay_steps.py
@@ -0,0 +1,133 @@
+import contextlib
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+import attrs
+from behave import then, when
+
+from bramleystair.flows import Admission, FlowController
+from bramleystair.replay import Bound, read_trace, run_trace, write_trace
+from bramleystair.replay._soak import generate_histories
+from bramleystair.replicas import ObjectStore
+from bramleystair.views import View
+
+TRACES = Path("traces")
+
+
+def load(name):
+    return read_trace(TRACES / f"{name}.jsonl").unwrap()
+
+
+def forget_version(store, key):
+    return 0
+
+
+def admit(admission, member, *values):
+    return "" if member is not None else "wrong_service"
+
+
+def reset_unknown(controller, flow, waiting):
+    del controller._waiting[flow]
+    controller._reset_unknown(flow, waiting)
+
+
+PATCHES = {
+    "zone marks are ignored": (View, "is_in_service", lambda view, zone: True),
+    "members are never queried": (FlowController, "_query_members", reset_unknown),
+    "draining agents admit flows": (Admission, "check", admit),
+    "cold agents admit every flow": (Admission, "check", admit),
+    "a replica accepts older versions": (ObjectStore, "get_version", forget_version),
+}
+
+
+@when('the trace "{name}" is replayed')
+def replay(context, name):
+    context.outcomes = [run_trace(load(name))]
+
+
+@when('the trace "{name}" is replayed again')
+def replay_again(context, name):
+    context.outcomes.append(run_trace(load(name)))
+
+
+@when("{count:d} histories of pairs of faults with seed {seed:d} are replayed")
+def replay_histories(context, count, seed):
+    histories = list(generate_histories(count, seed))
+    context.outcomes = [run_trace(history.trace) for history in histories]
+
+
+@then("its stated outcomes and all invariants are kept")
+@then("their stated outcomes and all invariants are kept")
+def check_kept(context):
+    failed = [outcome for outcome in context.outcomes if outcome.failures]
+    lines = [line for outcome in failed for line in outcome.list_lines()]
+    assert not failed, "\n".join(lines)
+
+
+@then('each file in "traces" has a row in this feature')
+def check_rows(context):
+    names = {path.stem for path in TRACES.glob("*.jsonl")}
+    rows = {
+        row["trace"]
+        for scenario in context.feature.scenarios
+        for examples in getattr(scenario, "examples", ())
+        for row in examples.table
+        if "trace" in examples.table.headings
+    }
+    assert names and names <= rows, names - rows
+
+
+@then("both outcomes are equal")
+def check_equal(context):
+    first, second = context.outcomes
+    assert first == second
+
+
+@when('the trace "{name}" is replayed while {fault}')
+def replay_with_fault(context, name, fault):
+    trace = load(name)
+    patch = contextlib.nullcontext()
+    if fault in PATCHES:
+        patch = mock.patch.object(*PATCHES[fault])
+    else:
+        impossible = Bound("opened_flows", 10**6, None)
+        trace = attrs.evolve(trace, bounds=(*trace.bounds, impossible))
+    with patch:
+        context.outcomes = [run_trace(trace)]
+
+
+@then('"{measure}" is reported as not kept')
+def check_found(context, measure):
+    (outcome,) = context.outcomes
+    assert measure in {failure.measure for failure in outcome.failures}, outcome
+
+
+@when('the trace text "{text}" is read')
+def read_text(context, text):
+    with tempfile.TemporaryDirectory() as directory:
+        path = Path(directory) / "t.jsonl"
+        path.write_text(text)
+        context.result = read_trace(path)
+
+
+@then('the error says "{detail}"')
+def check_error(context, detail):
+    assert detail in str(context.result.unwrap_err()), context.result
+
+
+@when("a history with an outcome that cannot be met is written and read")
+def write_history(context):
+    (history,) = generate_histories(1, 3)
+    impossible = Bound("opened_flows", 10**6, None)
+    trace = attrs.evolve(history.trace, bounds=(impossible,))
+    with tempfile.TemporaryDirectory() as directory:
+        path = Path(directory) / f"{trace.name}.jsonl"
+        write_trace(path, trace)
+        context.traces = [trace, read_trace(path).unwrap()]
+
+
+@then("its replay has the same measures")
+def check_same(context):
+    first, second = (run_trace(trace) for trace in context.traces)
+    assert first.failures and first == second
--- a/src/bramleystair/bench/__init__.py
+++ b/src/bramleystair/bench/__init__.py
@@ -5,6 +5,7 @@
 from bramleystair.bench._capacity import measure_capacity
 from bramleystair.bench._carrier import Carrier, Faults
 from bramleystair.bench._fleet import build_fleet, introduce
+from bramleystair.bench._policy import measure_policy
 from bramleystair.bench._spread import measure_spread
 
 __all__ = [
@@ -14,11 +15,13 @@
     "introduce",
     "main",
     "measure_capacity",
+    "measure_policy",
     "measure_spread",
 ]
 
 COMMANDS = {
     "capacity": measure_capacity,
+    "policy": measure_policy,
     "spread": measure_spread,
 }
 
--- a/src/bramleystair/replay/__init__.py
+++ b/src/bramleystair/replay/__init__.py
@@ -1,6 +1,7 @@
 """Replay of recorded traces through the decision modules."""
 
 from bramleystair.replay._cli import main
+from bramleystair.replay._nodes import Parts
 from bramleystair.replay._run import Failure, Outcome, run_trace
 from bramleystair.replay._trace import (
     Bound,
@@ -16,6 +17,7 @@
     "Event",
     "Failure",
     "Outcome",
+    "Parts",
     "Trace",
     "build_trace",
     "main",
--- a/src/bramleystair/replay/_nodes.py
+++ b/src/bramleystair/replay/_nodes.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Callable
 
+import attrs
+
 from bramleystair.actions import Count, Send
 from bramleystair.flows import (
     DrainRequested,
@@ -76,6 +78,26 @@
 MAX_HELD_EVENTS = 10_000
 
 
+@attrs.frozen
+class Parts:
+    """Decision modules of the nodes; measurements replace them by others.
+
+    Parameters
+    ----------
+    create_router : callable
+        Return the router of a balancer.
+    create_controller : callable
+        Return the flow controller of an agent; takes the arguments of
+        `FlowController`.
+    create_dispatcher : callable
+        Return the dispatcher of a balancer; takes the arguments of `Dispatcher`.
+    """
+
+    create_router: Callable = Router
+    create_controller: Callable = FlowController
+    create_dispatcher: Callable = Dispatcher
+
+
 class Node:
     """What balancers and agents share: a name, a pause, and a host that carries out.
 
@@ -158,8 +180,10 @@
         dispatcher_settings: DispatcherSettings,
     ) -> None:
         super().__init__(name, zone, host)
-        self.router = Router()
-        self.dispatcher = Dispatcher(dispatcher_settings, host.create_source(name))
+        self.router = host.parts.create_router()
+        self.dispatcher = host.parts.create_dispatcher(
+            dispatcher_settings, host.create_source(name)
+        )
         self.replica = BalancerReplica(
             name,
             zone,
@@ -225,7 +249,7 @@
         self.advised_fraction: float | None = None
         self.is_draining = False
         self.drained_s = 0.0
-        self.controller = FlowController(
+        self.controller = host.parts.create_controller(
             name, zone, incarnation, flow_settings, host.create_source(name + " flows")
         )
         self.ledger = self._build_ledger()
--- a/src/bramleystair/replay/_run.py
+++ b/src/bramleystair/replay/_run.py
@@ -5,8 +5,9 @@
 import attrs
 
 from bramleystair.replay._measures import INVARIANTS, Violation
+from bramleystair.replay._nodes import Parts
 from bramleystair.replay._trace import Bound, Trace
-from bramleystair.replay._world import WARM_UP_S, World
+from bramleystair.replay._world import DEFAULT_PARTS, WARM_UP_S, World
 
 MAX_SHOWN_VIOLATIONS = 5
 
@@ -60,7 +61,9 @@
             yield f"  {violation}"
 
 
-def run_trace(trace: Trace, seed: int | None = None) -> Outcome:
+def run_trace(
+    trace: Trace, seed: int | None = None, parts: Parts = DEFAULT_PARTS
+) -> Outcome:
     """Replay a trace and compare the measures with the stated outcomes.
 
     Parameters
@@ -69,9 +72,11 @@
         Setup, events and stated outcomes.
     seed : int or None
         Seed of every random choice; by default that of the setup.
+    parts : Parts
+        Decision modules of the nodes.
     """
     seed = int(trace.setup.get("seed", 1)) if seed is None else seed
-    world = World(trace.setup, seed)
+    world = World(trace.setup, seed, parts)
     _advance(world, WARM_UP_S)
     for event in trace.events:
         _advance(world, WARM_UP_S + event.time_s)
--- a/src/bramleystair/replay/_world.py
+++ b/src/bramleystair/replay/_world.py
@@ -11,7 +11,13 @@
 from bramleystair.replay._deployments import Deployment, build_deployment
 from bramleystair.replay._flow_callers import FlowCallers, build_forward
 from bramleystair.replay._measures import Measures
-from bramleystair.replay._nodes import AgentNode, BalancerNode, Node, create_source
+from bramleystair.replay._nodes import (
+    AgentNode,
+    BalancerNode,
+    Node,
+    Parts,
+    create_source,
+)
 from bramleystair.replay._platform import PlatformModel
 from bramleystair.replay._request_callers import RequestCallers
 from bramleystair.replay._trace import Event
@@ -29,6 +35,7 @@
 from bramleystair.views import View
 from bramleystair.wire import Forward, Message, Objects, StoredObject
 
+DEFAULT_PARTS = Parts()
 WARM_UP_S = 75.0
 TICK_S = 0.25
 ZONE_OUT_S = 3.0
@@ -51,6 +58,8 @@
         Fields of the trace's setup line.
     seed : int
         Seed of every random choice.
+    parts : Parts
+        Decision modules of the nodes.
 
     Attributes
     ----------
@@ -62,8 +71,11 @@
         Running processes by name.
     """
 
-    def __init__(self, setup: dict[str, object], seed: int) -> None:
+    def __init__(
+        self, setup: dict[str, object], seed: int, parts: Parts = DEFAULT_PARTS
+    ) -> None:
         self.seed = seed
+        self.parts = parts
         self.carrier = Carrier(create_source(seed, "carrier"))
         self.measures = Measures()
         self._source = create_source(seed, "world")
