Test that faults put into modules are found, and list the known red traces

An agent that has just started resets unknown flows when its view lacks the other members, and a half-open flow hides the owner's redirect after a pause or a cut.

--- a/features/replay.feature
+++ b/features/replay.feature
@@ -56,8 +56,11 @@
     @known_red
     Examples: traces that show a known fault
       | trace                                        |
+      | cut-repeated-first-packet                    |
       | misreported-loads-mia-duong                  |
       | misreported-loads-tres-lunas                 |
+      | new-agent-with-one-member                    |
+      | new-agent-without-members                    |
       | paused-agent-repeated-first-packet           |
 
   Scenario: Every recorded trace is replayed
@@ -84,9 +87,9 @@
       | trace                    | fault                             | measure           |
       | zone-out-in-tres-lunas   | zone marks are ignored            | late_zone_packets |
       | table-edits-tres-lunas   | members are never queried         | broken_flows      |
-      | drain-tres-lunas         | draining agents admit flows       | late_drain_work   |
+      | drain-tres-lunas         | a drain is not announced          | late_drain_work   |
       | cold-start-tres-lunas    | cold agents admit every flow      | over_cold_curve   |
-      | table-edits-mia-duong    | a replica accepts older versions  | version_reverted  |
+      | zone-out-in-out-platform-down-mia-duong | a replica accepts older versions  | version_reverted  |
       | server-death-mia-duong   | a stated outcome cannot be met    | opened_flows      |
 
   Scenario Outline: A malformed trace is refused
--- a/features/steps/replay_steps.py
+++ b/features/steps/replay_steps.py
@@ -7,7 +7,8 @@
 from behave import then, when
 
 from bramleystair.flows import Admission, FlowController
-from bramleystair.replay import Bound, read_trace, run_trace, write_trace
+from bramleystair.replay import Bound, Event, read_trace, run_trace, write_trace
+from bramleystair.replay._nodes import AgentNode
 from bramleystair.replay._soak import generate_histories
 from bramleystair.replicas import ObjectStore
 from bramleystair.views import View
@@ -32,13 +33,19 @@
     controller._reset_unknown(flow, waiting)
 
 
+def note_drain(node):
+    node.is_draining, node.drained_s = True, node.now
+
+
 PATCHES = {
-    "zone marks are ignored": (View, "is_in_service", lambda view, zone: True),
-    "members are never queried": (FlowController, "_query_members", reset_unknown),
-    "draining agents admit flows": (Admission, "check", admit),
-    "cold agents admit every flow": (Admission, "check", admit),
-    "a replica accepts older versions": (ObjectStore, "get_version", forget_version),
+    "zone marks are ignored": [(View, "is_in_service", lambda view, zone: True)],
+    "members are never queried": [(FlowController, "_query_members", reset_unknown)],
+    "a drain is not announced": [(AgentNode, "drain", note_drain)],
+    "cold agents admit every flow": [(Admission, "check", admit)],
+    "a replica accepts older versions": [(ObjectStore, "get_version", forget_version)],
 }
+# Doubled messages that arrive late bring older versions.
+LATE = Event(0.0, "network", "set", {"doubled": 0.5, "extra_delay_s": 2.0})
 
 
 @when('the trace "{name}" is replayed')
@@ -87,13 +94,14 @@
 @when('the trace "{name}" is replayed while {fault}')
 def replay_with_fault(context, name, fault):
     trace = load(name)
-    patch = contextlib.nullcontext()
-    if fault in PATCHES:
-        patch = mock.patch.object(*PATCHES[fault])
-    else:
+    if fault == "a replica accepts older versions":
+        trace = attrs.evolve(trace, events=(LATE, *trace.events))
+    if fault == "a stated outcome cannot be met":
         impossible = Bound("opened_flows", 10**6, None)
         trace = attrs.evolve(trace, bounds=(*trace.bounds, impossible))
-    with patch:
+    with contextlib.ExitStack() as stack:
+        for patch in PATCHES.get(fault, ()):
+            stack.enter_context(mock.patch.object(*patch))
         context.outcomes = [run_trace(trace)]
 
 
