--- a/src/bramleystair/bench/__init__.py
+++ b/src/bramleystair/bench/__init__.py
@@ -5,6 +5,7 @@
 from bramleystair.bench._capacity import measure_capacity
 from bramleystair.bench._carrier import Carrier, Faults
 from bramleystair.bench._fleet import build_fleet, introduce
+from bramleystair.bench._forward import forward
 from bramleystair.bench._policy import measure_policy
 from bramleystair.bench._spread import measure_spread
 
@@ -12,6 +13,7 @@
     "Carrier",
     "Faults",
     "build_fleet",
+    "forward",
     "introduce",
     "main",
     "measure_capacity",
@@ -22,6 +24,7 @@
 COMMANDS = {
     "capacity": measure_capacity,
     "policy": measure_policy,
+    "forward": forward,
     "spread": measure_spread,
 }
 
