--- a/src/bramleystair/bench/__init__.py
+++ b/src/bramleystair/bench/__init__.py
@@ -6,6 +6,7 @@
 from bramleystair.bench._carrier import Carrier, Faults
 from bramleystair.bench._fleet import build_fleet, introduce
 from bramleystair.bench._forward import forward
+from bramleystair.bench._policy import measure_policy
 from bramleystair.bench._spread import measure_spread
 
 __all__ = [
@@ -16,11 +17,13 @@
     "introduce",
     "main",
     "measure_capacity",
+    "measure_policy",
     "measure_spread",
 ]
 
 COMMANDS = {
     "capacity": measure_capacity,
+    "policy": measure_policy,
     "forward": forward,
     "spread": measure_spread,
 }
