Let bramleystair-bench start

The command line evaluates the types in the documentation of parameters, and one of them was not a type, so no command could run. bramleystair-bench forward is one of them now.

--- a/src/bramleystair/bench/_capacity.py
+++ b/src/bramleystair/bench/_capacity.py
@@ -34,7 +34,7 @@
 
     Parameters
     ----------
-    parts : tuple of str
+    parts : tuple[str, ...]
         "state" (one process), "messages" (simulated time) and "processes" (100 real
         processes for minutes). Parts that are not named keep their last data; none
         only writes the page.
