--- a/features/replay.feature
+++ b/features/replay.feature
@@ -89,6 +89,7 @@
       | table-edits-tres-lunas   | members are never queried         | broken_flows      |
       | drain-tres-lunas         | a drain is not announced          | late_drain_work   |
       | cold-start-tres-lunas    | cold agents admit every flow      | over_cold_curve   |
+      | request-storm-mia-duong  | agents start every request        | over_cap          |
       | zone-out-in-out-platform-down-mia-duong | a replica accepts older versions  | version_reverted  |
       | server-death-mia-duong   | a stated outcome cannot be met    | opened_flows      |
 
--- a/features/steps/replay_steps.py
+++ b/features/steps/replay_steps.py
@@ -11,6 +11,7 @@
 from bramleystair.replay._nodes import AgentNode
 from bramleystair.replay._soak import generate_histories
 from bramleystair.replicas import ObjectStore
+from bramleystair.requests._admission import Admission as RequestAdmission
 from bramleystair.views import View
 
 TRACES = Path("traces")
@@ -42,6 +43,7 @@
     "members are never queried": [(FlowController, "_query_members", reset_unknown)],
     "a drain is not announced": [(AgentNode, "drain", note_drain)],
     "cold agents admit every flow": [(Admission, "check", admit)],
+    "agents start every request": [(RequestAdmission, "check", lambda *values: "")],
     "a replica accepts older versions": [(ObjectStore, "get_version", forget_version)],
 }
 # Doubled messages that arrive late bring older versions.
--- a/src/bramleystair/operators/_cli.py
+++ b/src/bramleystair/operators/_cli.py
@@ -268,20 +268,28 @@
 
 
 def show_status(
-    *, endpoint: Sequence[str] = (), platform: str = "", format: Style = "text"
+    *,
+    endpoint: Sequence[str] = (),
+    metrics_port: int = 0,
+    platform: str = "",
+    format: Style = "text",
 ) -> int:
     """Show what is in force on each node, its load and its refusals.
 
     Parameters
     ----------
     endpoint
-        HOST:PORT of metrics ports; by default those announced on the platform.
+        HOST:PORT of metrics ports; by default those of the announced hosts.
+    metrics_port
+        Metrics port of the announced hosts; 0 for the defaults of the settings.
     platform
         URL of the platform; by default from BRAMLEYSTAIR_PLATFORM.
     format
         Output as text or JSON.
     """
-    return _show(_status.read_status(_create_session(platform), endpoint), format)
+    session = _create_session(platform)
+    report = _status.read_status(session, endpoint, metrics_port=metrics_port)
+    return _show(report, format)
 
 
 def watch_changes(
--- a/src/bramleystair/operators/_status.py
+++ b/src/bramleystair/operators/_status.py
@@ -16,7 +16,8 @@
 
 STATUS_TIMEOUT_S = 3.0
 STATUS_THREADS = 16
-DEFAULT_METRICS_PORT = 9100
+# Defaults of the settings of balancers and agents.
+METRICS_PORTS = {"balancer/": 9100, "agent/": 9101}
 REFUSAL_WORDS = ("refus", "drop", "broken")
 
 
@@ -118,6 +119,7 @@
     session: OperatorSession,
     endpoints: Iterable[str] = (),
     fetch: Callable[[str], object] | None = None,
+    metrics_port: int = 0,
 ) -> StatusReport | FailureReport:
     """Return what is in force on each node.
 
@@ -129,10 +131,12 @@
         ``host:port`` of metrics ports; without any, they are read from the platform.
     fetch : callable, optional
         Takes an endpoint and returns the JSON document of `/status`.
+    metrics_port : int
+        Metrics port of every announced host; 0 for the defaults of the settings.
     """
     result = session.client.list_objects()
     objects = result.map(lambda listing: listing.objects).unwrap_or(())
-    endpoints = tuple(endpoints) or _list_endpoints(objects)
+    endpoints = tuple(endpoints) or _list_endpoints(objects, metrics_port)
     if not endpoints and result.is_err():
         return FailureReport.from_error(result.unwrap_err())
     note = "" if result.is_ok() else f"platform: {result.unwrap_err()}"
@@ -208,15 +212,17 @@
     )
 
 
-def _list_endpoints(objects: Iterable[PlatformObject]) -> tuple[str, ...]:
+def _list_endpoints(
+    objects: Iterable[PlatformObject], metrics_port: int
+) -> tuple[str, ...]:
     endpoints = []
     for item in objects:
         if not item.key.startswith(ANNOUNCEMENT_PREFIXES):
             continue
         try:
             body = json.loads(item.body)
-            port = body.get("metrics_port", DEFAULT_METRICS_PORT)
-            endpoints.append(f"{body['host']}:{port}")
+            default = METRICS_PORTS[item.key.partition("/")[0] + "/"]
+            endpoints.append(f"{body['host']}:{metrics_port or default}")
         except (ValueError, KeyError, TypeError, AttributeError):
             continue
     return tuple(endpoints)
--- a/src/bramleystair/replay/_request_callers.py
+++ b/src/bramleystair/replay/_request_callers.py
@@ -78,6 +78,8 @@
         self._call_id = 0
         self._runs: collections.Counter[bytes] = collections.Counter()
         self._not_run: set[bytes] = set()
+        self._running: collections.Counter = collections.Counter()
+        self._jobs: dict[str, tuple] = {}
         self.latencies_s: list[float] = []
 
     def start(
@@ -210,7 +212,7 @@
                 self._start(node, ledger, action)
             case CancelBackend(ticket, name):
                 if node.backend.cancel(name):
-                    self._shed(node, ledger, ticket)
+                    self._shed(node, ledger, ticket, name)
             case Count():
                 self._world.count(action)
 
@@ -220,18 +222,23 @@
 
     def _start(self, node, ledger, action: StartBackend) -> None:
         started_s = self._world.carrier.now
+        self._running[node, action.service] += 1
+        self._check_admission(node, action.service)
 
         def finish() -> None:
+            self._running[node, action.service] -= 1
             node.observe(self._world.carrier.now - started_s, False)
             answer = BackendAnswered(action.ticket, SUCCESS, _build_answer(action.body))
             node.call(self._tell_ledger, node, ledger, answer)
 
         job = Job(action.request_name, lambda: self._record_run(action.body), finish)
+        self._jobs[action.request_name] = (node, action.service)
         if not node.backend.submit(job):
             node.observe(0.0, True)
-            self._shed(node, ledger, action.ticket)
+            self._shed(node, ledger, action.ticket, action.request_name)
 
-    def _shed(self, node, ledger, ticket: bytes) -> None:
+    def _shed(self, node, ledger, ticket: bytes, name: str) -> None:
+        self._running[self._jobs[name]] -= 1
         event = BackendShed(ticket)
         self._world.carrier.schedule(
             SHED_DELAY_S, node.call, self._tell_ledger, node, ledger, event
@@ -241,6 +248,21 @@
         if node.ledger is ledger and self._world.agents.get(node.name) is node:
             node.handle_ledger(event)
 
+    def _check_admission(self, node, service: str) -> None:
+        count = self._running[node, service]
+        table = node.view.tables.get(service)
+        row = None if table is None else table.get_member(node.name)
+        cap = 0 if row is None else row.max_requests
+        measures = self._world.measures
+        if count > cap:
+            measures.violate("over_cap", f"{node.name} runs {count} of {cap}")
+        settings = node.ledger_settings
+        age = (self._world.carrier.now - node.started_s) / max(settings.warm_up_s, 1e-9)
+        share = settings.initial_fraction + (1 - settings.initial_fraction) * age
+        if count > max(1, cap * min(1.0, share)):
+            detail = f"{node.name} runs {count} of {cap} at {share:.2f}"
+            measures.violate("over_cold_curve", detail)
+
     def _record_run(self, body: bytes) -> None:
         self._runs[body] += 1
         measures = self._world.measures
