--- a/features/replay.feature
+++ b/features/replay.feature
@@ -14,6 +14,7 @@
       | balancer-death-join-tres-lunas               |
       | cold-start-mia-duong                         |
       | cold-start-tres-lunas                        |
+      | cut-repeated-first-packet                    |
       | drain-mia-duong                              |
       | drain-tres-lunas                             |
       | lease-holder-paused-mia-duong                |
@@ -23,6 +24,7 @@
       | mixed-speeds-mia-duong                       |
       | mixed-speeds-tres-lunas                      |
       | new-agent-unknown-flows                      |
+      | new-agent-with-one-member                    |
       | pair-cut-table-edit-mia-duong                |
       | pair-cut-table-edit-tres-lunas               |
       | pair-drain-cold-mia-duong                    |
@@ -32,6 +34,7 @@
       | pair-zone-out-server-death-mia-duong         |
       | pair-zone-out-server-death-tres-lunas        |
       | paused-agent-drain                           |
+      | paused-agent-repeated-first-packet           |
       | platform-outage-hour-mia-duong               |
       | platform-outage-hour-tres-lunas              |
       | region-cut-mia-duong                         |
@@ -56,12 +59,12 @@
     @known_red
     Examples: traces that show a known fault
       | trace                                        |
-      | cut-repeated-first-packet                    |
       | misreported-loads-mia-duong                  |
       | misreported-loads-tres-lunas                 |
-      | new-agent-with-one-member                    |
+      | new-agent-short-stop                         |
       | new-agent-without-members                    |
-      | paused-agent-repeated-first-packet           |
+      | paused-agent-platform-down                   |
+      | paused-agent-redirects-lost                  |
 
   Scenario: Every recorded trace is replayed
     Then each file in "traces" has a row in this feature
