Wait for the members that a new agent does not know yet

Cause: an agent that had just started, and whose view lacked announcements of other members, took the lack of members to ask for a negative answer and reset flows that they owned. Change: within the change window after its start, a lookup waits for its time-out while an announcement is missing, and members that a new view adds are queried as well.

--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -87,6 +87,7 @@
         self._down: frozenset[str] = frozenset()
         self._is_zone_out = False
         self._is_leaving = False
+        self._settled_s: float | None = None
 
     @property
     def flow_count(self) -> int:
@@ -348,10 +349,16 @@
         for server in dict.fromkeys((*service.peers, inquirer)):
             if server:
                 self._ask(flow, waiting, server)
-        if not waiting.members:
+        if self._has_all_answers(service, waiting):
             self._end_query(flow, waiting)
 
+    def _has_all_answers(self, service: Service, waiting: WaitingFlow) -> bool:
+        # Just after its start, the agent may not know where the other members are.
+        is_new = self._now < (self._settled_s or 0.0)
+        return not waiting.members and (service.is_complete or not is_new)
+
     def _ask(self, flow: bytes, waiting: WaitingFlow, server: str) -> None:
+        waiting.asked.add(server)
         waiting.members.add(server)
         self._outbox.send(server, FlowQuery(waiting.service_id, flow))
 
@@ -412,7 +419,8 @@
             # Its own answer may have preceded the event that the sender knows of.
             waiting.hints.append(message.owner)
             self._ask(flow, waiting, message.owner)
-        if not waiting.members:
+        service = self._services.get(waiting.service_id)
+        if self._has_all_answers(service, waiting):
             self._end_query(flow, waiting)
 
     def _take_late_reply(
@@ -677,6 +685,8 @@
 
     def _change_view(self, view: View) -> None:
         self._cold_start.start(self._now)
+        if self._settled_s is None:
+            self._settled_s = self._now + self._settings.change_window_s
         own = view.agents.get(self._server)
         is_announced = own is not None and own.state is AgentState.DRAINING
         self._admission.is_draining = self._is_leaving or is_announced
@@ -734,12 +744,20 @@
                 del self._waiting[flow]
                 self._outbox.count("flow_refused", "zone_out")
             elif not waiting.is_placing:
-                known = {*service.peers, *waiting.hints}
-                waiting.members.intersection_update(known)
+                self._review_query(flow, waiting, service)
             elif waiting.targets[0] not in service.peers:
                 waiting.targets.pop(0)
                 self._try_target(flow, waiting)
 
+    def _review_query(
+        self, flow: bytes, waiting: WaitingFlow, service: Service
+    ) -> None:
+        _, inquirer = self._inquiries.get(flow, (0.0, ""))
+        waiting.members &= {*service.peers, *waiting.hints, inquirer}
+        for server in service.peers:
+            if server not in waiting.asked:
+                self._ask(flow, waiting, server)
+
     def _run_timers(self) -> None:
         for flow, waiting in list(self._waiting.items()):
             if waiting.is_placing:
@@ -778,6 +796,8 @@
         service = self._services.get(waiting.service_id)
         down = {server for server in service.peers if server not in service.live}
         is_doubtful = waiting.members <= down - {waiting.former_owner}
+        if not waiting.members:
+            is_doubtful = self._has_all_answers(service, waiting)
         if is_doubtful and self._now >= waiting.started_s + self._settings.doubt_s:
             self._end_query(flow, waiting)
             return
--- a/src/bramleystair/flows/_entries.py
+++ b/src/bramleystair/flows/_entries.py
@@ -55,8 +55,8 @@
         Whether the flow is placed when no member knows it.
     started_s, deadline_s, retry_s : float
         Start and end of the present step, and time of the next repetition.
-    members : set of str
-        Members whose answer to a query is outstanding.
+    asked, members : set of str
+        Members that were queried, and those whose answer is outstanding.
     claims : list of str
         Members that hold or place the flow, of which none is established yet.
     hints : list of str
@@ -73,6 +73,7 @@
     deadline_s: float = 0.0
     retry_s: float = 0.0
     packets: list[bytes] = attrs.field(factory=list)
+    asked: set[str] = attrs.field(factory=set)
     members: set[str] = attrs.field(factory=set)
     claims: list[str] = attrs.field(factory=list)
     hints: list[str] = attrs.field(factory=list)
--- a/src/bramleystair/flows/_services.py
+++ b/src/bramleystair/flows/_services.py
@@ -30,6 +30,8 @@
         The peers not reported down.
     former : frozenset of (str, int)
         Server and incarnation of members whose row was removed.
+    is_complete : bool
+        Whether the view holds an announcement of every member.
     unsettled_until_s : float
         End of the interval in which nodes may hold different views of the service.
     """
@@ -44,6 +46,7 @@
     peers: tuple[str, ...]
     live: frozenset[str]
     former: frozenset[Home]
+    is_complete: bool
     unsettled_until_s: float
 
     def find_home(self, flow: bytes) -> Home | None:
@@ -124,6 +127,7 @@
             peers,
             frozenset(server for server in peers if view.is_live(server)),
             former,
+            all(member.server in view.agents for member in table.members),
             now + self._change_window_s,
         )
 
