Judge shedding by the load at which it happens

Cause: the limit learned from shed requests fell by one for each of them, whatever the load, but rose only at the limit; sheds without a relation to the load closed most places. Change: ShedLimit keeps the share shed for each number of requests at once and closes the lowest number at which half is shed; successes below reopen it.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -38,6 +38,7 @@
     Examples: Guards against answers from an entry that has expired
       | events                         | actions                                      |
       | wait 60, run, fence            | expired not_run, expired not_run             |
+      | long run, wait 400, done, run  | start, answer, answer                        |
       | run, done, wait 361, run       | start, answer, forgotten unknown             |
       | wait 361, fence                | forgotten unknown                            |
       | wait 3600, wait 361, run       | key_gone unknown                             |
@@ -104,6 +105,7 @@
     BRAMLEYSTAIR_HISTORIES=100 for 100,000 requests instead of 20,000.
     When histories of 1000 requests each run with every fault
     Then no request was lost, ran twice, or was falsely reported
+    And at least half of the 1000 requests in each history ran
 
   Scenario Outline: Overload at <load> times the capacity
     Guards against goodput that falls with the offered load, and against retries that
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -96,6 +96,8 @@
         match event.split():
             case ["run"]:
                 return self.use(Run, b"body", 30_000)
+            case ["long", "run"]:
+                return self.use(Run, b"body", 600_000)
             case ["other", "body"]:
                 return self.use(Run, b"other", 30_000)
             case ["fetch"]:
@@ -293,10 +295,15 @@
         context.worlds.append(world)
 
 
+@then("at least half of the {count:d} requests in each history ran")
+def check_runs_of_histories(context, count):
+    runs = sum(sum(world.runs.values()) for world in context.worlds)
+    assert runs >= count * len(context.worlds) / 2, runs
+
+
 @then("no request was lost, ran twice, or was falsely reported")
 def check_histories(context):
     for seed, world in enumerate(context.worlds):
-        assert sum(world.runs.values()) > 100
         violations = world.check()
         assert not violations, (seed, len(violations), violations[:3])
 
--- a/src/bramleystair/requests/_admission.py
+++ b/src/bramleystair/requests/_admission.py
@@ -18,8 +18,11 @@
 COLD_LATENCY_FACTOR = 4.0
 COLD_SHED_FRACTION = 0.2
 BASELINE_GAIN = 0.1
-# One shed request in 20 is well below the share that indicates a cold backend server.
-RAISE_AFTER_SUCCESSES = 20
+# Two requests in a row that are shed at the same load close it; four would look cold.
+# It is tried again about once in 25 successes.
+SHED_GAIN = 0.3
+SHED_DECAY = 0.99
+SHEDDING_FRACTION = 0.5
 LATENCY_GAIN = 0.2
 # An estimate that refuses every request would never be corrected, so it fades.
 ESTIMATE_HALF_LIFE_S = 5.0
@@ -112,21 +115,20 @@
 
     def __init__(self) -> None:
         self.limit = math.inf
-        self._successes = 0
+        self._rates: dict[int, float] = {}
 
     def observe(self, load: int, is_shed: bool) -> None:
         """Take the outcome of a request that started as the `load`-th at once."""
-        if is_shed:
-            known = load if math.isinf(self.limit) else self.limit
-            self.limit = max(1, known - 1)
-            self._successes = 0
-            return
-        if load < self.limit:
-            return
-        self._successes += 1
-        if self._successes >= RAISE_AFTER_SUCCESSES:
-            self.limit += 1
-            self._successes = 0
+        rate = self._rates.get(load, 0.0)
+        self._rates[load] = rate + SHED_GAIN * (is_shed - rate)
+        if not is_shed and self.limit + 1 in self._rates:
+            self._rates[self.limit + 1] *= SHED_DECAY
+        shedding = (
+            level
+            for level, rate in self._rates.items()
+            if level > 1 and rate >= SHEDDING_FRACTION
+        )
+        self.limit = min(shedding, default=math.inf) - 1
 
 
 class LatencyEstimate:
