Bound bodies by the frame and resend less after a lost connection

Cause: a limit set above 16 MiB let in bodies that no frame can carry, and each failed attempt to connect moved the resend of every request at that agent. Change: callers and responses are held to 16 MiB whatever the settings say; requests that are due within one resend interval keep their time. Conclusion: an oversized body is refused with 413 instead of ending at its deadline.

--- a/src/bramleystair/backend/_client.py
+++ b/src/bramleystair/backend/_client.py
@@ -13,6 +13,7 @@
 )
 
 from bramleystair.errors import StepError
+from bramleystair.wire import MAX_BODY_BYTES
 
 OK = 200
 SHED = 503
@@ -74,7 +75,8 @@
 
     def __init__(self, host: str, port: int, max_body_bytes: int = 8 * 2**20) -> None:
         self.peer = f"{host}:{port}"
-        self._max_body_bytes = max_body_bytes
+        # A longer body would not fit into a frame to the balancer.
+        self._max_body_bytes = min(max_body_bytes, MAX_BODY_BYTES)
         # A repeated request could run twice, so the client never repeats one.
         self._pool = urllib3.HTTPConnectionPool(
             host, port, maxsize=MAX_CONNECTIONS, retries=False
--- a/src/bramleystair/caller/_server.py
+++ b/src/bramleystair/caller/_server.py
@@ -33,7 +33,13 @@
 )
 from bramleystair.timers import TimerService
 from bramleystair.views import View
-from bramleystair.wire import Envelope, Message, ServiceLoad, StreamClient
+from bramleystair.wire import (
+    MAX_BODY_BYTES,
+    Envelope,
+    Message,
+    ServiceLoad,
+    StreamClient,
+)
 
 log = logging.getLogger("bramleystair.caller")
 
@@ -101,6 +107,8 @@
         self._dispatcher = dispatcher
         self._timers = timers
         self._settings = settings
+        # A longer body would not fit into a frame to the agent.
+        self._max_body_bytes = min(settings.max_body_bytes, MAX_BODY_BYTES)
         self._count = count
         self._view = View()
         self._lock = threading.Lock()
@@ -208,7 +216,7 @@
         return response(environ, start_response)
 
     def _answer(self, request: Request) -> Response:
-        if (request.content_length or 0) > self._settings.max_body_bytes:
+        if (request.content_length or 0) > self._max_body_bytes:
             return self._refuse_body(request)
         try:
             endpoint, values = ROUTES.bind_to_environ(request.environ).match()
@@ -223,7 +231,7 @@
 
     def _refuse_body(self, request: Request) -> Response:
         # A caller that still sends would lose the answer to a reset connection.
-        left = min(request.content_length, 2 * self._settings.max_body_bytes)
+        left = min(request.content_length, 2 * self._max_body_bytes)
         while left > 0 and (part := request.environ["wsgi.input"].read(READ_BYTES)):
             left -= len(part)
         self._count(Count("calls_refused", "too_large"))
@@ -256,7 +264,7 @@
         )
 
     def _read_body(self, request: Request) -> Result[bytes, str]:
-        limit = self._settings.max_body_bytes
+        limit = self._max_body_bytes
         is_chunked = request.environ.get("wsgi.input_terminated", False)
         if not request.content_length and not is_chunked:
             return Ok(b"")
--- a/src/bramleystair/requests/_dispatcher.py
+++ b/src/bramleystair/requests/_dispatcher.py
@@ -408,8 +408,10 @@
             if pending.phase is Phase.RESERVE:
                 actions += self._retry(pending, "connection_lost", 0.0, now)
                 continue
-            delay_s = self._source.uniform(0, self._settings.resend_s)
-            self._schedule(pending, now + delay_s)
+            # Each failed attempt to connect reports a loss, so most are due already.
+            if pending.due_s > now + self._settings.resend_s:
+                delay_s = self._source.uniform(0, self._settings.resend_s)
+                self._schedule(pending, now + delay_s)
         return actions
 
     def _set_view(self, view: View, now: float) -> list[DispatcherAction]:
--- a/src/bramleystair/wire/__init__.py
+++ b/src/bramleystair/wire/__init__.py
@@ -33,9 +33,10 @@
     VersionHeader,
     VersionHeaders,
 )
-from bramleystair.wire._stream import StreamClient, StreamServer
+from bramleystair.wire._stream import MAX_BODY_BYTES, StreamClient, StreamServer
 
 __all__ = [
+    "MAX_BODY_BYTES",
     "Answer",
     "BucketVersions",
     "Cancel",
--- a/src/bramleystair/wire/_stream.py
+++ b/src/bramleystair/wire/_stream.py
@@ -18,8 +18,9 @@
 log = logging.getLogger("bramleystair.wire")
 
 _LENGTH = struct.Struct(">I")
+MAX_BODY_BYTES = 16 * 2**20
 # The longest body of a request or response, and room for the rest of the envelope.
-MAX_FRAME_BYTES = 16 * 2**20 + 4096
+MAX_FRAME_BYTES = MAX_BODY_BYTES + 4096
 MAX_CONNECTIONS = 1024
 MAX_QUEUED_MESSAGES = 1024
 CONNECT_TIMEOUT_S = 2.0
