--- a/src/bramleystair/bench/__init__.py
+++ b/src/bramleystair/bench/__init__.py
@@ -1,11 +1,14 @@
 """Measurements of the decision modules."""
 
+from collections.abc import Sequence
+
 import defopt
 
 from bramleystair.bench._capacity import measure_capacity
 from bramleystair.bench._carrier import Carrier, Faults
 from bramleystair.bench._fleet import build_fleet, introduce
 from bramleystair.bench._forward import forward
+from bramleystair.bench._policy import measure_policy
 from bramleystair.bench._spread import measure_spread
 
 __all__ = [
@@ -16,16 +19,18 @@
     "introduce",
     "main",
     "measure_capacity",
+    "measure_policy",
     "measure_spread",
 ]
 
 COMMANDS = {
     "capacity": measure_capacity,
+    "policy": measure_policy,
     "forward": forward,
     "spread": measure_spread,
 }
 
 
-def main() -> None:
-    """Run `bramleystair-bench`."""
-    defopt.run(COMMANDS)
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run `bramleystair-bench` with `arguments`, or those of the process."""
+    defopt.run(COMMANDS, argv=arguments)
