Forward packets while the fabric withdraws a balancer

A balancer that stopped without requests in hand closed its packet path before the fabric could notice, so packets were lost. It now forwards for withdraw_s after its health check fails. A scenario also covers an agent that was paused past its lease: it announces a new incarnation, serves new requests and keeps its flows.

--- a/features/daemons.feature
+++ b/features/daemons.feature
@@ -34,7 +34,15 @@
     When the balancer is stopped as planned
     Then a new request is not accepted
     And the request in hand receives its whole response
+    And a new connection still reaches the backend server
+
 
+  Scenario: An agent that was paused past its lease begins a new incarnation
+    Given an established connection
+    When the agent has been paused for 400 s
+    Then the agent announces a new incarnation
+    And a new request receives its whole response
+    And the established connection still reaches the backend server
 
   Scenario: A platform that answers rubbish
     Given a platform that answers rubbish to every second call and else rubbish objects
--- a/features/steps/daemons_steps.py
+++ b/features/steps/daemons_steps.py
@@ -64,6 +64,15 @@
 SERVICE_ID = compute_service_id(SERVICE_NAME)
 
 
+class SkippingClock(MonotonicClock):
+    """Clock of a process that seems paused when `skipped_s` is raised."""
+
+    skipped_s = 0.0
+
+    def now(self):
+        return super().now() + self.skipped_s
+
+
 def wait_until(is_met):
     deadline_s = time.monotonic() + WAIT_S
     while not is_met():
@@ -132,6 +141,8 @@
         "host": context.balancer_host,
         "metrics_port": 0,
         "platform": context.platform,
+        # Longer than any scenario; a second request to stop ends it.
+        "withdraw_s": 600,
     }
     checked = check_settings(options, BalancerSettings).unwrap()
     context.balancer = BalancerDaemon(checked, MonotonicClock(), random.Random(1))
@@ -161,8 +172,8 @@
     near, context.far = socket.socketpair(socket.AF_UNIX, socket.SOCK_DGRAM)
     context.far.settimeout(WAIT_S)
     context.add_cleanup(context.far.close)
-    clock = MonotonicClock()
-    context.agent = AgentDaemon(checked, clock, random.Random(2), near.detach())
+    context.clock = SkippingClock()
+    context.agent = AgentDaemon(checked, context.clock, random.Random(2), near.detach())
     start(context, context.agent)
 
 
@@ -376,7 +387,6 @@
     assert not context.stopped[context.balancer].done()
     context.backend.is_released.set()
     assert context.reply.result(WAIT_S) == (200, b"correction")
-    context.stopped[context.balancer].result(WAIT_S)
 
 
 RUBBISH = [
@@ -487,3 +497,32 @@
         assert error.code
     else:
         raise AssertionError("the agent would start without a balancer")
+
+
+@when("the agent has been paused for {seconds:d} s")
+def pause_agent(context, seconds):
+    context.incarnation = get_incarnation(context)
+    context.clock.skipped_s += seconds
+
+
+def get_incarnation(context):
+    return context.balancer._get_view().agents["server-1"].incarnation
+
+
+@then("the agent announces a new incarnation")
+def check_incarnation(context):
+    wait_until(lambda: get_incarnation(context) > context.incarnation)
+
+
+@then("a new request receives its whole response")
+def check_new_request(context):
+    context.backend.is_released.set()
+    # The balancer may still know the lifetime that has ended.
+    wait_until(lambda: try_post(context, b"correction") == (200, b"correction"))
+
+
+def try_post(context, body):
+    try:
+        return post(context, body)
+    except urllib.error.HTTPError as error:
+        return error.code, b""
--- a/src/bramleystair/balancer/_daemon.py
+++ b/src/bramleystair/balancer/_daemon.py
@@ -33,6 +33,7 @@
 # Packets, messages, timers and watch, and platform calls that do not wait.
 THREADS = 12
 BUFFER_BYTES = 1_048_576
+STOP_POLL_S = 0.1
 
 log = get_log("balancer")
 
@@ -104,8 +105,12 @@
     def stop(self) -> None:
         """Finish the requests in hand, then stop everything."""
         self._is_stopping = True
+        withdrawn_s = self._clock.now() + self._settings.withdraw_s
         log.info("stopping; requests in hand are finished first")
         self._caller.stop()
+        pause = threading.Event()
+        while self._clock.now() < withdrawn_s and not self.threads.is_stop_urgent:
+            pause.wait(STOP_POLL_S)
         self._forwarder.stop()
         self._platform.close()
         self._messenger.stop()
--- a/src/bramleystair/settings/_schemas.py
+++ b/src/bramleystair/settings/_schemas.py
@@ -159,6 +159,9 @@
         URL of the platform; empty to learn from peers only.
     seeds : tuple of SeedSettings
         Balancers from which a new node learns when the platform is down.
+    withdraw_s : float
+        Time for which packets are still forwarded after SIGTERM, so that the fabric
+        notices the failing health check first.
     fabric : FabricSettings
         Connection with the network fabric.
     versions : VersionSettings
@@ -178,6 +181,7 @@
     metrics_port: int = option(9100, minimum=0, maximum=MAX_PORT)
     platform: str = option("")
     seeds: tuple[SeedSettings, ...] = option(())
+    withdraw_s: float = option(3.0, minimum=0)
     fabric: FabricSettings = option(FabricSettings)
     versions: VersionSettings = option(VersionSettings)
     caller: CallerSettings = option(CallerSettings)
