--- a/features/replay.feature
+++ b/features/replay.feature
@@ -79,6 +79,9 @@
       | count | seed |
       | 12    | 7    |
 
+  Scenario: Generated histories hold every pair of faults
+    Then 120 histories hold each of the 120 pairs of faults once
+
   Scenario: The same seed gives the same outcome
     When the trace "drain-mia-duong" is replayed
     And the trace "drain-mia-duong" is replayed again
--- a/features/steps/replay_steps.py
+++ b/features/steps/replay_steps.py
@@ -9,7 +9,7 @@
 from bramleystair.flows import Admission, FlowController
 from bramleystair.replay import Bound, Event, read_trace, run_trace, write_trace
 from bramleystair.replay._nodes import AgentNode
-from bramleystair.replay._soak import generate_histories
+from bramleystair.replay._soak import PAIRS, generate_histories
 from bramleystair.replicas import ObjectStore
 from bramleystair.requests._admission import Admission as RequestAdmission
 from bramleystair.views import View
@@ -87,6 +87,12 @@
     assert names and names <= rows, names - rows
 
 
+@then("{count:d} histories hold each of the {pairs:d} pairs of faults once")
+def check_pairs(context, count, pairs):
+    found = {history.faults for history in generate_histories(count, 1)}
+    assert len(found) == pairs == len(PAIRS)
+
+
 @then("both outcomes are equal")
 def check_equal(context):
     first, second = context.outcomes
--- a/src/bramleystair/replay/_soak.py
+++ b/src/bramleystair/replay/_soak.py
@@ -159,12 +159,16 @@
     "request_storm": _Generator.storm_requests,
 }
 PAIRS = tuple(itertools.combinations_with_replacement(FAULTS, 2))
+# Without a common divisor with the number of pairs, so that a few histories already
+# hold most kinds of fault.
+PAIR_STRIDE = 37
 
 
 def generate_histories(count: int, seed: int) -> Iterator[History]:
     """Yield `count` histories; each pair of faults occurs once in `len(PAIRS)`."""
     for number in range(count):
-        yield _generate_history(PAIRS[number % len(PAIRS)], number, seed)
+        pair = PAIRS[number * PAIR_STRIDE % len(PAIRS)]
+        yield _generate_history(pair, number, seed)
 
 
 def _generate_history(pair: tuple[str, str], number: int, seed: int) -> History:
