Measure the operator's client

Cause: the capacity page had no figures for the operator's client.

Change: a part of the capacity benchmark changes a row against a client that counts calls and bytes.

--- a/src/bramleystair/bench/_capacity.py
+++ b/src/bramleystair/bench/_capacity.py
@@ -8,11 +8,12 @@
 
 from bramleystair.bench import _message_slopes as messages
 from bramleystair.bench._fits import Slope
+from bramleystair.bench._operator_slopes import measure_operator
 from bramleystair.bench._processes import measure_processes
 from bramleystair.bench._report import write_data
 from bramleystair.bench._state_slopes import measure_state
 
-PARTS = ("state", "messages", "processes")
+PARTS = ("state", "operator", "messages", "processes")
 WORKERS = 4
 MESSAGE_MEASUREMENTS = (
     messages.measure_rejoin,
@@ -36,9 +37,9 @@
     Parameters
     ----------
     parts : tuple[str, ...]
-        "state" (one process), "messages" (simulated time) and "processes" (100 real
-        processes for minutes). Parts that are not named keep their last data; none
-        only writes the page.
+        "state" (one process), "operator" (the operator's client), "messages" (simulated
+        time) and "processes" (100 real processes for minutes). Parts that are not named
+        keep their last data; none only writes the page.
     output : Path
         Directory of the data and plots; the page is written beside it.
     """
@@ -59,6 +60,8 @@
 def _measure_part(part: str) -> tuple[list[Slope], list[dict]]:
     if part == "state":
         return measure_state(), []
+    if part == "operator":
+        return measure_operator(), []
     if part == "processes":
         return measure_processes()
     if part != "messages":
--- a/src/bramleystair/bench/_capacity_page.py
+++ b/src/bramleystair/bench/_capacity_page.py
@@ -72,6 +72,11 @@
         """Return the part of slope `name` that grows with `size`."""
         return self.slopes[name].slope * size
 
+    @property
+    def stored(self) -> int:
+        """Return the number of objects that the platform stores."""
+        return self.sizes.tables + self.sizes.zones + self.members
+
     def compute_store_bytes(self) -> float:
         """Return the memory of all objects in a balancer."""
         counts = {
@@ -541,6 +546,22 @@
             model.members / model.sizes.zones / max(slopes["zone_lost_bytes"].sizes), 2
         ),
         "rate_nodes": str(RATE_NODES),
+        "stored": f"{model.stored:,}",
+        "operator_reads": show(model.predict("operator_reads", model.stored)),
+        "operator_writes": show(model.predict("operator_writes", model.stored)),
+        "operator_bytes": show(model.predict("operator_bytes", model.stored) / 1e6),
+        "operator_work": show(model.predict("operator_work", model.stored) / 1000),
+        "operator_rate": show(
+            model.predict("operator_bytes", model.stored)
+            * model.sizes.changes_per_day
+            / DAY_S
+            / 1000
+        ),
+        "platform_state": show(
+            model.predict("operator_bytes", model.stored)
+            / model.predict("operator_reads", model.stored)
+            / 1e6
+        ),
         "writes_limit": str(model.sizes.platform_writes_per_s),
         "watch_s": str(WATCH_TIMEOUT_S),
     }
