Stop a process that was replaced from competing

Cause: a holder that resumed after its replacement had started took a later incarnation, the replacement answered with a still later one, and so on.

Change: only a process that started within 10 s takes a later incarnation than the one it learns of; an older one returns `Replaced`, on which its daemon has to stop.

Conclusion: a feature covers both sides; the daemons do not act on `Replaced` yet.

--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -59,6 +59,11 @@
     And 5 s pass
     Then "s3" raised its incarnation 1 times
 
+  Scenario: A process that was replaced does not compete with its replacement
+    Given an agent with incarnation 1 that has run for 60 s
+    When it learns that incarnation 5 of its name was announced
+    Then it is told that it was replaced and raises no incarnation
+
   Scenario: A zone cut off for minutes gets what it missed
     Given 6 balancers and 7 agents in 3 availability zones with seed 5
     When "b0,b3,s0,s3,s6" are cut off
--- a/features/steps/replicas_steps.py
+++ b/features/steps/replicas_steps.py
@@ -12,12 +12,15 @@
     AgentReplica,
     IncarnationRaised,
     LoadsChanged,
+    MessageArrived,
     ObjectStore,
     Peer,
     PlatformListed,
     PlatformObjects,
     RenewLease,
+    Replaced,
     ReplicaSettings,
+    Tick,
     ViewUpdated,
     WatchWanted,
 )
@@ -30,7 +33,13 @@
     build_key,
     encode_object,
 )
-from bramleystair.wire import LoadReport, ServiceLoad, StoredObject
+from bramleystair.wire import (
+    HeartbeatReply,
+    LoadReport,
+    ServiceLoad,
+    StoredObject,
+    VersionHeader,
+)
 
 SEEDS = (Peer("b0", "127.0.0.1", 10_000),)
 SERVICE = "feed"
@@ -484,6 +493,35 @@
     assert context.carrier.peak_in_flight["b4"] < kilobytes * 1024
 
 
+@given("an agent with incarnation {incarnation:d} that has run for {seconds:d} s")
+def run_agent(context, incarnation, seconds):
+    settings = ReplicaSettings(seeds=SEEDS)
+    context.agent = AgentReplica(
+        "s3", "z0", incarnation, (), settings, random.Random(1)
+    )
+    context.now = float(seconds)
+    for second in range(seconds):
+        context.agent.handle(Tick(), float(second))
+
+
+@when("it learns that incarnation {incarnation:d} of its name was announced")
+def learn_incarnation(context, incarnation):
+    other = AgentReplica(
+        "s3", "z0", incarnation, (), ReplicaSettings(), random.Random(1)
+    )
+    item = other.store.get(other.owner.key)
+    reply = HeartbeatReply(1, (VersionHeader(item.key, item.version),))
+    event = MessageArrived("b0", reply)
+    context.actions = context.agent.handle(event, context.now)
+
+
+@then("it is told that it was replaced and raises no incarnation")
+def check_replaced(context):
+    kinds = [type(action) for action in context.actions]
+    assert Replaced in kinds and IncarnationRaised not in kinds, context.actions
+    assert context.agent.owner.incarnation == 1
+
+
 @when("generated versions arrive at two stores in different orders")
 def fill_stores(context):
     context.stores = []
--- a/src/bramleystair/replicas/_balancer.py
+++ b/src/bramleystair/replicas/_balancer.py
@@ -58,8 +58,6 @@
 # Balancers of each kind, own zone and elsewhere, that a member is told of: the one it
 # uses and one to fall back to.
 OFFERED_PER_KIND = 2
-
-
 # Silence of this node itself after which it may have missed heartbeats that were sent.
 PAUSE_S = 1.0
 # A member that is silent for longer is asked for a sign of life on each tick.
@@ -70,14 +68,10 @@
 # failure of a member together with both of its balancers waits for this check.
 ADOPTION_PERIOD_S = 1.0
 ADOPTION_CHECKS = 100
-
-
 # Versions listed in answer to one digest, about 20 KB.
 MAX_LISTED = 400
 # More missing versions than this after a digest mean that the node is catching up.
 CATCH_UP_PULLS = 64
-
-
 # Announcements and reports of failures beyond this number wait for the next tick and
 # go out together; a burst then takes a message for 20 headers instead of one for each.
 SPREADS_PER_TICK = 8
--- a/src/bramleystair/replicas/_events.py
+++ b/src/bramleystair/replicas/_events.py
@@ -153,6 +153,13 @@
     incarnation: int
 
 
+@attrs.frozen
+class Replaced:
+    """Another process has taken the name of this one, which has to stop."""
+
+    incarnation: int
+
+
 ReplicaEvent = (
     MessageArrived
     | PlatformObjects
@@ -162,5 +169,5 @@
     | Tick
 )
 ReplicaAction = (
-    Send | Count | ViewUpdated | WatchWanted | RenewLease | IncarnationRaised
+    Send | Count | ViewUpdated | WatchWanted | RenewLease | IncarnationRaised | Replaced
 )
--- a/src/bramleystair/replicas/_owner.py
+++ b/src/bramleystair/replicas/_owner.py
@@ -7,6 +7,7 @@
 from bramleystair.replicas._events import (
     IncarnationRaised,
     RenewLease,
+    Replaced,
     ReplicaAction,
     ReplicaSettings,
 )
@@ -30,6 +31,9 @@
 
 # Renewals of a fleet that started at once spread out over this share of the interval.
 RENEW_JITTER = 0.2
+# A process that learns of a later lifetime of its name within this time started with a
+# wrong clock and takes a later one; an older process has been replaced.
+START_S = 10.0
 
 
 class Owner:
@@ -66,6 +70,7 @@
         self._revision = 0
         self._is_changed = True
         self._renew_at = 0.0
+        self._began_at: float | None = None
         self._seen_at: float | None = None
         self._publish()
 
@@ -82,6 +87,8 @@
 
     def notice_time(self, now: float) -> tuple[float, list[ReplicaAction]]:
         """Return the time since the last event, and end a lifetime paused too long."""
+        if self._began_at is None:
+            self._began_at = now
         pause = 0.0 if self._seen_at is None else now - self._seen_at
         self._seen_at = now
         if pause <= self._settings.lease_s:
@@ -137,13 +144,22 @@
     def _supersede(self, version: int) -> list[ReplicaAction]:
         if version <= self.announcement.version:
             return []
-        if get_incarnation(version) > self.incarnation:
-            return [self._raise_incarnation(get_incarnation(version) + 1)]
+        later = get_incarnation(version)
+        if later > self.incarnation and self._is_starting():
+            return [self._raise_incarnation(later + 1)]
+        if later > self.incarnation:
+            return [Replaced(later)]
         # A tombstone of this lifetime: the lease lapsed while the process lived.
         self._revision = (version - compute_owner_version(self.incarnation, 0)) // 2
         self.change()
         return []
 
+    def _is_starting(self) -> bool:
+        """Return whether this process began so late that the other is the earlier."""
+        if self._began_at is None or self._seen_at is None:
+            return True
+        return self._seen_at - self._began_at < START_S
+
     def _raise_incarnation(self, incarnation: int) -> IncarnationRaised:
         self._revision = 0
         self.announcement = attrs.evolve(self.announcement, incarnation=incarnation)
