--- a/features/replay.feature
+++ b/features/replay.feature
@@ -67,6 +67,7 @@
       | cold-start-mia-duong                         |
       | misreported-loads-mia-duong                  |
       | misreported-loads-tres-lunas                 |
+      | paused-home-held-packets                     |
 
   Scenario: Every recorded trace is replayed
     Then each file in "traces" has a row in this feature
