--- a/features/replay.feature
+++ b/features/replay.feature
@@ -10,8 +10,11 @@
 
     Examples:
       | trace                                        |
+      | agents-restarted-in-turn-mia-duong           |
+      | agents-restarted-in-turn-tres-lunas          |
       | balancer-death-join-mia-duong                |
       | balancer-death-join-tres-lunas               |
+      | cold-start-mia-duong                         |
       | cold-start-tres-lunas                        |
       | cut-repeated-first-packet                    |
       | drain-mia-duong                              |
@@ -62,9 +65,6 @@
     @known_red
     Examples: traces that show a known fault
       | trace                                        |
-      | agents-restarted-in-turn-mia-duong           |
-      | agents-restarted-in-turn-tres-lunas          |
-      | cold-start-mia-duong                         |
       | misreported-loads-mia-duong                  |
       | misreported-loads-tres-lunas                 |
       | paused-home-held-packets                     |
