End excused flows whose packets reach another backend server, and keep a red trace

A flow of a zone that left was judged as split when its home placed it again; a backend server answers such a segment by a reset.

--- a/features/replay.feature
+++ b/features/replay.feature
@@ -67,6 +67,7 @@
       | trace                                        |
       | misreported-loads-mia-duong                  |
       | misreported-loads-tres-lunas                 |
+      | paused-agent-held-first-packet               |
       | paused-home-held-packets                     |
 
   Scenario: Every recorded trace is replayed
--- a/src/bramleystair/replay/_flow_callers.py
+++ b/src/bramleystair/replay/_flow_callers.py
@@ -192,12 +192,20 @@
             node.call(node.handle_flow, DeliveryFailed(flow))
             return
         if caller.state == "open" and caller.server != node.name and not is_first:
-            detail = f"{caller.flow.hex()} at {node.name}, owner {caller.server}"
-            self._world.measures.violate("split_flows", detail)
+            self._split(node, caller)
             return
         if flags & (SYN | FIN | PUSH):
             self._answer(node, caller, flags)
 
+    def _split(self, node, caller: FlowCaller) -> None:
+        """Judge a packet at a backend server that does not own the flow."""
+        if caller.excuse:
+            # A backend server answers a segment out of its connection by a reset.
+            self._end(caller, f"reset by the backend server of {node.name}")
+            return
+        detail = f"{caller.flow.hex()} at {node.name}, owner {caller.server}"
+        self._world.measures.violate("split_flows", detail)
+
     def _answer(self, node, caller: FlowCaller, flags: int) -> None:
         kind = ACK | flags & (FIN | SYN)
         packet = build_segment(reverse_flow(caller.flow), 200, 101, kind)
