Extrapolate only slopes that differ from 0

Cause: slopes that could not be told from 0 were carried to a thousand times the planned size, and the processes' memory included the plotting library.

Change: a slope within two standard errors of 0 counts as none.

--- a/features/bench.feature
+++ b/features/bench.feature
@@ -6,6 +6,10 @@
     When a line of slope 3 from 5 is fitted, exactly and with alternating errors of 1
     Then both fits have slope 3 within their errors, and only the second has an error
 
+  Scenario: A slope that cannot be told from 0 is not extrapolated
+    When costs that alternate around 7 are fitted
+    Then the line gives 7 at a size of 1000000
+
   Scenario: The pages are what the committed data gives
     When the pages are written from docs/capacity
     Then docs/CAPACITY.md and docs/spread.md are these pages
--- a/features/steps/bench_steps.py
+++ b/features/steps/bench_steps.py
@@ -29,6 +29,18 @@
     assert abs(noisy.slope - 3) < noisy.error < 1
 
 
+@when("costs that alternate around 7 are fitted")
+def fit_flat(context):
+    points = [(size, 7 + (-1) ** size) for size in SIZES]
+    context.flat = fit_slope("flat", "x", "y", points)
+
+
+@then("the line gives 7 at a size of {size:d}")
+def check_flat(context, size):
+    assert context.flat.slope != 0
+    assert math.isclose(context.flat.predict(size), 7)
+
+
 @when("the pages are written from docs/capacity")
 def render_pages(context):
     context.pages = {
--- a/src/bramleystair/bench/_capacity.py
+++ b/src/bramleystair/bench/_capacity.py
@@ -13,7 +13,7 @@
 from bramleystair.bench._report import write_data
 from bramleystair.bench._state_slopes import measure_state
 
-PARTS = ("state", "operator", "messages", "processes")
+PARTS = ("processes", "state", "operator", "messages")
 WORKERS = 4
 MESSAGE_MEASUREMENTS = (
     messages.measure_rejoin,
@@ -43,9 +43,6 @@
     output : Path
         Directory of the data and plots; the page is written beside it.
     """
-    # The page needs matplotlib, which the other commands do without.
-    from bramleystair.bench._capacity_page import write_capacity_page
-
     for part in parts:
         slopes, rows = _measure_part(part)
         data = {
@@ -54,6 +51,9 @@
             "rows": rows,
         }
         write_data(output / f"{part}.json", data)
+    # The page needs matplotlib, which would count as memory of the processes.
+    from bramleystair.bench._capacity_page import write_capacity_page
+
     write_capacity_page(output)
 
 
--- a/src/bramleystair/bench/_fits.py
+++ b/src/bramleystair/bench/_fits.py
@@ -8,6 +8,7 @@
 import numpy as np
 
 MICRO = 1e6
+SIGNIFICANT_ERRORS = 2
 
 
 @attrs.frozen
@@ -34,7 +35,12 @@
     error: float
 
     def predict(self, size: float) -> float:
-        """Return the cost that the line gives at `size`."""
+        """Return the cost that the line gives at `size`.
+
+        A slope within two standard errors of 0 is none: the mean is returned.
+        """
+        if abs(self.slope) <= SIGNIFICANT_ERRORS * self.error:
+            return statistics.mean(self.costs)
         return self.intercept + self.slope * size
 
 
