--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -6,7 +6,9 @@
 import random
 import socket
 import threading
+import time
 
+import attrs
 import urllib3
 from behave import given, then, when
 
@@ -21,7 +23,7 @@
     import_ledger,
 )
 from bramleystair.standins._backend import Backend, Behaviour
-from bramleystair.tables import Announcement, Member, Protocol, Table
+from bramleystair.tables import Announcement, Member, Protocol, Table, ZoneMark
 from bramleystair.timers import MonotonicClock, TimerService
 from bramleystair.views import View
 
@@ -159,6 +161,10 @@
                 self.agent.start_drain()
             case ["UPGRADE"]:
                 self.upgrade_agent()
+            case ["ZONE", "OUT"]:
+                assert self.agent.count_connections() == 1
+                mark = ZoneMark("z", False)
+                self.balancer.set_view(attrs.evolve(self.view, zones={"z": mark}))
             case ["SHED"]:
                 self.backend.behaviour.is_draining = True
             case ["BACKEND", "DOWN"]:
@@ -208,6 +214,11 @@
     assert response.status not in (429, 503) or int(response.headers["Retry-After"])
 
 
+@then("the agent has no connection left")
+def check_connections(context):
+    wait_until(lambda: context.loopback.agent.count_connections() == 0)
+
+
 @then("the backend server ran {count:d} requests, each once")
 def check_runs(context, count):
     runs = context.loopback.backend.runs
@@ -221,18 +232,24 @@
         for number in range(calls):
             body = f"{caller}/{number}".encode()
             response = context.loopback.call("POST", path, body)
-            if response.status == 200:
-                context.pairs.append((body, response))
+            while response.status in (429, 503) and time.monotonic() < stop_s:
+                time.sleep(0.01)
+                response = context.loopback.call("POST", path, body)
+            context.pairs.append((body, response))
 
     context.pairs = []
+    context.calls = callers * calls
+    # A refused call is repeated; the bound only ends a run that hangs.
+    stop_s = time.monotonic() + 60.0
     with concurrent.futures.ThreadPoolExecutor(callers) as pool:
         list(pool.map(call_often, range(callers)))
 
 
 @then("each response carries its caller's body and a matching digest")
 def check_pairs(context):
-    assert len(context.pairs) >= 100
+    assert len(context.pairs) == context.calls
     for body, response in context.pairs:
+        assert response.status == 200, response.data
         assert response.data.endswith(b"\n" + body)
         digest = base64.b64encode(hashlib.sha256(response.data).digest()).decode()
         assert response.headers["Repr-Digest"] == f"sha-256=:{digest}:"
--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -81,11 +81,13 @@
         self._waiting: dict[bytes, WaitingFlow] = {}
         self._early: deque[tuple[float, str, Forward]] = deque()
         self._placement = Placement(server, settings, random)
-        self._refusals: dict[bytes, tuple[float, str]] = {}
+        self._decisions: dict[bytes, tuple[float, str]] = {}
         self._inquiries: dict[bytes, tuple[float, str]] = {}
         self._now = 0.0
+        self._down: frozenset[str] = frozenset()
         self._is_zone_out = False
         self._is_leaving = False
+        self._settled_s: float | None = None
 
     @property
     def flow_count(self) -> int:
@@ -205,7 +207,7 @@
             self._accept_placement(sender, message, headers)
             return
         owner = self._redirects.get(message.service_id, message.flow)
-        if owner:
+        if owner and owner not in self._down:
             self._pass_on(owner, message)
             return
         if service.is_zone_out:
@@ -298,7 +300,7 @@
         if waiting is not None:
             self._queue_packet(waiting, message.packet)
             return
-        if message.hops > 0:
+        if message.hops > 0 and not self._redirects.get(service.service_id, flow):
             # The sender's redirect is out of date.
             drop = RedirectDrop(service.service_id, (flow,), self._server)
             self._outbox.send(sender, drop)
@@ -307,6 +309,7 @@
             return
         is_opening = headers.is_first or headers.protocol == UDP
         waiting = WaitingFlow(service.service_id, is_opening, self._now)
+        waiting.former_owner = self._redirects.get(service.service_id, flow)
         waiting.packets.append(message.packet)
         self._waiting[flow] = waiting
         if is_opening and self._is_settled(service, message):
@@ -320,6 +323,9 @@
             return False
         if message.flow in self._inquiries:
             return False
+        if self._redirects.get(service.service_id, message.flow):
+            # The owner is reported down, which may be wrong.
+            return False
         if message.table_version != service.table.version:
             return False
         home = service.find_home(message.flow)
@@ -343,10 +349,16 @@
         for server in dict.fromkeys((*service.peers, inquirer)):
             if server:
                 self._ask(flow, waiting, server)
-        if not waiting.members:
+        if self._has_all_answers(service, waiting):
             self._end_query(flow, waiting)
 
+    def _has_all_answers(self, service: Service, waiting: WaitingFlow) -> bool:
+        # Just after its start, the agent may not know where the other members are.
+        is_new = self._now < (self._settled_s or 0.0)
+        return not waiting.members and (service.is_complete or not is_new)
+
     def _ask(self, flow: bytes, waiting: WaitingFlow, server: str) -> None:
+        waiting.asked.add(server)
         waiting.members.add(server)
         self._outbox.send(server, FlowQuery(waiting.service_id, flow))
 
@@ -391,7 +403,8 @@
     def _handle_query_reply(self, sender: str, message: FlowQueryReply) -> None:
         flow = message.flow
         waiting = self._waiting.get(flow)
-        if waiting is None or sender not in waiting.members:
+        # An answer that names the sender counts even after an earlier one did not.
+        if waiting is None or sender not in (*waiting.members, message.owner):
             return
         if waiting.is_placing:
             self._take_late_reply(sender, waiting, message)
@@ -406,7 +419,8 @@
             # Its own answer may have preceded the event that the sender knows of.
             waiting.hints.append(message.owner)
             self._ask(flow, waiting, message.owner)
-        if not waiting.members:
+        service = self._services.get(waiting.service_id)
+        if self._has_all_answers(service, waiting):
             self._end_query(flow, waiting)
 
     def _take_late_reply(
@@ -417,11 +431,13 @@
             self._hand_over(message.flow, waiting, sender)
 
     def _end_query(self, flow: bytes, waiting: WaitingFlow) -> None:
-        unconfirmed = [hint for hint in waiting.hints if hint in waiting.members]
+        silent = waiting.members - self._down
+        unconfirmed = [hint for hint in waiting.hints if hint in silent]
         owners = [*waiting.claims, *unconfirmed]
         if owners:
             self._hand_over(flow, waiting, owners[0])
             return
+        self._redirects.remove(flow)
         if waiting.is_opening:
             self._place_flow(flow, waiting)
             return
@@ -439,6 +455,7 @@
     def _place_flow(self, flow: bytes, waiting: WaitingFlow) -> None:
         service = self._services.get(waiting.service_id)
         own = self._find_own_load(service)
+        waiting.started_s = self._now
         waiting.deadline_s = self._now + self._settings.place_timeout_s
         waiting.targets = self._placement.rank(service, own, self._now)
         self._try_target(flow, waiting)
@@ -489,20 +506,27 @@
         self, sender: str, message: Forward, headers: PacketHeaders
     ) -> None:
         flow = message.flow
+        until_s, reason = self._decisions.get(flow, (0.0, ""))
+        if self._now < until_s:
+            self._reply_place(sender, message, reason)
+            return
         waiting = self._waiting.get(flow)
         owner = self._redirects.get(message.service_id, flow)
-        if owner == sender:
-            # It was left the flow when both looked it up.
+        if owner == sender or owner in self._down:
+            # The sender was left the flow when both looked it up.
             owner = ""
         if owner or (waiting is not None and waiting.is_placing):
             # This agent places the flow, or has placed it, under another view.
+            self._record_decision(flow, "")
             self._reply_place(sender, message, "")
             self._join_placement(owner, waiting, message)
             return
         service = self._services.get(message.service_id)
-        reason = self._decide_placement(service, flow)
+        reason = self._check_admission(service)
         self._reply_place(sender, message, reason)
         if reason:
+            self._outbox.count("flow_refused", reason)
+            self._record_decision(flow, reason)
             return
         entry = self._create_entry(service, flow, sender)
         self._deliver(entry, headers, message.packet)
@@ -517,19 +541,12 @@
         elif message.packet not in waiting.packets:
             self._queue_packet(waiting, message.packet)
 
-    def _decide_placement(self, service: Service, flow: bytes) -> str:
-        until_s, reason = self._refusals.get(flow, (0.0, ""))
-        if self._now < until_s:
-            return reason
-        reason = self._check_admission(service)
-        if not reason:
-            return ""
-        self._outbox.count("flow_refused", reason)
-        if len(self._refusals) < self._settings.queue_flows:
+    def _record_decision(self, flow: bytes, reason: str) -> None:
+        # A repeated placement gets the same answer, whatever has changed since.
+        self._decisions.pop(flow, None)
+        if len(self._decisions) < self._settings.queue_flows:
             until_s = self._now + self._settings.place_timeout_s
-            self._refusals.pop(flow, None)
-            self._refusals[flow] = (until_s, reason)
-        return reason
+            self._decisions[flow] = (until_s, reason)
 
     def _reply_place(self, sender: str, message: Forward, reason: str) -> None:
         self._outbox.send(
@@ -549,9 +566,13 @@
     def _take_late_acceptance(self, sender: str, service_id: int, flow: bytes) -> None:
         is_owned = self._flows.get(service_id, flow) is not None
         owner = self._redirects.get(service_id, flow)
-        if is_owned or flow in self._waiting or owner not in ("", sender):
+        waiting = self._waiting.get(flow)
+        is_placing = waiting is not None and waiting.is_placing
+        if is_owned or is_placing or owner not in ("", sender):
             # The flow was placed elsewhere before this answer.
             self._abandon(sender, service_id, flow)
+        elif waiting is not None:
+            self._hand_over(flow, waiting, sender)
         elif not owner:
             self._redirects.put(service_id, flow, sender)
 
@@ -664,6 +685,8 @@
 
     def _change_view(self, view: View) -> None:
         self._cold_start.start(self._now)
+        if self._settled_s is None:
+            self._settled_s = self._now + self._settings.change_window_s
         own = view.agents.get(self._server)
         is_announced = own is not None and own.state is AgentState.DRAINING
         self._admission.is_draining = self._is_leaving or is_announced
@@ -674,6 +697,9 @@
             for server, agent in view.agents.items()
             if not view.is_in_service(agent.zone)
         )
+        self._down = frozenset(
+            server for server in view.agents if not view.is_live(server)
+        )
         self._redirects.drop_owners(lambda owner: self._is_gone(owner, view))
         self._change_zone(view)
         self._review_waiting()
@@ -686,7 +712,7 @@
         row = table.get_member(server) if table else None
         if row is not None and not view.is_in_service(row.zone):
             return True
-        return server in self._outbox.blocked or not view.is_live(server)
+        return server in self._outbox.blocked or server not in view.agents
 
     def _change_zone(self, view: View) -> None:
         was_out, self._is_zone_out = (
@@ -718,12 +744,20 @@
                 del self._waiting[flow]
                 self._outbox.count("flow_refused", "zone_out")
             elif not waiting.is_placing:
-                known = {*service.peers, *waiting.hints}
-                waiting.members.intersection_update(known)
-            elif waiting.targets[0] not in service.live:
+                self._review_query(flow, waiting, service)
+            elif waiting.targets[0] not in service.peers:
                 waiting.targets.pop(0)
                 self._try_target(flow, waiting)
 
+    def _review_query(
+        self, flow: bytes, waiting: WaitingFlow, service: Service
+    ) -> None:
+        _, inquirer = self._inquiries.get(flow, (0.0, ""))
+        waiting.members &= {*service.peers, *waiting.hints, inquirer}
+        for server in service.peers:
+            if server not in waiting.asked:
+                self._ask(flow, waiting, server)
+
     def _run_timers(self) -> None:
         for flow, waiting in list(self._waiting.items()):
             if waiting.is_placing:
@@ -733,7 +767,7 @@
         while self._early and self._now >= self._early[0][0]:
             _, sender, message = self._early.popleft()
             self._refuse_service(sender, message)
-        self._expire_refusals()
+        self._expire_decisions()
         self._expire_inquiries()
         for flow, _ in self._flows.sweep(self._now):
             self._registrar.enqueue(flow)
@@ -752,16 +786,18 @@
                 return
             del self._inquiries[flow]
 
-    def _expire_refusals(self) -> None:
-        for flow, (until_s, _) in list(self._refusals.items()):
+    def _expire_decisions(self) -> None:
+        for flow, (until_s, _) in list(self._decisions.items()):
             if self._now < until_s:
                 return
-            del self._refusals[flow]
+            del self._decisions[flow]
 
     def _run_query(self, flow: bytes, waiting: WaitingFlow) -> None:
         service = self._services.get(waiting.service_id)
         down = {server for server in service.peers if server not in service.live}
-        is_doubtful = waiting.members <= down
+        is_doubtful = waiting.members <= down - {waiting.former_owner}
+        if not waiting.members:
+            is_doubtful = self._has_all_answers(service, waiting)
         if is_doubtful and self._now >= waiting.started_s + self._settings.doubt_s:
             self._end_query(flow, waiting)
             return
@@ -780,5 +816,10 @@
             self._abandon(waiting.targets[0], waiting.service_id, flow)
             self._reject_flow(flow, waiting.packets[0], "place_timeout")
             return
-        if self._now >= waiting.retry_s:
+        doubt_end_s = waiting.started_s + self._settings.doubt_s
+        if waiting.targets[0] in self._down and self._now >= doubt_end_s:
+            # The report may be wrong, so an answer is awaited for a while.
+            waiting.targets.pop(0)
+            self._try_target(flow, waiting)
+        elif self._now >= waiting.retry_s:
             self._send_placement(flow, waiting)
--- a/src/bramleystair/flows/_entries.py
+++ b/src/bramleystair/flows/_entries.py
@@ -55,12 +55,14 @@
         Whether the flow is placed when no member knows it.
     started_s, deadline_s, retry_s : float
         Start and end of the present step, and time of the next repetition.
-    members : set of str
-        Members whose answer to a query is outstanding.
+    asked, members : set of str
+        Members that were queried, and those whose answer is outstanding.
     claims : list of str
         Members that hold or place the flow, of which none is established yet.
     hints : list of str
         Owners that other members named; each is queried once more.
+    former_owner : str
+        Owner in the redirect held here, when it is reported down.
     targets : list of str
         Members to try during a placement; the first one has been asked.
     """
@@ -71,9 +73,11 @@
     deadline_s: float = 0.0
     retry_s: float = 0.0
     packets: list[bytes] = attrs.field(factory=list)
+    asked: set[str] = attrs.field(factory=set)
     members: set[str] = attrs.field(factory=set)
     claims: list[str] = attrs.field(factory=list)
     hints: list[str] = attrs.field(factory=list)
+    former_owner: str = ""
     targets: list[str] = attrs.field(factory=list)
 
     @property
--- a/src/bramleystair/flows/_settings.py
+++ b/src/bramleystair/flows/_settings.py
@@ -21,7 +21,8 @@
     first_query_timeout_s : float
         Time after which the first segment of a TCP flow opens it.
     doubt_s : float
-        How long answers of members reported down are awaited.
+        How long answers of members reported down are awaited, to a query and to a
+        placement.
     query_retry_s : float
         Interval between repeated queries.
     change_window_s : float
@@ -68,7 +69,7 @@
     max_hops: int = 4
     query_timeout_s: float = 3.0
     first_query_timeout_s: float = 1.0
-    doubt_s: float = 0.5
+    doubt_s: float = 1.0
     query_retry_s: float = 0.2
     change_window_s: float = 10.0
     early_timeout_s: float = 3.0
