Watch tables and marks only, and list announcements by the hour

Cause: one watch covered every key, so each renewed lease ended the watch of every watcher; docs/CAPACITY.md gives 2,480 calls per second for this at the planned size, over the platform's 2,000. Change: a watcher watches tables and marks, and lists announcements every hour; a node whose name another process has taken stops. Conclusion: the daemons follow the rule that the capacity page assumes.

--- /dev/null
+++ b/features/steps/platform_link_steps.py
@@ -0,0 +1,74 @@
+import concurrent.futures
+import random
+import threading
+
+from behave import given, then, when
+
+from bramleystair.daemons import PlatformLink
+from bramleystair.metrics import Metrics
+from bramleystair.platform import PlatformClient
+from bramleystair.replicas import PlatformObjects
+from bramleystair.standins._platform import (
+    PlatformApplication,
+    create_platform_server,
+)
+
+WAIT_S = 30.0
+
+
+@given("a platform with a connected node")
+def connect(context):
+    context.application = PlatformApplication()
+    server = create_platform_server(context.application, host="127.0.0.1", port=0)
+    server.prepare()
+    pool = concurrent.futures.ThreadPoolExecutor(1)
+    pool.submit(server.serve)
+    context.add_cleanup(pool.shutdown)
+    context.add_cleanup(server.stop)
+    context.url = "http://{}:{}".format(*server.bind_addr)
+    context.received = set()
+    context.changed = threading.Condition()
+    link = PlatformLink(context.url, Metrics({}), context_take(context), random)
+    link.start()
+    link.set_watch(True)
+    context.add_cleanup(link.close)
+    # Both watches wait; what is written from now on could end them.
+    wait_until(context, lambda: context.application.calls["watch"] == 2)
+
+
+def context_take(context):
+    def take(event):
+        with context.changed:
+            if isinstance(event, PlatformObjects):
+                context.received.update(item.key for item in event.objects)
+            context.changed.notify_all()
+
+    return take
+
+
+def wait_until(context, is_met):
+    with context.changed:
+        for _ in range(int(WAIT_S / 0.01)):
+            if is_met():
+                return
+            context.changed.wait(0.01)
+    raise AssertionError("the condition was not met in time")
+
+
+@when('{count:d} leases are renewed and then table "{name}" is written')
+def write_objects(context, count, name):
+    client = PlatformClient(context.url)
+    for _ in range(count):
+        client.put_object("agent/a", "{}", lease_s=360.0).unwrap()
+    client.put_object(f"table/{name}", "{}").unwrap()
+
+
+@then('the node receives table "{name}"')
+def check_received(context, name):
+    wait_until(context, lambda: f"table/{name}" in context.received)
+
+
+@then("the platform counted at most {count:d} calls of the node")
+def check_calls(context, count):
+    calls = context.application.calls
+    assert 3 <= calls["watch"] + calls["get"] <= count, calls
--- a/src/bramleystair/agent/_daemon.py
+++ b/src/bramleystair/agent/_daemon.py
@@ -36,6 +36,7 @@
     IncarnationRaised,
     LoadsChanged,
     RenewLease,
+    Replaced,
     ReplicaAction,
     ReplicaEvent,
     ViewUpdated,
@@ -309,6 +310,9 @@
                 self._platform.renew(announcement, self._settings.versions.lease_s)
             case IncarnationRaised(incarnation):
                 self._begin_incarnation(incarnation)
+            case Replaced(incarnation):
+                log.error("incarnation %d has taken this name", incarnation)
+                self.threads.request_stop()
 
     def _begin_incarnation(self, incarnation: int) -> None:
         log.warning("lease expired; incarnation %d begins", incarnation)
--- a/src/bramleystair/balancer/_daemon.py
+++ b/src/bramleystair/balancer/_daemon.py
@@ -15,8 +15,8 @@
     BalancerReplica,
     IncarnationRaised,
     MessageArrived,
-    PlatformObjects,
     RenewLease,
+    Replaced,
     ReplicaAction,
     ReplicaEvent,
     Tick,
@@ -27,7 +27,7 @@
 from bramleystair.settings import BalancerSettings, build_peers
 from bramleystair.timers import Clock, MonotonicClock, TimerService
 from bramleystair.views import View
-from bramleystair.wire import Envelope, Heartbeat, StoredObject
+from bramleystair.wire import Envelope, Heartbeat
 
 TICK_PERIOD_S = 0.1
 # Packets, messages, timers and watch, and platform calls that do not wait.
@@ -80,7 +80,7 @@
         )
         self._caller = self._build_caller(incarnation, source)
         self._platform = PlatformLink(
-            settings.platform, self.metrics, self._take_objects, source
+            settings.platform, self.metrics, self._handle, source
         )
         self._metrics_server = MetricsServer(
             settings.host,
@@ -193,9 +193,6 @@
             self._caller.set_loads(envelope.sender, message.loads)
         self._handle(MessageArrived(envelope.sender, message))
 
-    def _take_objects(self, objects: tuple[StoredObject, ...]) -> None:
-        self._handle(PlatformObjects(objects))
-
     def _handle(self, event: ReplicaEvent) -> None:
         with self._lock:
             for action in self._replica.handle(event, self._clock.now()):
@@ -218,6 +215,9 @@
             case IncarnationRaised(incarnation):
                 log.warning("lease expired; incarnation %d begins", incarnation)
                 self._messenger.incarnation = incarnation
+            case Replaced(incarnation):
+                log.error("incarnation %d has taken this name", incarnation)
+                self.threads.request_stop()
                 self._forwarder.incarnation = incarnation
 
     def _count(self, action: Count) -> None:
--- a/src/bramleystair/daemons/_platform_link.py
+++ b/src/bramleystair/daemons/_platform_link.py
@@ -1,5 +1,6 @@
 """Watching the platform and renewing a lease, on threads that may wait."""
 
+import functools
 import random
 import threading
 from collections.abc import Callable
@@ -8,17 +9,21 @@
 
 from bramleystair.logs import get_log
 from bramleystair.metrics import Metrics
-from bramleystair.platform import ErrorKind, PlatformClient
+from bramleystair.platform import Changes, ErrorKind, Listing, PlatformClient
+from bramleystair.replicas import (
+    LIST_PERIOD_S,
+    LISTED_PREFIXES,
+    WATCHED_PREFIXES,
+    PlatformListed,
+    PlatformObjects,
+)
 from bramleystair.tables import (
     Announcement,
     NodeAnnouncement,
     build_key,
     encode_object,
 )
-from bramleystair.wire import StoredObject
 
-# One watch covers all objects, because the number of watches is limited.
-WATCH_PREFIX = ""
 WATCH_S = 30.0
 # Nodes that lost the platform together must not return together.
 RETRY_MIN_S = 1.0
@@ -37,7 +42,7 @@
     metrics : Metrics
         Counts failed calls.
     deliver : callable
-        Receives the objects that were listed or changed.
+        Receives what the platform listed or reported.
     source : random.Random
         Source of the delays between retries.
     """
@@ -46,7 +51,7 @@
         self,
         url: str,
         metrics: Metrics,
-        deliver: Callable[[tuple[StoredObject, ...]], None],
+        deliver: Callable[[PlatformObjects | PlatformListed], None],
         source: random.Random,
     ) -> None:
         self._url = url
@@ -57,14 +62,14 @@
         self._is_open = True
         self._is_watch_wanted = False
         self._pending: tuple[Announcement | NodeAnnouncement, float] | None = None
-        self._cursor: int | None = None
 
     def start(self) -> None:
         """Start the threads."""
         if not self._url:
             return
         # A watch waits in the platform for long, and must not delay a stop.
-        for loop in (self._run_watch, self._run_lease):
+        watches = [functools.partial(self._run_watch, key) for key in WATCHED_PREFIXES]
+        for loop in (*watches, self._run_lists, self._run_lease):
             threading.Thread(
                 target=self._guard, args=(loop,), name="platform", daemon=True
             ).start()
@@ -100,27 +105,45 @@
                 self._metrics.count("platform_failed", "exception")
                 self._pause()
 
-    def _run_watch(self) -> None:
+    def _run_watch(self, prefix: str) -> None:
         client = PlatformClient(self._url)
+        cursor = None
         while self._wait_for(lambda: self._is_watch_wanted):
-            result = self._read_changes(client)
+            if cursor is None:
+                result = client.list_objects(prefix)
+            else:
+                result = client.watch(prefix, cursor, WATCH_S)
             if result.is_ok():
-                self._take(result.unwrap())
+                cursor = self._take_changes(result.unwrap())
                 continue
             if result.unwrap_err().kind is ErrorKind.CURSOR_EXPIRED:
-                self._cursor = None
+                cursor = None
             self._fail("watch", result)
 
-    def _read_changes(self, client: PlatformClient) -> Result:
-        if self._cursor is None:
-            return client.list_objects(WATCH_PREFIX)
-        return client.watch(WATCH_PREFIX, self._cursor, WATCH_S)
-
-    def _take(self, answer) -> None:
-        self._cursor = answer.cursor
+    def _take_changes(self, answer: Listing | Changes) -> int:
         objects = tuple(item.build_stored() for item in answer.objects)
         if objects and self._is_open:
-            self._deliver(objects)
+            self._deliver(PlatformObjects(objects))
+        return answer.cursor
+
+    def _run_lists(self) -> None:
+        # Each renewed lease would end a watch of announcements: at the planned size
+        # 2,480 calls per second. Nodes hear of each other by heartbeats instead.
+        client = PlatformClient(self._url)
+        while self._wait_for(lambda: self._is_watch_wanted):
+            for prefix in LISTED_PREFIXES:
+                self._list(client, prefix)
+            with self._changed:
+                self._changed.wait_for(lambda: not self._is_open, LIST_PERIOD_S)
+
+    def _list(self, client: PlatformClient, prefix: str) -> None:
+        while self._is_open:
+            result = client.list_objects(prefix)
+            if result.is_ok():
+                objects = [item.build_stored() for item in result.unwrap().objects]
+                self._deliver(PlatformListed(prefix, tuple(objects)))
+                return
+            self._fail("list", result)
 
     def _run_lease(self) -> None:
         client = PlatformClient(self._url)
