Close half-open flows of a leaving zone without a reset

Cause: a home gave up a placement when its target's zone was marked out, and placed the flow elsewhere; the first target still accepted the delayed request, lost the home's RedirectDrop, and reset the caller's flow when it heard of the mark. Ruled out by a trace of the messages: the new owner and its redirect were right. Change: breaking a half-open flow off resets the backend server only; its caller repeats the first packet if nobody owns the flow. Conclusion: only the owner of an established flow resets its caller.

--- a/features/flows.feature
+++ b/features/flows.feature
@@ -73,6 +73,12 @@
     When 300 flows are open and zone z1 is marked out, in, out and in
     Then its flows were given up, others kept, and it takes new flows again
 
+  # Guards against a reset of a caller whose flow another member owns, by the member
+  # that the home gave up on before its answer came.
+  Scenario: A half-open flow is given up with its zone without a reset of its caller
+    When a zone with a half-open and an established flow is marked out
+    Then both are closed, and only the established one's caller is reset
+
   Scenario: A lost answer does not place a flow twice
     When the home's placement at another member is repeated three times
     Then that member owns the flow once and gave the same answer each time
--- a/features/steps/flows_steps.py
+++ b/features/steps/flows_steps.py
@@ -32,6 +32,7 @@
     OutboundSeen,
     OutcomeSeen,
     ResetCaller,
+    ResetServer,
     Tick,
     ViewChanged,
 )
@@ -390,6 +391,24 @@
     raise AssertionError(home)
 
 
+@when("a zone with a half-open and an established flow is marked out")
+def leave_half_open(context):
+    agent = build_agent(now=-20.0)
+    context.flows = half_open, established = [build_flow(n) for n in (1, 2)]
+    forward(agent, 0.0, half_open, place=True, sender="b1")
+    open_flow(agent, established)
+    view = build_view(build_members(4, ("z1",)), zones=("z1",))
+    context.actions = agent.handle(ViewChanged(view), 1.0)
+
+
+@then("both are closed, and only the established one's caller is reset")
+def check_left(context):
+    actions, (_, established) = context.actions, context.flows
+    assert {action.flow for action in select(actions, CloseFlow)} == set(context.flows)
+    assert [action.flow for action in select(actions, ResetCaller)] == [established]
+    assert len(select(actions, ResetServer)) == 2
+
+
 @when("the home's placement at another member is repeated three times")
 def repeat_placement(context):
     members = build_members(2, ("z1",))
--- a/src/bramleystair/flows/_flow_table.py
+++ b/src/bramleystair/flows/_flow_table.py
@@ -88,12 +88,16 @@
     def break_off(self, flow: bytes, entry: FlowEntry, notify: bool = True) -> None:
         """Remove a flow and reset both of its sides.
 
+        The caller of a half-open flow is not reset: another member may own the flow,
+        and without one the caller repeats its first packet and is placed again.
+
         Parameters
         ----------
         notify : bool
             Whether the home is told to remove its redirect.
         """
-        self.reset_caller(flow, entry)
+        if entry.is_established:
+            self.reset_caller(flow, entry)
         self.reset_server(flow, entry)
         if notify:
             self.end(flow)
