Count the placements of other homes on the same report

Cause: every home places by the same load reports, up to a second old, and counted only its own placements; the member that was lowest then received too many flows. Change: a home counts each of its placements once for every other home.

--- /dev/null
+++ b/features/placement.feature
@@ -0,0 +1,12 @@
+Feature: Placement of new flows by load reports
+
+  Scenario Outline: Homes with the same old report do not overload one member
+    Guards against all homes choosing the member that was lowest in its last report.
+    When <flows> flows arrive at <members> homes within <seconds> s, with reports each <period> s
+    Then each member's share is within 10 % of the table's in all of 20 runs
+
+    Examples:
+      | flows | members | seconds | period |
+      | 2000  | 7       | 3.0     | 1.0    |
+      | 2000  | 7       | 20.0    | 3.0    |
+      | 1200  | 3       | 6.0     | 1.0    |
--- /dev/null
+++ b/features/steps/placement_steps.py
@@ -0,0 +1,80 @@
+import random
+import types
+
+from behave import then, when
+
+from bramleystair.flows import FlowSettings
+from bramleystair.flows._placement import Load, Placement
+from bramleystair.tables import Member, Protocol, Table
+from bramleystair.views import Candidate
+from bramleystair.wire import ServiceLoad
+
+RUNS = 20
+CAP = 2_000
+
+
+class Homes:
+    """Members of one service that place flows by each other's reports."""
+
+    def __init__(self, seed, count, period):
+        self.random = random.Random(seed)
+        self.names = [f"server-{number}" for number in range(count)]
+        self.weights = {
+            name: 1.0 + number % 4 for number, name in enumerate(self.names)
+        }
+        rows = (Member(n, "zone-1", w, CAP, 3) for n, w in self.weights.items())
+        table = Table("feed", "10.1.0.1", 443, Protocol.TCP, tuple(rows))
+        candidates = (Candidate(n, w, "zone-1", 1) for n, w in self.weights.items())
+        self.service = types.SimpleNamespace(
+            service_id=table.service_id, table=table, candidates=tuple(candidates)
+        )
+        self.placements = {
+            name: Placement(name, FlowSettings(), random.Random(seed + number))
+            for number, name in enumerate(self.names)
+        }
+        self.flows = dict.fromkeys(self.names, 0)
+        self.period = period
+        self.due = {name: self.random.uniform(0, period) for name in self.names}
+
+    def report(self, now):
+        for name in self.names:
+            if self.due[name] > now:
+                continue
+            self.due[name] += self.period
+            load = ServiceLoad(self.service.service_id, self.flows[name], 0, CAP, 3)
+            for peer in self.names:
+                if peer != name:
+                    self.placements[peer].take_report(name, (load,), now)
+
+    def place(self, now):
+        self.report(now)
+        home = self.random.choices(self.names, self.weights.values())[0]
+        own = Load(home, self.weights[home], self.flows[home], CAP)
+        target = self.placements[home].rank(self.service, own, now)[0]
+        self.flows[target] += 1
+        if target != home:
+            self.placements[home].record_placed(self.service.service_id, target)
+
+    def compute_deviation(self):
+        unit = sum(self.flows.values()) / sum(self.weights.values())
+        shares = {name: unit * weight for name, weight in self.weights.items()}
+        return max(abs(self.flows[n] - shares[n]) / shares[n] for n in self.names)
+
+
+@when(
+    "{flows:d} flows arrive at {members:d} homes within {seconds:f} s, "
+    "with reports each {period:f} s"
+)
+def place_flows(context, flows, members, seconds, period):
+    context.deviations = []
+    for seed in range(RUNS):
+        homes = Homes(seed, members, period)
+        for number in range(flows):
+            homes.place(seconds * number / flows)
+        context.deviations.append(homes.compute_deviation())
+
+
+@then("each member's share is within 10 % of the table's in all of {count:d} runs")
+def check_shares(context, count):
+    assert len(context.deviations) == count
+    assert max(context.deviations) <= 0.10, sorted(context.deviations)
--- a/src/bramleystair/flows/_placement.py
+++ b/src/bramleystair/flows/_placement.py
@@ -124,7 +124,10 @@
         if report is None or now - reported_s > self._fresh_s:
             return None
         member = service.table.get_member(server)
-        flows = report.flows + self._placed.get(key, 0)
+        # Every other home has the same report and places as many flows by it; without
+        # them, the member reported lowest receives too many until its next report.
+        homes = len(service.candidates) - 1
+        flows = report.flows + self._placed.get(key, 0) * homes
         return Load(server, weight, flows, min(member.max_flows, report.flow_limit))
 
     def _compute_ratios(self, loads: Sequence[Load]) -> dict[str, float]:
