Use the new incarnation in forwards, and run both daemons by one function

Change: the assignment is back, with a scenario; the sequence of start, wait and stop stood in both daemons and is now daemons.run_daemon. Conclusion: messages and forwards carry the same incarnation.

--- a/features/daemons.feature
+++ b/features/daemons.feature
@@ -37,6 +37,10 @@
     And a new connection still reaches the backend server
 
 
+  Scenario: A balancer that was paused past its lease uses its new incarnation
+    When the balancer has been paused for 400 s
+    Then its messages and its forwards carry a new incarnation
+
   Scenario: An agent that was paused past its lease begins a new incarnation
     Given an established connection
     When the agent has been paused for 400 s
--- a/features/steps/daemons_steps.py
+++ b/features/steps/daemons_steps.py
@@ -145,7 +145,8 @@
         "withdraw_s": 600,
     }
     checked = check_settings(options, BalancerSettings).unwrap()
-    context.balancer = BalancerDaemon(checked, MonotonicClock(), random.Random(1))
+    context.balancer_clock = SkippingClock()
+    context.balancer = BalancerDaemon(checked, context.balancer_clock, random.Random(1))
     start(context, context.balancer)
 
 
@@ -505,6 +506,21 @@
     context.clock.skipped_s += seconds
 
 
+@when("the balancer has been paused for {seconds:d} s")
+def pause_balancer(context, seconds):
+    context.incarnation = context.balancer._messenger.incarnation
+    context.balancer_clock.skipped_s += seconds
+
+
+@then("its messages and its forwards carry a new incarnation")
+def check_balancer(context):
+    balancer = context.balancer
+    wait_until(lambda: balancer._messenger.incarnation > context.incarnation)
+    wait_until(
+        lambda: balancer._forwarder.incarnation == balancer._messenger.incarnation
+    )
+
+
 def get_incarnation(context):
     return context.balancer._get_view().agents["server-1"].incarnation
 
--- a/src/bramleystair/agent/_daemon.py
+++ b/src/bramleystair/agent/_daemon.py
@@ -14,7 +14,13 @@
     UdpDelivery,
     open_tun,
 )
-from bramleystair.daemons import Messenger, PlatformLink, Threads, create_incarnation
+from bramleystair.daemons import (
+    Messenger,
+    PlatformLink,
+    Threads,
+    create_incarnation,
+    run_daemon,
+)
 from bramleystair.fabric import FabricSender, open_udp_socket
 from bramleystair.flows import (
     DrainRequested,
@@ -370,10 +376,4 @@
     if settings.backend.delivery == "tun":
         tun = open_tun(settings.backend.tun_device)
     daemon = AgentDaemon(settings, MonotonicClock(), random.SystemRandom(), tun)
-    if wait is None:
-        daemon.threads.handle_signals()
-        wait = Threads.wait_for_stop
-    daemon.start()
-    wait(daemon.threads)
-    daemon.stop()
-    return int(daemon.threads.has_failed)
+    return run_daemon(daemon, wait)
--- a/src/bramleystair/balancer/_daemon.py
+++ b/src/bramleystair/balancer/_daemon.py
@@ -7,7 +7,13 @@
 from bramleystair.actions import Count, Send
 from bramleystair.balancer._forwarding import Forwarder
 from bramleystair.caller import CallerServer
-from bramleystair.daemons import Messenger, PlatformLink, Threads, create_incarnation
+from bramleystair.daemons import (
+    Messenger,
+    PlatformLink,
+    Threads,
+    create_incarnation,
+    run_daemon,
+)
 from bramleystair.fabric import open_udp_socket
 from bramleystair.logs import get_log
 from bramleystair.metrics import Metrics, MetricsServer, NodeStatus
@@ -215,10 +221,10 @@
             case IncarnationRaised(incarnation):
                 log.warning("lease expired; incarnation %d begins", incarnation)
                 self._messenger.incarnation = incarnation
+                self._forwarder.incarnation = incarnation
             case Replaced(incarnation):
                 log.error("incarnation %d has taken this name", incarnation)
                 self.threads.request_stop()
-                self._forwarder.incarnation = incarnation
 
     def _count(self, action: Count) -> None:
         self.metrics.count(action.name, action.reason, action.amount)
@@ -244,10 +250,4 @@
         Waits for the stop; by default for a signal.
     """
     daemon = BalancerDaemon(settings, MonotonicClock(), random.SystemRandom())
-    if wait is None:
-        daemon.threads.handle_signals()
-        wait = Threads.wait_for_stop
-    daemon.start()
-    wait(daemon.threads)
-    daemon.stop()
-    return int(daemon.threads.has_failed)
+    return run_daemon(daemon, wait)
--- a/src/bramleystair/daemons/__init__.py
+++ b/src/bramleystair/daemons/__init__.py
@@ -8,7 +8,7 @@
     read_settings,
     require_seeds,
 )
-from bramleystair.daemons._threads import Threads
+from bramleystair.daemons._threads import Threads, run_daemon
 
 __all__ = [
     "Messenger",
@@ -18,4 +18,5 @@
     "find_seeds",
     "read_settings",
     "require_seeds",
+    "run_daemon",
 ]
--- a/src/bramleystair/daemons/_threads.py
+++ b/src/bramleystair/daemons/_threads.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Protocol
 
 from bramleystair.logs import get_log
 from bramleystair.timers import TimerService
@@ -13,6 +14,18 @@
 log = get_log("daemon")
 
 
+class Daemon(Protocol):
+    """Process that `run_daemon` can run."""
+
+    threads: "Threads"
+
+    def start(self) -> None:
+        """Begin to serve."""
+
+    def stop(self) -> None:
+        """Finish the work in hand and stop."""
+
+
 class Threads:
     """Run a daemon's loops on threads and its timers on one more.
 
@@ -82,3 +95,22 @@
         log.error("thread %s failed: %r", name, error, exc_info=error)
         self.has_failed = True
         self._stop_requested.set()
+
+
+def run_daemon(daemon: Daemon, wait: Callable[[Threads], None] | None = None) -> int:
+    """Run `daemon` until it has to stop and return the exit status.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        Started and stopped here.
+    wait : callable, optional
+        Waits for the stop; by default for a signal.
+    """
+    if wait is None:
+        daemon.threads.handle_signals()
+        wait = Threads.wait_for_stop
+    daemon.start()
+    wait(daemon.threads)
+    daemon.stop()
+    return int(daemon.threads.has_failed)
