Keep one class for a node's published state

Cause: the state that nodes publish and the state that the operator's client reads were two classes with the same fields. Change: the client reads metrics.NodeStatus, which now carries the counters. Conclusion: a field added for one side exists on the other.

--- a/features/steps/metrics_steps.py
+++ b/features/steps/metrics_steps.py
@@ -5,7 +5,6 @@
 from behave import given, then, when
 
 from bramleystair.metrics import Metrics, MetricsServer, NodeStatus
-from bramleystair.operators import _status as operators_status
 
 TIMEOUT_S = 30
 
@@ -72,6 +71,6 @@
     status = get(context, "/status").json()
     assert status["versions"] == {key: version}
     assert status["counters"] == {counter: count}
-    read = cattrs.structure(status, operators_status.NodeStatus)
+    read = cattrs.structure(status, NodeStatus)
     assert (read.node, read.kind, read.zone) == ("balancer-1", "balancer", "zone-1")
     assert read.list_refusals() == {counter: count}
--- a/src/bramleystair/metrics/_server.py
+++ b/src/bramleystair/metrics/_server.py
@@ -76,9 +76,11 @@
             status = 200 if health.get("ready") else 503
             return Response(json.dumps(health), status, mimetype="application/json")
         if request.path == "/status":
-            status = attrs.asdict(self._get_status())
-            status["counters"] = self._metrics.list_counts()
-            return Response(json.dumps(status), mimetype="application/json")
+            counters = self._metrics.list_counts()
+            status = attrs.evolve(self._get_status(), counters=counters)
+            return Response(
+                json.dumps(attrs.asdict(status)), mimetype="application/json"
+            )
         if request.path != "/metrics":
             return Response("not found\n", 404)
         if self._before_render is not None:
--- a/src/bramleystair/metrics/_status.py
+++ b/src/bramleystair/metrics/_status.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+REFUSAL_WORDS = ("refus", "drop", "broken")
+
 
 @attrs.frozen
 class ServiceStatus:
@@ -32,6 +34,8 @@
         ``"ready"``, ``"draining"`` or ``"stopping"``.
     loads : tuple of ServiceStatus
         Loads and limits by service.
+    counters : dict of str to float
+        Counters by ``name{reason}``; added where the state is published.
     """
 
     node: str
@@ -40,3 +44,12 @@
     versions: dict[str, int] = attrs.Factory(dict)
     state: str = ""
     loads: tuple[ServiceStatus, ...] = ()
+    counters: dict[str, float] = attrs.Factory(dict)
+
+    def list_refusals(self) -> dict[str, float]:
+        """Return the counters of refusals that are not zero."""
+        return {
+            name: value
+            for name, value in self.counters.items()
+            if value and any(word in name for word in REFUSAL_WORDS)
+        }
--- a/src/bramleystair/operators/__init__.py
+++ b/src/bramleystair/operators/__init__.py
@@ -3,7 +3,7 @@
 from bramleystair.operators._cli import main
 from bramleystair.operators._reports import ExitCode, WriteOutcome
 from bramleystair.operators._session import OperatorSession
-from bramleystair.operators._status import NodeStatus, read_status, watch_changes
+from bramleystair.operators._status import read_status, watch_changes
 from bramleystair.operators._tables import (
     apply_table,
     check_table,
@@ -16,7 +16,6 @@
 
 __all__ = [
     "ExitCode",
-    "NodeStatus",
     "OperatorSession",
     "WriteOutcome",
     "apply_table",
--- a/src/bramleystair/operators/_status.py
+++ b/src/bramleystair/operators/_status.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from bramleystair.errors import StepError
+from bramleystair.metrics import NodeStatus
 from bramleystair.operators._reports import ExitCode, FailureReport
 from bramleystair.operators._session import ANNOUNCEMENT_PREFIXES, OperatorSession
 from bramleystair.platform import ErrorKind, PlatformObject
@@ -18,57 +19,6 @@
 STATUS_THREADS = 16
 # Defaults of the settings of balancers and agents.
 METRICS_PORTS = {"balancer/": 9100, "agent/": 9101}
-REFUSAL_WORDS = ("refus", "drop", "broken")
-
-
-@attrs.frozen
-class ServiceStatus:
-    """Load of one service at one node."""
-
-    service: str
-    flows: int = 0
-    requests: int = 0
-    flow_limit: int = 0
-    request_limit: int = 0
-
-
-@attrs.frozen
-class NodeStatus:
-    """What a balancer or agent serves as `/status` on its metrics port.
-
-    Parameters
-    ----------
-    node : str
-        Name of the balancer or backend server.
-    kind : str
-        ``"balancer"`` or ``"agent"``.
-    zone : str
-        Its availability zone.
-    versions : dict of str to int
-        Versions in force, by object key.
-    state : str
-        What it announces of itself.
-    loads : list of ServiceLoad
-        Loads and limits by service.
-    counters : dict of str to int
-        Counters by ``name{reason}``.
-    """
-
-    node: str
-    kind: str
-    zone: str
-    versions: dict[str, int] = attrs.field(factory=dict)
-    state: str = ""
-    loads: list[ServiceStatus] = attrs.field(factory=list)
-    counters: dict[str, float] = attrs.field(factory=dict)
-
-    def list_refusals(self) -> dict[str, float]:
-        """Return the counters of refusals that are not zero."""
-        return {
-            name: value
-            for name, value in self.counters.items()
-            if value and any(word in name for word in REFUSAL_WORDS)
-        }
 
 
 @attrs.frozen
