Report the memory per flow and per server with the forwarding speed

Cause: the size of the route cache and of a view decide how many flows and servers a balancer can carry, and the forwarding measurement did not show them. Change: bramleystair-bench forward traces the memory of 10,000 cached routes and of a view with 1,000 servers.

--- a/src/bramleystair/bench/_forward.py
+++ b/src/bramleystair/bench/_forward.py
@@ -4,6 +4,7 @@
 import socket
 import statistics
 import time
+import tracemalloc
 from collections.abc import Callable
 
 import attrs
@@ -29,6 +30,8 @@
 # Geneve header and inner headers of IPv4 and UDP.
 OVERHEAD_BYTES = 36
 MEMBERS = 7
+MEMORY_FLOWS = 10_000
+MEMORY_SERVERS = 1_000
 MICRO = 1e6
 
 
@@ -76,10 +79,13 @@
     relay_us = statistics.median(pair[0] for pair in pairs) * MICRO
     forwarder_us = statistics.median(pair[1] for pair in pairs) * MICRO
     stages = measure_stages(load, batch)
+    memory = measure_memory()
     print(f"bare relay     {relay_us:6.2f} us a packet")
     print(f"balancer       {forwarder_us:6.2f} us a packet")
     for name, value in stages.items():
         print(f"  {name:<12} {value:6.2f} us")
+    for name, value in memory.items():
+        print(f"memory per {name:<7} {value:6.0f} B")
     figures = {
         "ratio": round(ratio, 3),
         "relay_us": round(relay_us, 2),
@@ -87,6 +93,7 @@
         "pairs": len(pairs),
         "packet_bytes": packet_bytes,
         "stages_us": {name: round(value, 2) for name, value in stages.items()},
+        "memory_bytes": {name: round(value) for name, value in memory.items()},
     }
     print(json.dumps(figures))
 
@@ -94,12 +101,10 @@
 def build_load(flows: int, packet_bytes: int) -> Load:
     """Return sockets on the loopback interface and packets of `flows` flows."""
     sinks = tuple(open_udp_socket(HOST, 0, BUFFER_BYTES) for _ in range(MEMBERS))
-    names = [f"server-{number}" for number in range(MEMBERS)]
-    members = tuple(Member(name, "zone-1", 1.0, 2_000, 3) for name in names)
-    table = Table("feed", "10.1.0.1", 4433, Protocol.UDP, members, 7)
+    view = build_view(MEMBERS)
     agents = {
-        name: Announcement(name, "zone-1", HOST, sink.getsockname()[1], 1)
-        for name, sink in zip(names, sinks, strict=True)
+        name: attrs.evolve(agent, port=sink.getsockname()[1])
+        for (name, agent), sink in zip(view.agents.items(), sinks, strict=True)
     }
     payload = bytes(packet_bytes - OVERHEAD_BYTES)
     datagrams = tuple(
@@ -111,7 +116,7 @@
         open_udp_socket(HOST, 0, BUFFER_BYTES),
         sinks,
         datagrams,
-        View({"feed": table}, agents=agents, generation=1),
+        attrs.evolve(view, agents=agents),
     )
 
 
@@ -215,6 +220,40 @@
     }
 
 
+def measure_memory() -> dict[str, float]:
+    """Return the bytes that a balancer holds for each cached flow and each server."""
+    view = build_view(MEMBERS)
+    packets = [
+        build_datagram(_build_key(number), b"") for number in range(MEMORY_FLOWS)
+    ]
+    router = Router()
+    router.set_view(view)
+    tracemalloc.start()
+    router.route(packets[0])
+    before = tracemalloc.get_traced_memory()[0]
+    for packet in packets[1:]:
+        router.route(packet)
+    flow_bytes = tracemalloc.get_traced_memory()[0] - before
+    before = tracemalloc.get_traced_memory()[0]
+    large = build_view(MEMORY_SERVERS)
+    large.list_candidates(large.tables["feed"].service_id)
+    server_bytes = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return {
+        "flow": flow_bytes / (MEMORY_FLOWS - 1),
+        "server": server_bytes / MEMORY_SERVERS,
+    }
+
+
+def build_view(members: int) -> View:
+    """Return a view with a table of `members` backend servers."""
+    names = [f"server-{number}" for number in range(members)]
+    rows = tuple(Member(name, "zone-1", 1.0, 2_000, 3) for name in names)
+    table = Table("feed", "10.1.0.1", 4433, Protocol.UDP, rows, 7)
+    agents = {name: Announcement(name, "zone-1", HOST, 7946, 1) for name in names}
+    return View({"feed": table}, agents=agents, generation=1)
+
+
 def _measure_receive(load: Load, batch: int) -> float:
     fill(load, batch)
     receive = load.relay.recv
