Look up first segments after a pause

Cause: an agent that resumed placed a first segment that had waited in its socket at once, although the next home had placed the flow while it was paused; the flow then had two owners. Ruled out: registration, since half-open flows are not registered. Change: an agent that handled no event for ten ticks treats its services as changing, so first segments are looked up for the change window.

--- a/features/flows.feature
+++ b/features/flows.feature
@@ -95,6 +95,16 @@
     When the target of a placement is reported down before its answer
     Then the flow is placed at that target only
 
+  # Guards against a second owner: while an agent is paused, the next home takes over
+  # its flows, and a first segment that waited in its socket may be a repetition.
+  Scenario: An agent that was paused looks up a held first segment
+    When an agent handles a first segment after 20 s without any event
+    Then it asks the other members before it places the flow
+
+  Scenario: An agent that was not paused places a first segment at once
+    When an agent handles a first segment after 0.5 s without any event
+    Then it places the flow at once
+
   Scenario: An early negative answer does not hide a later positive one
     When a member first denies a flow and then names itself
     Then the flow is passed on to that member
--- a/features/replay.feature
+++ b/features/replay.feature
@@ -38,6 +38,10 @@
       | pair-zone-out-server-death-mia-duong         |
       | pair-zone-out-server-death-tres-lunas        |
       | paused-agent-drain                           |
+      | paused-agent-held-first-packet               |
+      | paused-agent-and-balancer                    |
+      | paused-agent-redirects-lost-again            |
+      | paused-home-held-packets                     |
       | paused-agent-platform-down                   |
       | paused-agent-redirects-lost                  |
       | paused-agent-repeated-first-packet           |
@@ -67,8 +71,6 @@
       | trace                                        |
       | misreported-loads-mia-duong                  |
       | misreported-loads-tres-lunas                 |
-      | paused-agent-held-first-packet               |
-      | paused-home-held-packets                     |
 
   Scenario: Every recorded trace is replayed
     Then each file in "traces" has a row in this feature
--- a/features/steps/flows_steps.py
+++ b/features/steps/flows_steps.py
@@ -67,6 +67,8 @@
 def build_agent(server="b0", view=None, flow_settings=WARM, now=0.0):
     agent = FlowController(server, "z1", 1, flow_settings, random.Random(1))
     agent.handle(ViewChanged(view or build_view(build_members(4, ("z1",)))), now)
+    # Without ticks the agent would take itself for paused.
+    tick_until(agent, now, 0.0, step=0.5)
     return agent
 
 
@@ -501,6 +503,25 @@
     assert not select(context.actions, RedirectDrop)
 
 
+@when("an agent handles a first segment after {seconds:g} s without any event")
+def resume(context, seconds):
+    context.agent, context.flow, _ = build_home()
+    context.actions = forward(context.agent, seconds, context.flow)
+
+
+@then("it asks the other members before it places the flow")
+def check_asked(context):
+    assert len(select(context.actions, FlowQuery)) == 2
+    assert not select(context.actions, Deliver)
+    assert not list_forwards(context.actions)
+
+
+@then("it places the flow at once")
+def check_placed(context):
+    assert not select(context.actions, FlowQuery)
+    assert select(context.actions, Deliver) or list_forwards(context.actions)
+
+
 @when("a member first denies a flow and then names itself")
 def deny_first(context):
     agent, flow, _ = build_home()
--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -19,7 +19,7 @@
 from bramleystair.flows._redirects import Owner, Redirects
 from bramleystair.flows._registration import Registrar
 from bramleystair.flows._services import Service, Services
-from bramleystair.flows._settings import FlowSettings
+from bramleystair.flows._settings import TICK_PERIOD_S, FlowSettings
 from bramleystair.flows._state import (
     SavedRedirect,
     SavedState,
@@ -41,6 +41,9 @@
     ServiceLoad,
 )
 
+# Ten ticks: an agent that heard nothing for so long was paused.
+PAUSE_S = 10 * TICK_PERIOD_S
+
 
 class FlowController:
     """Own the flows of one backend server and the redirects registered here.
@@ -139,6 +142,9 @@
 
     def handle(self, event: FlowEvent, now: float) -> list[FlowAction]:
         """Return the actions that `event` at time `now` in seconds calls for."""
+        if now - self._now > PAUSE_S:
+            # Others may have placed this agent's flows while it did not run.
+            self._services.unsettle(now)
         self._now = now
         if type(event) is events.MessageArrived:
             # Compared by type first, because this is the path of each packet.
--- a/src/bramleystair/flows/_services.py
+++ b/src/bramleystair/flows/_services.py
@@ -89,6 +89,14 @@
         self._services = services
         return changed
 
+    def unsettle(self, now: float) -> None:
+        """Assume from `now` on that other nodes may hold different views."""
+        until_s = now + self._change_window_s
+        self._services = {
+            service_id: attrs.evolve(service, unsettled_until_s=until_s)
+            for service_id, service in self._services.items()
+        }
+
     def _build(
         self,
         service_id: int,
