--- a/features/replay.feature
+++ b/features/replay.feature
@@ -74,6 +74,8 @@
       | zone-cut-agent-paused                        |
       | zone-cut-server-death                        |
       | zone-cut-table-edit                          |
+      | zone-cut-zone-out-in                         |
+      | zone-out-in-out-uneven-network               |
 
   Scenario: Every recorded trace is replayed
     Then each file in "traces" has a row in this feature
