Take objects from peers in one place

Cause: the agent's and the balancer's replicas had the same loop over received objects, and the messenger imported a constant from a private module of another package. Change: Replica._accept_all holds the loop and each replica says how it accepts one object; wire exports MAX_DATAGRAM_BYTES. Conclusion: a rule for received objects is written once.

--- a/src/bramleystair/daemons/_messenger.py
+++ b/src/bramleystair/daemons/_messenger.py
@@ -6,8 +6,13 @@
 
 from bramleystair.fabric import format_endpoint
 from bramleystair.metrics import Metrics
-from bramleystair.wire import Envelope, Message, decode, encode
-from bramleystair.wire._codec import MAX_DATAGRAM_BYTES
+from bramleystair.wire import (
+    MAX_DATAGRAM_BYTES,
+    Envelope,
+    Message,
+    decode,
+    encode,
+)
 
 RECEIVE_TIMEOUT_S = 0.2
 BUFFER_BYTES = 65_535
--- a/src/bramleystair/replicas/_agent.py
+++ b/src/bramleystair/replicas/_agent.py
@@ -106,7 +106,7 @@
             case Pull():
                 return self._answer_pull(sender, message)
             case Objects(objects):
-                return self._take_objects(sender, objects, now)
+                return self._accept_all(sender, objects, now)
         return []
 
     def _advance(self, now: float) -> list[ReplicaAction]:
@@ -231,14 +231,7 @@
             for batch in split_batches(newer, measure_header, limit)
         ]
 
-    def _take_objects(
-        self, sender: str, objects: Iterable[StoredObject], now: float
+    def _accept(
+        self, item: StoredObject, sender: str, now: float
     ) -> list[ReplicaAction]:
-        actions: list[ReplicaAction] = []
-        for item in objects:
-            if self.owner.owns(item.key):
-                header = VersionHeader(item.key, item.version)
-                actions += self._answer_own(sender, (header,))
-                continue
-            actions += self._put(item)[1]
-        return actions + self._continue_pulls(now)
+        return self._put(item)[1]
--- a/src/bramleystair/replicas/_balancer.py
+++ b/src/bramleystair/replicas/_balancer.py
@@ -340,14 +340,7 @@
     def _take_objects(
         self, sender: str, objects: Iterable[StoredObject], now: float
     ) -> list[ReplicaAction]:
-        actions: list[ReplicaAction] = []
-        for item in objects:
-            if self.owner.owns(item.key):
-                header = VersionHeader(item.key, item.version)
-                actions += self._answer_own(sender, (header,))
-                continue
-            actions += self._accept(item, sender, now)
-        actions += self._continue_pulls(now)
+        actions = self._accept_all(sender, objects, now)
         if self._is_catching_up and not self._pulls:
             # What was listed has arrived; the rest follows without waiting a period.
             actions.append(Send(sender, Digest(tuple(self.store.digest))))
--- a/src/bramleystair/replicas/_replica.py
+++ b/src/bramleystair/replicas/_replica.py
@@ -1,5 +1,6 @@
 """What the replicas of balancers and agents have in common."""
 
+import abc
 from collections.abc import Iterable
 from random import Random
 
@@ -62,7 +63,7 @@
         return peer
 
 
-class Replica:
+class Replica(abc.ABC):
     """Store, own objects, pulls and addresses of one process.
 
     Parameters
@@ -201,3 +202,22 @@
             objects += missing
             actions += raised
         return actions + self._send_objects(sender, objects)
+
+    def _accept_all(
+        self, sender: str, objects: Iterable[StoredObject], now: float
+    ) -> list[ReplicaAction]:
+        """Accept what `sender` sent, and answer versions of own objects."""
+        actions: list[ReplicaAction] = []
+        for item in objects:
+            if self.owner.owns(item.key):
+                header = VersionHeader(item.key, item.version)
+                actions += self._answer_own(sender, (header,))
+                continue
+            actions += self._accept(item, sender, now)
+        return actions + self._continue_pulls(now)
+
+    @abc.abstractmethod
+    def _accept(
+        self, item: StoredObject, sender: str, now: float
+    ) -> list[ReplicaAction]:
+        """Hold `item` if it is newer and return the actions that follow."""
--- a/src/bramleystair/wire/__init__.py
+++ b/src/bramleystair/wire/__init__.py
@@ -1,6 +1,11 @@
 """Messages between the system's own processes."""
 
-from bramleystair.wire._codec import decode, encode, encode_forward
+from bramleystair.wire._codec import (
+    MAX_DATAGRAM_BYTES,
+    decode,
+    encode,
+    encode_forward,
+)
 from bramleystair.wire._messages import (
     Answer,
     BucketVersions,
@@ -36,6 +41,7 @@
 from bramleystair.wire._stream import MAX_BODY_BYTES, StreamClient, StreamServer
 
 __all__ = [
+    "MAX_DATAGRAM_BYTES",
     "MAX_BODY_BYTES",
     "Answer",
     "BucketVersions",
