Move the product's store client to bramleystair.store

Cause: the name platform is needed for the adapter to the users' platform. Change: the package moves, its imports follow. Conclusion: platform/ is free for the adapter.

--- a/features/steps/daemons_steps.py
+++ b/features/steps/daemons_steps.py
@@ -22,7 +22,6 @@
 from bramleystair.daemons import require_seeds
 from bramleystair.fabric import decapsulate, encapsulate, open_udp_socket, read_flow_key
 from bramleystair.packets import reverse_flow
-from bramleystair.platform import PlatformClient
 from bramleystair.settings import (
     AgentSettings,
     BalancerSettings,
@@ -33,6 +32,7 @@
     PlatformApplication,
     create_platform_server,
 )
+from bramleystair.store import PlatformClient
 from bramleystair.tables import (
     Member,
     NodeAnnouncement,
--- a/features/steps/platform_link_steps.py
+++ b/features/steps/platform_link_steps.py
@@ -6,12 +6,12 @@
 
 from bramleystair.daemons import PlatformLink
 from bramleystair.metrics import Metrics
-from bramleystair.platform import PlatformClient
 from bramleystair.replicas import PlatformObjects
 from bramleystair.standins._platform import (
     PlatformApplication,
     create_platform_server,
 )
+from bramleystair.store import PlatformClient
 
 WAIT_S = 30.0
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -7,11 +7,11 @@
 from features.support.platform import FakePlatform
 from hypothesis import strategies as st
 
-from bramleystair.platform import PlatformClient
 from bramleystair.standins._platform import (
     PlatformApplication,
     create_platform_server,
 )
+from bramleystair.store import PlatformClient
 
 FAULTS = st.lists(
     st.sampled_from(["none", "lost_call", "lost_answer", "rubbish", "rival"]),
--- a/features/support/platform.py
+++ b/features/support/platform.py
@@ -6,8 +6,8 @@
 from werkzeug.test import Client
 
 from bramleystair.operators import OperatorSession
-from bramleystair.platform import PlatformClient
 from bramleystair.standins._platform import CONNECTION_KEY, PlatformApplication
+from bramleystair.store import PlatformClient
 
 
 class Connection:
--- a/src/bramleystair/bench/_operator_slopes.py
+++ b/src/bramleystair/bench/_operator_slopes.py
@@ -9,7 +9,7 @@
 from bramleystair.bench._fits import Slope, fit_slope, time_us
 from bramleystair.bench._planned import FACTORS, PLANNED, build_objects
 from bramleystair.operators import OperatorSession, apply_table, export_table
-from bramleystair.platform import Accepted, Listing, PlatformObject
+from bramleystair.store import Accepted, Listing, PlatformObject
 from bramleystair.wire import StoredObject
 
 SERVICE = "service-1"
--- a/src/bramleystair/daemons/_platform_link.py
+++ b/src/bramleystair/daemons/_platform_link.py
@@ -9,7 +9,6 @@
 
 from bramleystair.logs import get_log
 from bramleystair.metrics import Metrics
-from bramleystair.platform import Changes, ErrorKind, Listing, PlatformClient
 from bramleystair.replicas import (
     LIST_PERIOD_S,
     LISTED_PREFIXES,
@@ -17,6 +16,7 @@
     PlatformListed,
     PlatformObjects,
 )
+from bramleystair.store import Changes, ErrorKind, Listing, PlatformClient
 from bramleystair.tables import (
     Announcement,
     NodeAnnouncement,
--- a/src/bramleystair/daemons/_start.py
+++ b/src/bramleystair/daemons/_start.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 from typing import TypeVar
 
-from bramleystair.platform import PlatformClient
 from bramleystair.settings import SeedSettings, load_settings
+from bramleystair.store import PlatformClient
 from bramleystair.tables import BALANCER_PREFIX, decode_object
 
 T = TypeVar("T")
--- a/src/bramleystair/operators/_bodies.py
+++ b/src/bramleystair/operators/_bodies.py
@@ -2,7 +2,7 @@
 
 from result import Result
 
-from bramleystair.platform import ErrorKind, PlatformError, PlatformObject
+from bramleystair.store import ErrorKind, PlatformError, PlatformObject
 from bramleystair.tables import (
     ConfigObject,
     decode_object,
--- a/src/bramleystair/operators/_cli.py
+++ b/src/bramleystair/operators/_cli.py
@@ -15,7 +15,7 @@
 from bramleystair.operators._config import check_settings_file
 from bramleystair.operators._reports import ExitCode, format_report
 from bramleystair.operators._session import OperatorSession
-from bramleystair.platform import PlatformClient
+from bramleystair.store import PlatformClient
 from bramleystair.tables import Member, Protocol, write_table_csv
 
 DEFAULT_PLATFORM = "http://127.0.0.1:7000"
--- a/src/bramleystair/operators/_merge.py
+++ b/src/bramleystair/operators/_merge.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from bramleystair.operators._reports import Conflict, RowChange
-from bramleystair.platform import PlatformObject, WriteRecord
+from bramleystair.store import PlatformObject, WriteRecord
 from bramleystair.tables import Member
 
 
--- a/src/bramleystair/operators/_push.py
+++ b/src/bramleystair/operators/_push.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from bramleystair.platform import PlatformObject
+from bramleystair.store import PlatformObject
 from bramleystair.wire import Objects, encode
 
 SENDER = "operator"
--- a/src/bramleystair/operators/_reports.py
+++ b/src/bramleystair/operators/_reports.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from bramleystair.platform import PlatformError, WriteRecord
+from bramleystair.store import PlatformError, WriteRecord
 from bramleystair.tables import Member, TableError, format_weight
 
 
--- a/src/bramleystair/operators/_session.py
+++ b/src/bramleystair/operators/_session.py
@@ -9,7 +9,7 @@
 
 from bramleystair.operators._push import Balancer, push_object
 from bramleystair.operators._reports import WriteOutcome, WriteReport
-from bramleystair.platform import (
+from bramleystair.store import (
     ErrorKind,
     PlatformClient,
     PlatformObject,
--- a/src/bramleystair/operators/_status.py
+++ b/src/bramleystair/operators/_status.py
@@ -13,7 +13,7 @@
 from bramleystair.metrics import NodeStatus
 from bramleystair.operators._reports import ExitCode, FailureReport
 from bramleystair.operators._session import ANNOUNCEMENT_PREFIXES, OperatorSession
-from bramleystair.platform import ErrorKind, PlatformObject
+from bramleystair.store import ErrorKind, PlatformObject
 
 STATUS_TIMEOUT_S = 3.0
 STATUS_THREADS = 16
--- a/src/bramleystair/operators/_tables.py
+++ b/src/bramleystair/operators/_tables.py
@@ -27,7 +27,7 @@
     WriteReport,
 )
 from bramleystair.operators._session import OperatorSession
-from bramleystair.platform import PlatformError, PlatformObject
+from bramleystair.store import PlatformError, PlatformObject
 from bramleystair.tables import (
     Member,
     Protocol,
--- a/src/bramleystair/operators/_zones.py
+++ b/src/bramleystair/operators/_zones.py
@@ -11,7 +11,7 @@
     ZoneState,
 )
 from bramleystair.operators._session import ZONE_PREFIX, OperatorSession
-from bramleystair.platform import PlatformObject
+from bramleystair.store import PlatformObject
 from bramleystair.tables import ZoneMark
 
 
--- a/src/bramleystair/platform/__init__.py
+++ b/src/bramleystair/platform/__init__.py
@@ -1,26 +1,8 @@
-"""Client of the platform: the operator's versioned object store."""
+"""Adapter to the users' platform: its names, addresses and encodings.
 
-from bramleystair.platform._client import PlatformClient, RetryPolicy
-from bramleystair.platform._types import (
-    Accepted,
-    Changes,
-    ErrorKind,
-    Listing,
-    PlatformError,
-    PlatformObject,
-    WriteNote,
-    WriteRecord,
-)
+Everything that is decided stands elsewhere; the modules here only translate.
+"""
 
-__all__ = [
-    "Accepted",
-    "Changes",
-    "ErrorKind",
-    "Listing",
-    "PlatformClient",
-    "PlatformError",
-    "PlatformObject",
-    "RetryPolicy",
-    "WriteNote",
-    "WriteRecord",
-]
+from bramleystair.platform._main import main
+
+__all__ = ["main"]
--- a/src/bramleystair/standins/_operator.py
+++ b/src/bramleystair/standins/_operator.py
@@ -3,7 +3,7 @@
 from bramleystair.operators._push import list_balancers
 from bramleystair.operators._reports import WriteOutcome, WriteReport
 from bramleystair.operators._session import OperatorSession
-from bramleystair.platform import ErrorKind, PlatformClient
+from bramleystair.store import ErrorKind, PlatformClient
 from bramleystair.tables import Table, ZoneMark, build_key, encode_object
 
 EDITOR = "demo"
--- a/src/bramleystair/platform/_client.py
+++ b/src/bramleystair/store/_client.py
@@ -13,7 +13,7 @@
 from result import Err, Ok, Result
 
 from bramleystair.logs import get_log
-from bramleystair.platform._types import (
+from bramleystair.store._types import (
     HISTORY_LENGTH,
     Accepted,
     Changes,
