Add an event loop and an HTTP client and server on it

Cause: a node of the deployment should take little memory and start quickly; the threads and HTTP libraries of the present daemons take 53 MB and 0.73-0.93 s. Change: loop has a selector loop with the timer service, http has a client that returns concurrent futures and a small server, both parsed by h11. Metrics load aioprometheus and the HTTP server only when they are used.

--- a/src/bramleystair/actions.py
+++ b/src/bramleystair/actions.py
@@ -1,8 +1,14 @@
 """Actions common to all decision state machines."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 import attrs
 
-from bramleystair.wire import Message
+if TYPE_CHECKING:
+    # The message codec is not loaded by processes that do not use it.
+    from bramleystair.wire import Message
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/bramleystair/http/__init__.py
@@ -0,0 +1,13 @@
+"""HTTP/1.1 client and server on the event loop."""
+
+from bramleystair.http._client import HttpClient, HttpFailure, HttpResponse
+from bramleystair.http._server import HttpReply, HttpRequest, HttpServer
+
+__all__ = [
+    "HttpClient",
+    "HttpFailure",
+    "HttpReply",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+]
--- /dev/null
+++ b/src/bramleystair/http/_client.py
@@ -0,0 +1,224 @@
+"""HTTP/1.1 client on the event loop; h11 does the parsing."""
+
+import errno
+import socket
+from concurrent.futures import Future
+
+import attrs
+import h11
+
+from bramleystair.errors import StepError
+from bramleystair.logs import get_log
+from bramleystair.loop import READ, WRITE, EventLoop
+from bramleystair.timers import Subscription
+
+log = get_log("http")
+
+READ_BYTES = 262_144
+# Idle connections are probed, so that one that went silent is noticed in 3 s.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+MAX_IDLE_CONNECTIONS = 2
+CONNECTED = (0, errno.EINPROGRESS)
+
+
+@attrs.frozen
+class HttpResponse:
+    """A complete response."""
+
+    status: int
+    body: bytes
+
+
+@attrs.frozen
+class HttpFailure(StepError):
+    """No complete response arrived; the call may have taken effect.
+
+    Parameters
+    ----------
+    is_sent : bool
+        Whether any byte of the request may have reached the peer.
+    """
+
+    is_sent: bool = True
+
+
+class HttpClient:
+    """Call one server, with a connection for each call in progress.
+
+    Parameters
+    ----------
+    loop : EventLoop
+        Loop that drives the sockets.
+    endpoint : tuple of str and int
+        Address and port of the server.
+    """
+
+    def __init__(self, loop: EventLoop, endpoint: tuple[str, int]) -> None:
+        self._loop = loop
+        self.endpoint = endpoint
+        self._idle: list[_Connection] = []
+
+    def call(
+        self, method: str, target: str, body: bytes = b"", timeout_s: float = 2.0
+    ) -> Future:
+        """Send a request.
+
+        Returns
+        -------
+        Future of HttpResponse or HttpFailure
+            Completed on the loop's thread.
+        """
+        future: Future = Future()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open:
+                break
+        else:
+            try:
+                connection = _Connection(self._loop, self.endpoint, self._idle)
+            except OSError as error:
+                detail = error.strerror or "connection failed"
+                future.set_result(HttpFailure("connect", self._peer, detail, False))
+                return future
+        connection.start(method, target, body, timeout_s, future)
+        return future
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    @property
+    def _peer(self) -> str:
+        return f"{self.endpoint[0]}:{self.endpoint[1]}"
+
+
+class _Connection:
+    """A connection that carries one call at a time."""
+
+    def __init__(
+        self, loop: EventLoop, endpoint: tuple[str, int], idle: list["_Connection"]
+    ) -> None:
+        self._loop = loop
+        self._endpoint = endpoint
+        self._idle = idle
+        self._parser = h11.Connection(h11.CLIENT)
+        self._future: Future | None = None
+        self._timer: Subscription | None = None
+        self._outgoing = b""
+        self._status = 0
+        self._body: list[bytes] = []
+        self.is_open = True
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setblocking(False)
+        _set_keepalive(self._socket)
+        code = self._socket.connect_ex(endpoint)
+        if code not in CONNECTED:
+            self._socket.close()
+            raise OSError(code, errno.errorcode.get(code, "unknown"))
+        loop.watch(self._socket, self._handle_ready, READ | WRITE)
+
+    def start(
+        self, method: str, target: str, body: bytes, timeout_s: float, future: Future
+    ) -> None:
+        """Send a request whose outcome completes `future`."""
+        host = f"{self._endpoint[0]}:{self._endpoint[1]}"
+        headers = [("Host", host)]
+        if body:
+            headers.append(("Content-Type", "application/json"))
+        if body or method in ("POST", "PUT"):
+            headers.append(("Content-Length", str(len(body))))
+        send = self._parser.send
+        data = send(h11.Request(method=method, target=target, headers=headers))
+        if body:
+            data += send(h11.Data(data=body))
+        self._outgoing = data + send(h11.EndOfMessage())
+        self._future = future
+        self._timer = self._loop.timers.subscribe_once(
+            timeout_s, lambda _: self._fail("timeout")
+        )
+        self._loop.rewatch(self._socket, self._handle_ready, READ | WRITE)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        self._loop.forget(self._socket)
+        self._socket.close()
+
+    def _handle_ready(self) -> None:
+        try:
+            if self._outgoing:
+                sent = self._socket.send(self._outgoing)
+                self._outgoing = self._outgoing[sent:]
+                if not self._outgoing:
+                    self._loop.rewatch(self._socket, self._handle_ready, READ)
+            data = self._socket.recv(READ_BYTES)
+            self._parser.receive_data(data)
+            self._take_events()
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._fail(error.strerror or "connection failed")
+        except h11.ProtocolError as error:
+            self._fail(f"malformed response: {error}")
+
+    def _take_events(self) -> None:
+        while self.is_open:
+            event = self._parser.next_event()
+            match event:
+                case h11.Response():
+                    self._status, self._body = event.status_code, []
+                case h11.Data():
+                    self._body.append(bytes(event.data))
+                case h11.EndOfMessage():
+                    self._finish()
+                    return
+                case h11.ConnectionClosed():
+                    self._fail("closed by the peer")
+                    return
+                case _:
+                    return
+
+    def _finish(self) -> None:
+        future, self._future = self._future, None
+        self._timer.cancel()
+        response = HttpResponse(self._status, b"".join(self._body))
+        if (
+            self._parser.our_state is h11.DONE
+            and self._parser.their_state is h11.DONE
+            and len(self._idle) < MAX_IDLE_CONNECTIONS
+        ):
+            self._parser.start_next_cycle()
+            self._idle.append(self)
+        else:
+            self.close()
+        if future is not None:
+            future.set_result(response)
+
+    def _fail(self, detail: str) -> None:
+        self.close()
+        if self in self._idle:
+            self._idle.remove(self)
+        future, self._future = self._future, None
+        if self._timer is not None:
+            self._timer.cancel()
+        if future is None:
+            return
+        peer = f"{self._endpoint[0]}:{self._endpoint[1]}"
+        future.set_result(HttpFailure("call", peer, detail))
+
+
+def _set_keepalive(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, 3000),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/src/bramleystair/metrics/_registry.py
+++ b/src/bramleystair/metrics/_registry.py
@@ -3,8 +3,6 @@
 import threading
 from collections import Counter
 
-import aioprometheus
-
 PREFIX = "bramleystair"
 
 
@@ -52,6 +50,9 @@
 
     def render(self, accepts: tuple[str, ...] = ("text/plain",)) -> tuple[bytes, dict]:
         """Return the body and the headers of a response to `/metrics`."""
+        # Loaded on the first call, since it takes 10 MB and many nodes are never asked.
+        import aioprometheus
+
         registry = aioprometheus.Registry()
         with self._lock:
             counts = dict(self._counts)
@@ -67,7 +68,7 @@
             collector.set(labels, value)
         return aioprometheus.render(registry, accepts)
 
-    def _get(self, registry: aioprometheus.Registry, kind: type, name: str):
+    def _get(self, registry, kind: type, name: str):
         # Without a registry, a collector enters the library's global one for good.
         if name not in registry.collectors:
             kind(name, name.replace("_", " "), dict(self._labels), registry)
