--- /dev/null
+++ b/src/bramleystair/mirror/_mirror.py
@@ -0,0 +1,163 @@
+"""Copy of all objects of one kind, kept up to date by a watch."""
+
+import random as random_module
+from collections.abc import Callable
+from concurrent.futures import Future
+
+from bramleystair.logs import get_log
+from bramleystair.mirror._backoff import Backoff
+from bramleystair.mirror._types import (
+    Changes,
+    FailureKind,
+    Listing,
+    ObjectStore,
+    StoredItem,
+    StoreFailure,
+)
+from bramleystair.timers import TimerService
+
+log = get_log("mirror")
+
+
+class Mirror:
+    """Keep a copy of the objects of one kind.
+
+    The last copy is kept while the store is unreachable. After a gap in the history
+    the objects are listed again.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Store to list and watch.
+    kind : str
+        Kind of the objects.
+    timers : TimerService
+        Runs the retries.
+    random : random.Random
+        Source of the jitter.
+    on_change : callable
+        Called with the copy, a dict of StoredItem by name, after each change.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        kind: str,
+        timers: TimerService,
+        random: random_module.Random,
+        on_change: Callable[[dict[str, StoredItem]], None],
+    ) -> None:
+        self._store = store
+        self._kind = kind
+        self._timers = timers
+        self._backoff = Backoff(random)
+        self._on_change = on_change
+        self._items: dict[str, StoredItem] = {}
+        self._pages: dict[str, StoredItem] = {}
+        self._page_revision = 0
+        self._revision = 0
+        self._generation = 0
+        self.is_complete = False
+        self.is_connected = False
+
+    @property
+    def revision(self) -> int:
+        """Revision of the store up to which the copy is known to be complete."""
+        return self._revision
+
+    def start(self) -> None:
+        """Begin to list, then to watch."""
+        self._generation += 1
+        self._list("")
+
+    def restart(self) -> None:
+        """Abandon a waiting watch, which may have gone silent, and list again."""
+        log.info("%s: listing again", self._kind)
+        self.start()
+
+    def _list(self, after: str) -> None:
+        if not after:
+            self._pages = {}
+        generation = self._generation
+        future = self._store.list_items(self._kind, after)
+        future.add_done_callback(lambda done: self._take_page(done, generation))
+
+    def _take_page(self, future: Future, generation: int) -> None:
+        if generation != self._generation:
+            return
+        match future.result():
+            case StoreFailure() as failure:
+                self._retry(failure, lambda: self._list(""))
+            case Listing(items, revision, has_more):
+                if not self._pages:
+                    # Changes made while pages are read are watched from the first one.
+                    self._page_revision = revision
+                self._pages.update((item.name, item) for item in items)
+                if has_more and items:
+                    self._list(items[-1].name)
+                    return
+                self._finish_listing()
+
+    def _finish_listing(self) -> None:
+        self._record_success()
+        self._revision = self._page_revision
+        is_changed = self._pages != self._items or not self.is_complete
+        self._items, self._pages = self._pages, {}
+        self.is_complete = True
+        if is_changed:
+            self._on_change(self._items)
+        self._watch()
+
+    def _watch(self) -> None:
+        generation = self._generation
+        future = self._store.watch(self._kind, self._revision)
+        future.add_done_callback(lambda done: self._take_changes(done, generation))
+
+    def _take_changes(self, future: Future, generation: int) -> None:
+        if generation != self._generation:
+            return
+        match future.result():
+            case StoreFailure(kind=FailureKind.HISTORY_LOST):
+                log.warning("%s: history lost at %d", self._kind, self._revision)
+                self._list("")
+            case StoreFailure() as failure:
+                self._retry(failure, self._watch)
+            case Changes(events, revision):
+                self._record_success()
+                self._revision = max(self._revision, revision)
+                self._apply(events)
+                self._watch()
+
+    def _apply(self, events: tuple[tuple[StoredItem, bool], ...]) -> None:
+        if not events:
+            return
+        items = dict(self._items)
+        for item, is_deleted in events:
+            known = items.get(item.name)
+            if known is not None and known.revision > item.revision:
+                continue
+            if is_deleted:
+                items.pop(item.name, None)
+            else:
+                items[item.name] = item
+        self._items = items
+        self._on_change(items)
+
+    def _record_success(self) -> None:
+        self._backoff.reset()
+        if not self.is_connected:
+            self.is_connected = True
+            log.info("%s: store is reachable", self._kind)
+
+    def _retry(self, failure: StoreFailure, step: Callable[[], None]) -> None:
+        if self.is_connected or not self._backoff.failures:
+            log.warning("%s: store is lost: %s", self._kind, failure)
+        self.is_connected = False
+        generation = self._generation
+        delay_s = self._backoff.compute_delay()
+
+        def run(_: float) -> None:
+            if generation == self._generation:
+                step()
+
+        self._timers.subscribe_once(delay_s, run)
--- /dev/null
+++ b/src/bramleystair/nodes/_agent.py
@@ -0,0 +1,156 @@
+"""Process of an agent beside a backend server."""
+
+import random as random_module
+from collections.abc import Callable, Iterable
+
+from result import Result
+
+from bramleystair.errors import StepError
+from bramleystair.http import HttpReply, HttpRequest, HttpServer
+from bramleystair.logs import get_log
+from bramleystair.loop import EventLoop
+from bramleystair.mirror import ObjectStore, Publisher
+from bramleystair.nodes._balancer import MEMBER_KIND
+from bramleystair.nodes._datagrams import DatagramSocket
+from bramleystair.nodes._node import NodeBase, subscribe_once
+from bramleystair.nodes._settings import NodeSettings, PacketCodec
+from bramleystair.steering import (
+    AgentSteering,
+    AgentSteeringSettings,
+    FindOwner,
+    OpenFlow,
+    Relay,
+    ServerReport,
+    Subscribe,
+    encode_entry,
+)
+from bramleystair.steering._events import Action
+
+log = get_log("agent")
+
+# Replies to balancers that have sent packets just before the stop.
+STOP_DELAY_S = 0.15
+
+ReadReport = Callable[[HttpRequest], Result[ServerReport | str, StepError]]
+
+
+class AgentNode(NodeBase):
+    """Run one agent.
+
+    Parameters
+    ----------
+    loop, settings, codec
+        See `NodeBase`.
+    store : ObjectStore
+        Platform's store.
+    read_report : callable
+        Returns a server's report from its call, its identity when it is gone, or an
+        error.
+    random : random.Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        settings: NodeSettings,
+        codec: PacketCodec,
+        store: ObjectStore,
+        read_report: ReadReport,
+        random: random_module.Random,
+    ) -> None:
+        super().__init__(loop, settings, codec)
+        self._read_report = read_report
+        self._steering = AgentSteering(
+            settings.packet_address,
+            settings.zone,
+            AgentSteeringSettings(
+                heartbeat_s=settings.heartbeat_s,
+                flow_lifetime_s=settings.flow_lifetime_s,
+            ),
+            loop.clock.now(),
+        )
+        self._outbound = DatagramSocket(
+            loop, settings.outbound_address, self._take_server_packet, self.metrics
+        )
+        self._reports = HttpServer(loop, settings.report_address, self._answer_report)
+        self._publisher = Publisher(
+            store, MEMBER_KIND, settings.packet_address[0], loop.timers, random
+        )
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._schedule()
+
+    def stop(self) -> None:
+        """Refuse new flows, then end; the server keeps its flows."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        self._handle(self._steering.stop(self._loop.clock.now()))
+        log.info("stopping", extra={"flows": self._steering.flow_count})
+        subscribe_once(self._loop, STOP_DELAY_S, self._loop.stop)
+
+    def is_ready(self) -> bool:
+        """Return whether the agent serves."""
+        return True
+
+    def _compute_wait(self, now: float) -> float:
+        return self._steering.compute_wait(now)
+
+    def _run_timers(self, now: float) -> Iterable[Action]:
+        return self._steering.run_timers(now)
+
+    def _get_message_socket(self) -> DatagramSocket:
+        return self._packets
+
+    def _deliver_to_server(self, data: bytes) -> None:
+        self._outbound.send(data, self._settings.server_address)
+
+    def _take_packet(self, data: bytes, sender: tuple[str, int]) -> None:
+        message = self._read_message(data)
+        if message is None:
+            return
+        now = self._loop.clock.now()
+        if isinstance(message, Subscribe):
+            self._handle(self._steering.handle_subscription(sender, message, now))
+            return
+        if not isinstance(message, Relay | OpenFlow | FindOwner):
+            self.metrics.count("message_dropped", "unexpected")
+            return
+        segment = self._codec.decode_inbound(message.data)
+        if segment is None:
+            self.metrics.count("message_dropped", "malformed")
+            return
+        match message:
+            case Relay():
+                actions = self._steering.handle_relay(sender, segment, now)
+            case OpenFlow():
+                actions = self._steering.handle_open(sender, message, segment, now)
+            case FindOwner():
+                actions = self._steering.handle_find(sender, message, segment, now)
+        self._handle(actions)
+
+    def _take_server_packet(self, data: bytes, sender: tuple[str, int]) -> None:
+        segment = self._codec.decode_outbound(data)
+        if segment is None:
+            self.metrics.count("packet_dropped", "malformed")
+            return
+        now = self._loop.clock.now()
+        self._handle(self._steering.handle_server_segment(segment, now))
+
+    def _answer_report(self, request: HttpRequest) -> HttpReply:
+        result = self._read_report(request)
+        if result.is_err():
+            self.metrics.count("report_ignored", "malformed")
+            log.warning("report ignored: %s", result.unwrap_err())
+            return HttpReply(400, b"{}")
+        now = self._loop.clock.now()
+        match result.unwrap():
+            case ServerReport() as report:
+                self._handle(self._steering.take_report(report, now))
+            case str() as server:
+                self._handle(self._steering.remove_server(server, now))
+        entry = self._steering.build_entry()
+        self._publisher.publish(None if entry is None else encode_entry(entry))
+        return HttpReply(200, b"{}")
--- /dev/null
+++ b/src/bramleystair/nodes/_balancer.py
@@ -0,0 +1,163 @@
+"""Process of a balancer that chooses the owners of flows."""
+
+import random as random_module
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from result import Result
+
+from bramleystair.errors import StepError
+from bramleystair.logs import get_log
+from bramleystair.loop import EventLoop
+from bramleystair.mirror import Mirror, ObjectStore, StoredItem
+from bramleystair.nodes._datagrams import DatagramSocket
+from bramleystair.nodes._node import NodeBase, subscribe_once
+from bramleystair.nodes._settings import NodeSettings, PacketCodec
+from bramleystair.steering import (
+    BalancerSteering,
+    BalancerSteeringSettings,
+    ReturnPacket,
+    RoutingRules,
+    decode_entry,
+)
+from bramleystair.steering._events import Action
+
+log = get_log("balancer")
+
+MEMBER_KIND = "members"
+# After two failed checks, half a second apart, callers' packets go to other nodes;
+# the rest covers packets on their way.
+WITHDRAW_S = 1.8
+# Share of the time before SIGKILL that may be used for leaving.
+GRACE_SHARE = 0.6
+
+
+class BalancerNode(NodeBase):
+    """Run one balancer.
+
+    Parameters
+    ----------
+    loop, settings, codec
+        See `NodeBase`.
+    store : ObjectStore
+        Platform's store.
+    rules_kind, evacuation_kind : str
+        Kinds under which the operator writes.
+    read_rules : callable
+        Returns the configuration in an object, or an error.
+    random : random.Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        settings: NodeSettings,
+        codec: PacketCodec,
+        store: ObjectStore,
+        rules_kind: str,
+        evacuation_kind: str,
+        read_rules: Callable[[Any], Result[RoutingRules, StepError]],
+        random: random_module.Random,
+    ) -> None:
+        super().__init__(loop, settings, codec)
+        self._read_rules = read_rules
+        self._steering = BalancerSteering(
+            BalancerSteeringSettings(owner_lifetime_s=settings.flow_lifetime_s), random
+        )
+        self._messages = DatagramSocket(
+            loop, settings.message_address, self._take_message, self.metrics
+        )
+        timers = loop.timers
+        self._rules = Mirror(store, rules_kind, timers, random, self._set_rules)
+        self._evacuations = Mirror(
+            store, evacuation_kind, timers, random, self._set_evacuations
+        )
+        self._members = Mirror(store, MEMBER_KIND, timers, random, self._set_members)
+
+    def start(self) -> None:
+        """Begin to read the store; packets are handled from now on."""
+        for mirror in (self._rules, self._evacuations, self._members):
+            mirror.start()
+        self._schedule()
+
+    def stop(self) -> None:
+        """Withdraw from the rotation, forward for a while, then end."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        delay_s = min(WITHDRAW_S, GRACE_SHARE * self._settings.grace_s)
+        log.info("withdrawing", extra={"seconds": delay_s})
+        subscribe_once(self._loop, delay_s, self._loop.stop)
+
+    def is_ready(self) -> bool:
+        """Return whether configuration and members are known."""
+        mirrors = (self._rules, self._evacuations, self._members)
+        return self._steering.rules is not None and all(
+            mirror.is_complete for mirror in mirrors
+        )
+
+    def _compute_wait(self, now: float) -> float:
+        return self._steering.compute_wait(now)
+
+    def _run_timers(self, now: float) -> Iterable[Action]:
+        return self._steering.run_timers(now)
+
+    def _get_message_socket(self) -> DatagramSocket:
+        return self._messages
+
+    def _take_packet(self, data: bytes, sender: tuple[str, int]) -> None:
+        segment = self._codec.decode_inbound(data)
+        if segment is None:
+            self.metrics.count("packet_dropped", "malformed")
+            return
+        now = self._loop.clock.now()
+        self._handle(self._steering.handle_segment(segment, now))
+
+    def _take_message(self, data: bytes, sender: tuple[str, int]) -> None:
+        message = self._read_message(data)
+        if message is None:
+            return
+        now = self._loop.clock.now()
+        if not isinstance(message, ReturnPacket):
+            self._handle(self._steering.handle_message(sender, message, now))
+            return
+        segment = self._codec.decode_inbound(message.data)
+        if segment is None:
+            self.metrics.count("message_dropped", "malformed")
+            return
+        self._handle(self._steering.handle_returned(sender, segment, now))
+
+    def _set_rules(self, items: dict[str, StoredItem]) -> None:
+        for item in items.values():
+            result = self._read_rules(item.value)
+            if result.is_err():
+                self.metrics.count("object_ignored", "rules")
+                log.warning("configuration ignored: %s", result.unwrap_err())
+                continue
+            rules = result.unwrap()
+            self._steering.set_rules(rules)
+            log.info(
+                "configuration",
+                extra={
+                    "version": rules.version,
+                    "routes": len(rules.routes),
+                    "in_force": self._steering.rules.version,
+                },
+            )
+
+    def _set_evacuations(self, items: dict[str, StoredItem]) -> None:
+        log.info("evacuated zones", extra={"zones": sorted(items)})
+        self._steering.set_evacuated(items)
+
+    def _set_members(self, items: dict[str, StoredItem]) -> None:
+        entries = []
+        for item in items.values():
+            result = decode_entry(item.value)
+            if result.is_err():
+                self.metrics.count("object_ignored", "member")
+                log.warning("%s ignored: %s", item.name, result.unwrap_err())
+                continue
+            entries.append(result.unwrap())
+        log.info("members", extra={"count": len(entries)})
+        self._steering.set_members(entries, self._loop.clock.now())
--- /dev/null
+++ b/src/bramleystair/nodes/_journal.py
@@ -0,0 +1,59 @@
+"""Structured log lines of decisions, bounded under load."""
+
+import socket
+from collections.abc import Callable
+
+from bramleystair.logs import get_log
+from bramleystair.steering import Decision
+
+log = get_log("decision")
+
+# Lines of one kind a second; the first of each kind in a second is always written.
+MAX_LINES_PER_S = 20
+
+
+class DecisionJournal:
+    """Write one line for each decision, up to a rate for each step and outcome.
+
+    Parameters
+    ----------
+    now : callable
+        Returns the time in seconds.
+    """
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._second = 0
+        self._written: dict[tuple[str, str], int] = {}
+        self._suppressed = 0
+
+    def record(self, decision: Decision) -> None:
+        """Write the decision unless too many of its kind were written."""
+        second = int(self._now())
+        if second != self._second:
+            self._begin_second(second)
+        key = (decision.step, decision.outcome)
+        written = self._written.get(key, 0)
+        if written >= MAX_LINES_PER_S:
+            self._suppressed += 1
+            return
+        self._written[key] = written + 1
+        fields = {"step": decision.step, "outcome": decision.outcome}
+        if decision.flow:
+            fields["flow"] = format_flow(decision.flow)
+        log.info("%s", decision.step, extra={**fields, **decision.inputs})
+
+    def _begin_second(self, second: int) -> None:
+        if self._suppressed:
+            log.info("lines left out", extra={"count": self._suppressed})
+        self._second = second
+        self._written.clear()
+        self._suppressed = 0
+
+
+def format_flow(flow: bytes) -> str:
+    """Return a flow key as caller and service address with ports."""
+    caller, service = socket.inet_ntoa(flow[:4]), socket.inet_ntoa(flow[4:8])
+    caller_port = int.from_bytes(flow[8:10], "big")
+    service_port = int.from_bytes(flow[10:12], "big")
+    return f"{caller}:{caller_port}>{service}:{service_port}"
--- /dev/null
+++ b/src/bramleystair/nodes/_node.py
@@ -0,0 +1,149 @@
+"""What balancer and agent processes have in common."""
+
+from collections.abc import Callable, Iterable
+
+from bramleystair.actions import Count
+from bramleystair.http import HttpReply, HttpRequest, HttpServer
+from bramleystair.logs import get_log
+from bramleystair.loop import EventLoop
+from bramleystair.metrics import Metrics
+from bramleystair.nodes._datagrams import DatagramSocket
+from bramleystair.nodes._journal import DecisionJournal
+from bramleystair.nodes._settings import NodeSettings, PacketCodec
+from bramleystair.steering import (
+    Decision,
+    DeliverToCaller,
+    DeliverToServer,
+    Message,
+    ResetCaller,
+    SendMessage,
+    decode_message,
+    encode_message,
+)
+from bramleystair.steering._events import Action
+from bramleystair.timers import Subscription
+
+log = get_log("node")
+
+# Bounds the accuracy of timers and the wake-ups of an idle process.
+MIN_TIMER_S = 0.005
+
+
+class NodeBase:
+    """Carry out actions, serve readiness and metrics, and run the timers.
+
+    Parameters
+    ----------
+    loop : EventLoop
+        Loop that drives all sockets.
+    settings : NodeSettings
+        Addresses and times.
+    codec : PacketCodec
+        Layout of packets.
+    """
+
+    def __init__(
+        self, loop: EventLoop, settings: NodeSettings, codec: PacketCodec
+    ) -> None:
+        self._loop = loop
+        self._settings = settings
+        self._codec = codec
+        self.metrics = Metrics({"node": settings.name})
+        self._journal = DecisionJournal(loop.clock.now)
+        self._is_stopping = False
+        self._timer: Subscription | None = None
+        self._timer_due_s = float("inf")
+        self._packets = DatagramSocket(
+            loop, settings.packet_address, self._take_packet, self.metrics
+        )
+        self._caller_port = settings.packet_address[1]
+        self._ready_server = HttpServer(
+            loop, settings.ready_address, self._answer_ready
+        )
+        if settings.metrics_address is not None:
+            HttpServer(loop, settings.metrics_address, self._answer_metrics)
+
+    def reload(self) -> None:
+        """Note a change of the settings; addresses hold until the next start."""
+        log.info("reload", extra={"node": self._settings.name})
+
+    def is_ready(self) -> bool:
+        """Return whether the node may receive packets."""
+        raise NotImplementedError
+
+    def _compute_wait(self, now: float) -> float:
+        raise NotImplementedError
+
+    def _run_timers(self, now: float) -> Iterable[Action]:
+        raise NotImplementedError
+
+    def _take_packet(self, data: bytes, sender: tuple[str, int]) -> None:
+        raise NotImplementedError
+
+    def _get_message_socket(self) -> DatagramSocket:
+        raise NotImplementedError
+
+    def _handle(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            self._carry_out(action)
+        self._schedule()
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case SendMessage(address, message):
+                self._get_message_socket().send(encode_message(message), address)
+            case DeliverToServer(data):
+                self._deliver_to_server(data)
+            case DeliverToCaller(flow, data):
+                self._packets.send(data, self._get_caller_address(flow))
+            case ResetCaller(flow, sequence):
+                data = self._codec.build_reset(flow, sequence)
+                self._packets.send(data, self._get_caller_address(flow))
+                self.metrics.count("callers_reset")
+            case Decision():
+                self._journal.record(action)
+            case Count(name, reason, amount):
+                self.metrics.count(name, reason, amount)
+
+    def _deliver_to_server(self, data: bytes) -> None:
+        raise NotImplementedError
+
+    def _get_caller_address(self, flow: bytes) -> tuple[str, int]:
+        host = f"{flow[0]}.{flow[1]}.{flow[2]}.{flow[3]}"
+        return host, self._caller_port
+
+    def _read_message(self, data: bytes) -> Message | None:
+        result = decode_message(data)
+        if result.is_ok():
+            return result.unwrap()
+        self.metrics.count("message_dropped", "malformed")
+        return None
+
+    def _schedule(self) -> None:
+        now = self._loop.clock.now()
+        due_s = now + max(MIN_TIMER_S, self._compute_wait(now))
+        if self._timer_due_s <= due_s:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_due_s = due_s
+        self._timer = self._loop.timers.subscribe_once(due_s - now, self._wake)
+
+    def _wake(self, now: float) -> None:
+        self._timer_due_s = float("inf")
+        self._handle(self._run_timers(now))
+
+    def _answer_ready(self, request: HttpRequest) -> HttpReply:
+        is_ready = self.is_ready() and not self._is_stopping
+        return HttpReply(200 if is_ready else 503)
+
+    def _answer_metrics(self, request: HttpRequest) -> HttpReply:
+        body, _ = self.metrics.render()
+        return HttpReply(200, body, "text/plain")
+
+
+def subscribe_once(
+    loop: EventLoop, delay_s: float, callback: Callable[[], None]
+) -> None:
+    """Call `callback` after `delay_s` seconds."""
+    loop.timers.subscribe_once(delay_s, lambda _: callback())
--- /dev/null
+++ b/src/bramleystair/nodes/_settings.py
@@ -0,0 +1,69 @@
+"""What a node is told about itself, and how it reads packets."""
+
+from typing import Protocol
+
+import attrs
+
+from bramleystair.steering import Segment
+
+Address = tuple[str, int]
+
+
+@attrs.frozen
+class NodeSettings:
+    """Settings of one node.
+
+    Parameters
+    ----------
+    packet_address : tuple of str and int
+        Where a balancer receives the packets of callers, and an agent those of
+        balancers. Callers receive packets at the same port number.
+    message_address : tuple of str and int
+        Where a balancer receives messages of agents.
+    ready_address : tuple of str and int
+        Where readiness is asked for.
+    metrics_address : tuple of str and int or None
+        Where counters are served.
+    report_address : tuple of str and int or None
+        Where an agent receives the reports of its backend server.
+    server_address : tuple of str and int or None
+        Where the backend server receives packets.
+    outbound_address : tuple of str and int or None
+        Where the backend server sends its packets.
+    store_address : tuple of str and int
+        Address of the platform's store.
+    heartbeat_s : float
+        Interval between the reports of a backend server.
+    grace_s : float
+        Time between SIGTERM and SIGKILL.
+    flow_lifetime_s : float
+        Age after which an idle flow may be forgotten.
+    """
+
+    name: str
+    zone: str
+    packet_address: Address
+    message_address: Address
+    ready_address: Address
+    store_address: Address
+    metrics_address: Address | None = None
+    report_address: Address | None = None
+    server_address: Address | None = None
+    outbound_address: Address | None = None
+    service: str = ""
+    heartbeat_s: float = 1.0
+    grace_s: float = 6.0
+    flow_lifetime_s: float = 60.0
+
+
+class PacketCodec(Protocol):
+    """Reads and builds packets in the platform's layout."""
+
+    def decode_inbound(self, data: bytes) -> Segment | None:
+        """Return a caller's packet, or None when it is malformed."""
+
+    def decode_outbound(self, data: bytes) -> Segment | None:
+        """Return a server's packet, or one that it returned; None if malformed."""
+
+    def build_reset(self, flow: bytes, sequence: int) -> bytes:
+        """Return a reset from the service to the caller of `flow`."""
--- /dev/null
+++ b/src/bramleystair/platform/_main.py
@@ -0,0 +1,61 @@
+"""Entry point of the platform's programs."""
+
+import os
+import random
+import sys
+
+from bramleystair.loop import EventLoop
+from bramleystair.nodes import AgentNode, BalancerNode, NodeSettings, run_node
+from bramleystair.platform._documents import (
+    CONFIG_KIND,
+    EVACUATION_KIND,
+    read_report,
+    read_rules,
+)
+from bramleystair.platform._objects import PlatformStore
+from bramleystair.platform._packets import Codec
+from bramleystair.platform._settings import read_settings
+from bramleystair.timers import MonotonicClock
+
+SETTINGS_VARIABLE = "BRAMLEYSTAIR_CONFIG"
+METRICS_VARIABLE = "METRICS_PORT"
+
+
+def main(arguments: list[str]) -> int:
+    """Run the node of the role named by the first argument."""
+    if len(arguments) != 1 or arguments[0] not in ("balancer", "agent"):
+        print("usage: node.py balancer|agent", file=sys.stderr)
+        return 2
+    metrics_port = int(os.environ.get(METRICS_VARIABLE, "0"))
+    result = read_settings(os.environ.get(SETTINGS_VARIABLE, ""), metrics_port)
+    if result.is_err():
+        print(result.unwrap_err(), file=sys.stderr)
+        return 1
+    settings = result.unwrap()
+    loop = EventLoop(MonotonicClock())
+    build = _build_balancer if arguments[0] == "balancer" else _build_agent
+    return run_node(settings.name, loop, lambda: build(loop, settings))
+
+
+def _build_balancer(loop: EventLoop, settings: NodeSettings) -> BalancerNode:
+    return BalancerNode(
+        loop,
+        settings,
+        Codec(),
+        PlatformStore(loop, settings.store_address),
+        CONFIG_KIND,
+        EVACUATION_KIND,
+        read_rules,
+        random.Random(),
+    )
+
+
+def _build_agent(loop: EventLoop, settings: NodeSettings) -> AgentNode:
+    return AgentNode(
+        loop,
+        settings,
+        Codec(),
+        PlatformStore(loop, settings.store_address),
+        read_report,
+        random.Random(),
+    )
--- /dev/null
+++ b/src/bramleystair/platform/_objects.py
@@ -0,0 +1,138 @@
+"""The platform's metadata store."""
+
+import json
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import Any
+from urllib.parse import quote
+
+from bramleystair.http import HttpClient, HttpFailure, HttpResponse
+from bramleystair.loop import EventLoop
+from bramleystair.mirror import (
+    Changes,
+    FailureKind,
+    Listing,
+    StoredItem,
+    StoreFailure,
+)
+
+PATH = "/bramleystair/objects/"
+# A call normally takes 4 ms; a slowed store may take some hundred times as long.
+CALL_TIMEOUT_S = 1.5
+# Longest wait that the store allows is 30 s; an idle watch costs a call each time.
+WATCH_WAIT_S = 25.0
+WATCH_MARGIN_S = 2.0
+_KINDS_BY_STATUS = {
+    404: FailureKind.NOT_FOUND,
+    409: FailureKind.CONFLICT,
+    410: FailureKind.HISTORY_LOST,
+    429: FailureKind.BUSY,
+    503: FailureKind.BUSY,
+}
+
+
+class PlatformStore:
+    """Translate the product's store calls.
+
+    Parameters
+    ----------
+    loop : EventLoop
+        Loop that drives the connections.
+    address : tuple of str and int
+        Address of the store.
+    """
+
+    def __init__(self, loop: EventLoop, address: tuple[str, int]) -> None:
+        self._client = HttpClient(loop, address)
+
+    def list_items(self, kind: str, after: str) -> Future:
+        """Return a page, as Listing or StoreFailure, after the name `after`."""
+        query = f"?after={quote(after)}" if after else ""
+        return self._call("GET", kind + query, _read_listing)
+
+    def watch(self, kind: str, revision: int) -> Future:
+        """Return Changes or StoreFailure once there is a change, or after a while."""
+        target = f"{kind}?Watch={revision}&WaitMs={int(WATCH_WAIT_S * 1000)}"
+        timeout_s = WATCH_WAIT_S + WATCH_MARGIN_S
+        return self._call("GET", target, _read_changes, timeout_s=timeout_s)
+
+    def create(self, kind: str, name: str, value: Any) -> Future:
+        """Create an object; StoredItem or StoreFailure."""
+        body = _build_body(name, value, None)
+        return self._call("POST", kind, _read_item, body)
+
+    def replace(self, kind: str, name: str, value: Any, revision: int) -> Future:
+        """Replace an object of the given revision; StoredItem or StoreFailure."""
+        body = _build_body(name, value, revision)
+        return self._call("PUT", f"{kind}/{quote(name)}", _read_item, body)
+
+    def delete(self, kind: str, name: str, revision: int) -> Future:
+        """Delete an object of the given revision; None or StoreFailure."""
+        target = f"{kind}/{quote(name)}?Rev={revision}"
+        return self._call("DELETE", target, lambda document: None)
+
+    def _call(
+        self,
+        method: str,
+        target: str,
+        read: Callable[[Any], Any],
+        body: bytes = b"",
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Future:
+        answer: Future = Future()
+        step = f"{method} {target}"
+
+        def take(done: Future) -> None:
+            answer.set_result(_read_response(step, done.result(), read))
+
+        call = self._client.call(method, PATH + target, body, timeout_s)
+        call.add_done_callback(take)
+        return answer
+
+
+def _build_body(name: str, value: Any, revision: int | None) -> bytes:
+    meta: dict[str, Any] = {"Name": name}
+    if revision is not None:
+        meta["Rev"] = revision
+    return json.dumps({"meta": meta, "spec": value}).encode()
+
+
+def _read_response(
+    step: str, response: HttpResponse | HttpFailure, read: Callable[[Any], Any]
+) -> Any:
+    if isinstance(response, HttpFailure):
+        return StoreFailure(step, "store", response.detail)
+    if response.status in (200, 201, 204):
+        try:
+            return read(json.loads(response.body or b"null"))
+        except (KeyError, TypeError, ValueError) as error:
+            detail = f"malformed answer: {error!r}"
+            return StoreFailure(step, "store", detail, FailureKind.MALFORMED)
+    kind = _KINDS_BY_STATUS.get(response.status, FailureKind.UNREACHABLE)
+    detail = f"status {response.status}"
+    if kind is not FailureKind.CONFLICT:
+        return StoreFailure(step, "store", detail, kind)
+    try:
+        present = _read_item(json.loads(response.body))
+    except (KeyError, TypeError, ValueError):
+        detail += " without the object"
+        return StoreFailure(step, "store", detail, FailureKind.MALFORMED)
+    return StoreFailure(step, "store", detail, kind, present)
+
+
+def _read_item(document: Any) -> StoredItem:
+    meta = document["meta"]
+    return StoredItem(str(meta["Name"]), int(meta["Rev"]), document.get("spec"))
+
+
+def _read_listing(document: Any) -> Listing:
+    items = tuple(_read_item(item) for item in document["items"])
+    return Listing(items, int(document["At"]), bool(document.get("HasMore")))
+
+
+def _read_changes(document: Any) -> Changes:
+    events = tuple(
+        (_read_item(event["Object"]), bool(event.get("Deleted")))
+        for event in document["events"]
+    )
+    return Changes(events, int(document["At"]))
--- /dev/null
+++ b/src/bramleystair/platform/_settings.py
@@ -0,0 +1,56 @@
+"""The platform's settings file."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+from result import Err, Ok, Result
+
+from bramleystair.errors import StepError
+from bramleystair.nodes import NodeSettings
+
+
+def read_settings(path: str, metrics_port: int) -> Result[NodeSettings, StepError]:
+    """Return the node's settings; the error names what is missing or wrong."""
+    try:
+        document = json.loads(Path(path).read_text(encoding="utf-8"))
+        return Ok(_translate(document, metrics_port))
+    except OSError as error:
+        return Err(StepError("read settings", path, error.strerror or "unreadable"))
+    except KeyError as error:
+        return Err(StepError("read settings", path, f"{error} is missing"))
+    except (ValueError, TypeError) as error:
+        return Err(StepError("read settings", path, str(error)))
+
+
+def _translate(document: dict[str, Any], metrics_port: int) -> NodeSettings:
+    listen = document["Listen"]
+    bounds = document.get("Bounds", {})
+    ip = document["Ip"]
+    first_port, _ = document["InternalPortRange"]
+    return NodeSettings(
+        name=document["Node"],
+        zone=document["Zone"],
+        packet_address=parse_address(listen["DatagramAddr"]),
+        message_address=(ip, first_port),
+        ready_address=parse_address(listen["Ready"]),
+        store_address=parse_address(document["platform"]["Address"]),
+        metrics_address=(ip, metrics_port) if metrics_port else None,
+        report_address=_parse_optional(listen.get("Control")),
+        server_address=_parse_optional(document.get("app")),
+        outbound_address=_parse_optional(listen.get("outbound")),
+        service=document.get("Service", ""),
+        heartbeat_s=document.get("HeartbeatMs", 1000) / 1000,
+        grace_s=float(bounds.get("GraceS", 6)),
+        flow_lifetime_s=float(bounds.get("FlowTtlS", 60)),
+    )
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Return host and port of an address such as ``10.1.0.10:8172``."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def _parse_optional(text: str | None) -> tuple[str, int] | None:
+    return None if not text else parse_address(text)
--- /dev/null
+++ b/src/bramleystair/steering/__init__.py
@@ -0,0 +1,81 @@
+"""Decisions of nodes whose balancers choose the owner of each flow.
+
+Balancers keep only a cache of owners. The agent beside a backend server admits flows
+and is the authority on which flows its server holds.
+"""
+
+from bramleystair.steering._agent import AgentSteering
+from bramleystair.steering._agent_settings import AgentSteeringSettings
+from bramleystair.steering._balancer import BalancerSteering
+from bramleystair.steering._balancer_settings import BalancerSteeringSettings
+from bramleystair.steering._entries import decode_entry, encode_entry
+from bramleystair.steering._events import (
+    Decision,
+    DeliverToCaller,
+    DeliverToServer,
+    ResetCaller,
+    SendMessage,
+)
+from bramleystair.steering._messages import (
+    FindOwner,
+    FindReply,
+    LoadReport,
+    Message,
+    OpenFlow,
+    OpenReply,
+    Ownership,
+    Refusal,
+    Relay,
+    ReturnPacket,
+    Subscribe,
+    decode_message,
+    encode_message,
+)
+from bramleystair.steering._segments import Segment, get_service_endpoint
+from bramleystair.steering._types import (
+    Load,
+    MemberEntry,
+    Route,
+    RoutingRules,
+    ServerReport,
+    ServerState,
+    ServiceRules,
+    Target,
+)
+
+__all__ = [
+    "AgentSteering",
+    "AgentSteeringSettings",
+    "BalancerSteering",
+    "BalancerSteeringSettings",
+    "Decision",
+    "DeliverToCaller",
+    "DeliverToServer",
+    "FindOwner",
+    "FindReply",
+    "Load",
+    "LoadReport",
+    "MemberEntry",
+    "Message",
+    "OpenFlow",
+    "OpenReply",
+    "Ownership",
+    "Refusal",
+    "Relay",
+    "ResetCaller",
+    "ReturnPacket",
+    "Route",
+    "RoutingRules",
+    "Segment",
+    "SendMessage",
+    "ServerReport",
+    "ServerState",
+    "ServiceRules",
+    "Subscribe",
+    "Target",
+    "decode_entry",
+    "decode_message",
+    "encode_entry",
+    "encode_message",
+    "get_service_endpoint",
+]
--- /dev/null
+++ b/src/bramleystair/steering/_agent.py
@@ -0,0 +1,535 @@
+"""Decisions of an agent: which flows its backend server takes and holds."""
+
+from collections import deque
+
+import attrs
+
+from bramleystair.actions import Count
+from bramleystair.steering._agent_settings import AgentSteeringSettings
+from bramleystair.steering._cold_gate import ColdGate
+from bramleystair.steering._events import (
+    Action,
+    Decision,
+    DeliverToCaller,
+    DeliverToServer,
+    SendMessage,
+)
+from bramleystair.steering._load import LoadMeter
+from bramleystair.steering._messages import (
+    FindOwner,
+    FindReply,
+    LoadReport,
+    OpenFlow,
+    OpenReply,
+    Ownership,
+    Refusal,
+    ReturnPacket,
+    Subscribe,
+)
+from bramleystair.steering._segments import Segment, compute_distance
+from bramleystair.steering._types import (
+    Address,
+    Load,
+    MemberEntry,
+    ServerReport,
+    ServerState,
+    compute_service_id,
+)
+
+# The acknowledgement of a handshake may count the opening packet or not.
+HANDSHAKE_DISTANCE = 1
+
+
+@attrs.define(eq=False)
+class _Flow:
+    """A flow that the server holds or was offered.
+
+    Parameters
+    ----------
+    balancer : tuple of str and int
+        Balancer that sent its last packet.
+    token : int or None
+        Attempt that a returned first packet refuses.
+    first_sequence : int or None
+        Number of the caller's first packet, where it was seen.
+    server_sequence : int or None
+        Number of the server's reply to it, where it was seen.
+    is_certain : bool
+        Whether the server has shown that it holds the flow.
+    request_s : float or None
+        Start of the request in progress.
+    """
+
+    balancer: Address | None
+    seen_s: float
+    token: int | None = None
+    first_sequence: int | None = None
+    first_s: float = 0.0
+    server_sequence: int | None = None
+    is_open: bool = False
+    is_certain: bool = False
+    request_s: float | None = None
+
+
+@attrs.define(eq=False)
+class _Lookup:
+    """A balancer's question that a returned packet would answer with no."""
+
+    balancer: Address
+    token: int
+    due_s: float
+
+
+class AgentSteering:
+    """Admit new flows to the backend server and answer for those that it holds.
+
+    Parameters
+    ----------
+    address : tuple of str and int
+        Where this agent receives messages.
+    zone : str
+        Availability zone of the agent.
+    settings : AgentSteeringSettings
+        Times and limits.
+    now : float
+        Time of the start in seconds.
+    """
+
+    def __init__(
+        self, address: Address, zone: str, settings: AgentSteeringSettings, now: float
+    ) -> None:
+        self._address = address
+        self._zone = zone
+        self._settings = settings
+        self._report: ServerReport | None = None
+        self._reported_s = now
+        # The last server that took its leave; its late reports are ignored.
+        self._removed: tuple[str, int] | None = None
+        self._service_id = 0
+        self._cold_until_s = 0.0
+        self._cold_gate = ColdGate()
+        self._flows: dict[bytes, _Flow] = {}
+        self._lookups: dict[bytes, list[_Lookup]] = {}
+        self._lookup_due: deque[tuple[float, bytes]] = deque()
+        self._learning_until_s = now + settings.flow_lifetime_s
+        self._meter = LoadMeter(settings.busy_window_s)
+        self._server_s = now
+        self._unanswered_s: float | None = None
+        self._subscribers: dict[Address, float] = {}
+        self._rules_version = 0
+        self._next_report_s = now
+        self._purged_s = now
+        self._is_stopping = False
+        self._actions: list[Action] = []
+
+    @property
+    def flow_count(self) -> int:
+        """Number of flows remembered."""
+        return len(self._flows)
+
+    def build_entry(self) -> MemberEntry | None:
+        """Return what to publish, or None while no server is known."""
+        report = self._report
+        if report is None:
+            return None
+        return MemberEntry(
+            self._address,
+            self._zone,
+            report.service,
+            report.state,
+            report.slots,
+            report.server,
+            report.started_ms,
+        )
+
+    def compute_wait(self, now: float) -> float:
+        """Return the seconds until `run_timers` has something to do."""
+        due_s = self._next_report_s
+        if self._lookup_due:
+            due_s = min(due_s, self._lookup_due[0][0])
+        return max(0.0, due_s - now)
+
+    def take_report(self, report: ServerReport, now: float) -> list[Action]:
+        """Take over the server's report on itself; a late one is ignored."""
+        known = self._report
+        if _identify(report) == self._removed:
+            self._count("report_ignored", "removed")
+            return self._take()
+        if known is not None and self._is_late(report, known, now):
+            self._count("report_ignored", "late")
+            return self._take()
+        self._server_s = now
+        self._reported_s = now
+        is_new = known is None or _identify(report) != _identify(known)
+        if is_new and known is not None:
+            # Entries stay until the new server returns their packets.
+            self._learning_until_s = now + self._settings.flow_lifetime_s
+            self._meter.reset(now)
+            for flow in self._flows.values():
+                flow.is_certain = False
+                flow.request_s = None
+        self._report = report
+        self._service_id = compute_service_id(report.service)
+        self._cold_until_s = now + report.cold_left_s
+        if is_new or report.state is not known.state:
+            self._log(
+                "server_report",
+                b"",
+                report.state.value,
+                server=report.server,
+                sequence=report.sequence,
+                cold_left_s=report.cold_left_s,
+            )
+            self._send_reports(now)
+        return self._take()
+
+    def remove_server(self, server: str, now: float) -> list[Action]:
+        """Note that the server says it is gone; another server's word is ignored."""
+        if self._report is None or self._report.server != server:
+            self._count("report_ignored", "other_server")
+            return self._take()
+        self._log("server_report", b"", "gone", server=server)
+        self._removed = _identify(self._report)
+        self._report = None
+        self._send_reports(now)
+        return self._take()
+
+    def stop(self, now: float) -> list[Action]:
+        """Refuse new flows and tell the balancers so."""
+        self._is_stopping = True
+        self._send_reports(now)
+        return self._take()
+
+    def handle_open(
+        self, sender: Address, message: OpenFlow, segment: Segment, now: float
+    ) -> list[Action]:
+        """Take or refuse a new flow."""
+        flow = self._flows.get(segment.flow)
+        if flow is not None and flow.first_sequence == segment.sequence:
+            self._handle_copy(sender, message, segment, flow, now)
+            return self._take()
+        refusal = self._check_admission(message, now)
+        if refusal is not Refusal.NONE:
+            self._refuse(sender, message.token, segment.flow, refusal, now)
+            return self._take()
+        if flow is not None:
+            self._remove_flow(segment.flow, now)
+        self._cold_gate.record(now)
+        self._flows[segment.flow] = _Flow(
+            sender, now, message.token, segment.sequence, now
+        )
+        if self._unanswered_s is None:
+            self._unanswered_s = now
+        self._deliver(segment)
+        self._reply(sender, message.token, Refusal.NONE, now)
+        return self._take()
+
+    def handle_relay(
+        self, sender: Address, segment: Segment, now: float
+    ) -> list[Action]:
+        """Deliver a packet that the sender believes belongs here."""
+        flow = self._flows.get(segment.flow)
+        if flow is not None:
+            if self._is_other_handshake(flow, segment):
+                self._actions.append(SendMessage(sender, ReturnPacket(segment.data)))
+                return self._take()
+            self._deliver_known(sender, flow, segment, now)
+            return self._take()
+        if now >= self._learning_until_s:
+            self._actions.append(SendMessage(sender, ReturnPacket(segment.data)))
+            return self._take()
+        self._deliver_known(sender, self._learn(sender, segment, now), segment, now)
+        return self._take()
+
+    def handle_find(
+        self, sender: Address, message: FindOwner, segment: Segment, now: float
+    ) -> list[Action]:
+        """Answer a lookup; the packet is delivered unless the answer is no."""
+        flow = self._flows.get(segment.flow)
+        if flow is not None:
+            if self._is_other_handshake(flow, segment):
+                self._answer(sender, message.token, Ownership.NONE)
+                return self._take()
+            self._deliver_known(sender, flow, segment, now)
+            if flow.is_certain:
+                self._answer(sender, message.token, Ownership.CERTAIN)
+            else:
+                self._await_return(sender, message.token, segment.flow, now)
+            return self._take()
+        if now >= self._learning_until_s or self._report is None:
+            if self._report is None and now < self._learning_until_s:
+                # Without a report, the server may be there all the same.
+                self._deliver_known(
+                    sender, self._learn(sender, segment, now), segment, now
+                )
+                self._await_return(sender, message.token, segment.flow, now)
+                return self._take()
+            self._answer(sender, message.token, Ownership.NONE)
+            return self._take()
+        self._deliver_known(sender, self._learn(sender, segment, now), segment, now)
+        self._await_return(sender, message.token, segment.flow, now)
+        return self._take()
+
+    def handle_server_segment(self, segment: Segment, now: float) -> list[Action]:
+        """Handle a packet that the server sent."""
+        self._server_s = now
+        self._unanswered_s = None
+        if segment.is_returned:
+            self._handle_returned(segment, now)
+            return self._take()
+        flow = self._flows.get(segment.flow)
+        if flow is None:
+            flow = self._flows[segment.flow] = _Flow(None, now)
+        flow.seen_s = now
+        if segment.is_first:
+            flow.server_sequence = segment.sequence
+        elif not flow.is_certain:
+            flow.is_certain = True
+            self._confirm(segment.flow)
+        if segment.has_payload and flow.request_s is not None:
+            self._meter.end_request(flow.request_s, now)
+            flow.request_s = None
+        if segment.is_reset:
+            self._end_request(flow, now)
+        self._actions.append(DeliverToCaller(segment.flow, segment.data))
+        return self._take()
+
+    def handle_subscription(
+        self, sender: Address, message: Subscribe, now: float
+    ) -> list[Action]:
+        """Send load reports to a balancer from now on."""
+        is_new = sender not in self._subscribers
+        self._subscribers[sender] = now
+        self._rules_version = max(self._rules_version, message.rules_version)
+        if is_new:
+            self._actions.append(SendMessage(sender, self._build_report(now)))
+        return self._take()
+
+    def run_timers(self, now: float) -> list[Action]:
+        """Return the actions that are due."""
+        while self._lookup_due and self._lookup_due[0][0] <= now:
+            _, flow = self._lookup_due.popleft()
+            self._confirm_likely(flow, now)
+        if now >= self._next_report_s:
+            self._next_report_s = now + self._settings.report_period_s
+            self._send_reports(now)
+            self._purge(now)
+        return self._take()
+
+    def is_server_silent(self, now: float) -> bool:
+        """Return whether the server neither reports nor answers."""
+        settings = self._settings
+        silence_s = settings.silent_heartbeats * settings.heartbeat_s
+        if now - self._server_s > silence_s:
+            return True
+        since_s = self._unanswered_s
+        return since_s is not None and now - since_s > settings.first_reply_s
+
+    def build_load(self, now: float) -> Load:
+        """Return the present load."""
+        self._meter.update(now)
+        report = self._report
+        if report is None:
+            return Load(is_accepting=False)
+        is_accepting = (
+            not self._is_stopping
+            and not self.is_server_silent(now)
+            and self._meter.running < self._settings.max_load * report.slots
+        )
+        return Load(
+            report.state,
+            report.slots,
+            self._meter.running,
+            self._meter.busy,
+            len(self._flows),
+            self._meter.service_s,
+            now < self._cold_until_s,
+            is_accepting,
+        )
+
+    def _is_late(self, report: ServerReport, known: ServerReport, now: float) -> bool:
+        if _identify(report) == _identify(known):
+            return report.sequence < known.sequence
+        # The wall clock may have been set back since the known server started.
+        settings = self._settings
+        silence_s = settings.silent_heartbeats * settings.heartbeat_s
+        is_known_alive = now - self._reported_s < silence_s
+        return is_known_alive and report.started_ms < known.started_ms
+
+    def _check_admission(self, message: OpenFlow, now: float) -> Refusal:
+        report = self._report
+        if self._is_stopping:
+            return Refusal.STOPPING
+        if report is None:
+            return Refusal.UNKNOWN_SERVER
+        if message.service_id != self._service_id:
+            return Refusal.WRONG_SERVICE
+        if report.state is ServerState.DRAINING:
+            return Refusal.DRAINING
+        if self.is_server_silent(now):
+            return Refusal.SILENT
+        if now < self._cold_until_s and not self._cold_gate.is_open(
+            message.cold_rate, now
+        ):
+            return Refusal.COLD
+        limit = self._settings.max_load * report.slots
+        if self._meter.running >= limit and not message.is_last:
+            return Refusal.BUSY
+        return Refusal.NONE
+
+    def _handle_copy(
+        self,
+        sender: Address,
+        message: OpenFlow,
+        segment: Segment,
+        flow: _Flow,
+        now: float,
+    ) -> None:
+        waited_s = now - flow.first_s
+        if flow.server_sequence is None and waited_s > self._settings.first_reply_s:
+            self._remove_flow(segment.flow, now)
+            self._refuse(sender, message.token, segment.flow, Refusal.SILENT, now)
+            return
+        flow.balancer, flow.token, flow.seen_s = sender, message.token, now
+        self._deliver(segment)
+        self._reply(sender, message.token, Refusal.NONE, now)
+
+    def _is_other_handshake(self, flow: _Flow, segment: Segment) -> bool:
+        """Return whether the caller completed the handshake with another server."""
+        if flow.is_open or flow.server_sequence is None or segment.is_reset:
+            return False
+        distance = compute_distance(flow.server_sequence, segment.acknowledgement)
+        if distance <= HANDSHAKE_DISTANCE:
+            flow.is_open = True
+            return False
+        return True
+
+    def _learn(self, sender: Address, segment: Segment, now: float) -> _Flow:
+        flow = self._flows[segment.flow] = _Flow(sender, now, is_open=True)
+        return flow
+
+    def _deliver_known(
+        self, sender: Address, flow: _Flow, segment: Segment, now: float
+    ) -> None:
+        flow.balancer = sender
+        flow.seen_s = now
+        if segment.has_payload and flow.request_s is None:
+            flow.request_s = now
+            self._meter.start_request(now)
+        if segment.is_reset or segment.is_fin:
+            self._end_request(flow, now)
+        self._deliver(segment)
+
+    def _handle_returned(self, segment: Segment, now: float) -> None:
+        flow = self._flows.get(segment.flow)
+        lookups = self._lookups.pop(segment.flow, ())
+        for lookup in lookups:
+            self._answer(lookup.balancer, lookup.token, Ownership.NONE)
+        if flow is None:
+            self._count("packet_dropped", "returned_unknown")
+            return
+        self._remove_flow(segment.flow, now)
+        if segment.is_first:
+            if flow.token is not None and flow.balancer is not None:
+                self._refuse(
+                    flow.balancer, flow.token, segment.flow, Refusal.RETURNED, now
+                )
+            return
+        if lookups or flow.balancer is None:
+            return
+        self._log("returned", segment.flow, "not_held", was_certain=flow.is_certain)
+        self._actions.append(SendMessage(flow.balancer, ReturnPacket(segment.data)))
+
+    def _await_return(
+        self, sender: Address, token: int, flow: bytes, now: float
+    ) -> None:
+        due_s = now + self._settings.return_wait_s
+        self._lookups.setdefault(flow, []).append(_Lookup(sender, token, due_s))
+        self._lookup_due.append((due_s, flow))
+
+    def _confirm(self, flow: bytes) -> None:
+        for lookup in self._lookups.pop(flow, ()):
+            self._answer(lookup.balancer, lookup.token, Ownership.CERTAIN)
+
+    def _confirm_likely(self, flow: bytes, now: float) -> None:
+        lookups = self._lookups.get(flow, [])
+        due = [lookup for lookup in lookups if lookup.due_s <= now]
+        rest = [lookup for lookup in lookups if lookup.due_s > now]
+        if rest:
+            self._lookups[flow] = rest
+        else:
+            self._lookups.pop(flow, None)
+        for lookup in due:
+            if not self.is_server_silent(now):
+                self._answer(lookup.balancer, lookup.token, Ownership.LIKELY)
+
+    def _remove_flow(self, flow: bytes, now: float) -> None:
+        known = self._flows.pop(flow, None)
+        if known is not None:
+            self._end_request(known, now)
+
+    def _end_request(self, flow: _Flow, now: float) -> None:
+        if flow.request_s is not None:
+            self._meter.end_request(None, now)
+            flow.request_s = None
+
+    def _purge(self, now: float) -> None:
+        settings = self._settings
+        if now - self._purged_s < settings.stuck_after_s / 2:
+            return
+        self._purged_s = now
+        for flow in self._flows.values():
+            if (
+                flow.request_s is not None
+                and now - flow.request_s > settings.stuck_after_s
+            ):
+                self._end_request(flow, now)
+        oldest_s = now - settings.flow_lifetime_s
+        for key in [k for k, flow in self._flows.items() if flow.seen_s < oldest_s]:
+            self._remove_flow(key, now)
+
+    def _send_reports(self, now: float) -> None:
+        oldest_s = now - self._settings.subscription_s
+        for address, subscribed_s in list(self._subscribers.items()):
+            if subscribed_s < oldest_s:
+                del self._subscribers[address]
+        if not self._subscribers:
+            return
+        report = self._build_report(now)
+        for address in self._subscribers:
+            self._actions.append(SendMessage(address, report))
+
+    def _build_report(self, now: float) -> LoadReport:
+        return LoadReport(self.build_load(now), self._rules_version)
+
+    def _refuse(
+        self, sender: Address, token: int, flow: bytes, refusal: Refusal, now: float
+    ) -> None:
+        reason = refusal.name.lower()
+        self._count("flow_refused", reason)
+        self._log("open", flow, reason, running=self._meter.running)
+        self._reply(sender, token, refusal, now)
+
+    def _reply(self, sender: Address, token: int, refusal: Refusal, now: float) -> None:
+        reply = OpenReply(token, refusal, self.build_load(now))
+        self._actions.append(SendMessage(sender, reply))
+
+    def _answer(self, sender: Address, token: int, ownership: Ownership) -> None:
+        self._actions.append(SendMessage(sender, FindReply(token, ownership)))
+
+    def _deliver(self, segment: Segment) -> None:
+        self._actions.append(DeliverToServer(segment.data))
+
+    def _count(self, name: str, reason: str) -> None:
+        self._actions.append(Count(name, reason))
+
+    def _log(self, step: str, flow: bytes, outcome: str, **inputs: object) -> None:
+        self._actions.append(Decision(step, flow, outcome, inputs))
+
+    def _take(self) -> list[Action]:
+        actions, self._actions = self._actions, []
+        return actions
+
+
+def _identify(report: ServerReport) -> tuple[str, int]:
+    return report.server, report.started_ms
--- /dev/null
+++ b/src/bramleystair/steering/_agent_settings.py
@@ -0,0 +1,45 @@
+"""Times and limits of an agent's steering decisions."""
+
+import attrs
+
+
+@attrs.frozen
+class AgentSteeringSettings:
+    """Options of `AgentSteering`.
+
+    Parameters
+    ----------
+    heartbeat_s : float
+        Interval between the reports of the backend server.
+    flow_lifetime_s : float
+        Time after the last packet for which a flow is remembered, and time after a
+        start for which the server may hold flows that the agent has not seen.
+    return_wait_s : float
+        Time within which the server returns a packet that it does not hold.
+    first_reply_s : float
+        Age of a first packet without a reply from which the server counts as silent.
+    silent_heartbeats : float
+        Missed reports, in intervals, after which the server counts as silent.
+    max_load : float
+        Requests in progress per slot from which new flows are refused as long as
+        another member is left.
+    report_period_s : float
+        Interval between load reports.
+    subscription_s : float
+        Time for which a balancer's subscription lasts.
+    busy_window_s : float
+        Time constant of the averaged number of requests in progress.
+    stuck_after_s : float
+        Age from which a request without a response no longer counts as in progress.
+    """
+
+    heartbeat_s: float = 1.0
+    flow_lifetime_s: float = 60.0
+    return_wait_s: float = 0.02
+    first_reply_s: float = 0.15
+    silent_heartbeats: float = 2.5
+    max_load: float = 1.5
+    report_period_s: float = 0.25
+    subscription_s: float = 3.0
+    busy_window_s: float = 1.0
+    stuck_after_s: float = 5.0
--- /dev/null
+++ b/src/bramleystair/steering/_balancer.py
@@ -0,0 +1,453 @@
+"""Decisions of a balancer: which agent receives each packet of a caller."""
+
+import random as random_module
+from collections import deque
+from collections.abc import Collection, Iterable
+
+import attrs
+
+from bramleystair.actions import Count
+from bramleystair.steering._balancer_settings import BalancerSteeringSettings
+from bramleystair.steering._events import Action, Decision, ResetCaller, SendMessage
+from bramleystair.steering._members import Member, Members
+from bramleystair.steering._messages import (
+    FindOwner,
+    FindReply,
+    LoadReport,
+    Message,
+    OpenFlow,
+    OpenReply,
+    Ownership,
+    Refusal,
+    Relay,
+    Subscribe,
+)
+from bramleystair.steering._segments import Segment, get_service_endpoint
+from bramleystair.steering._types import (
+    Address,
+    MemberEntry,
+    Route,
+    RoutingRules,
+    compute_service_id,
+)
+
+TOKEN_MODULUS = 2**32
+
+
+@attrs.define(eq=False)
+class _Owner:
+    """Remembered owner of a flow."""
+
+    address: Address
+    first_sequence: int | None
+    seen_s: float
+
+
+@attrs.define(eq=False)
+class _Opening:
+    """A first packet for which a member is being chosen."""
+
+    segment: Segment
+    route: Route
+    service: str
+    token: int
+    started_s: float
+    tried: list[Address] = attrs.field(factory=list)
+    is_accepted: bool = False
+
+
+@attrs.define(eq=False)
+class _Lookup:
+    """A flow whose owner the members are asked for."""
+
+    segment: Segment
+    token: int
+    started_s: float
+    packets: list[bytes]
+    unanswered: set[Address]
+    attempt: int = 0
+    likely: Address | None = None
+
+
+class BalancerSteering:
+    """Choose the agent for each packet of a caller.
+
+    Parameters
+    ----------
+    settings : BalancerSteeringSettings
+        Times and limits.
+    random : random.Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self, settings: BalancerSteeringSettings, random: random_module.Random
+    ) -> None:
+        self._settings = settings
+        self._rules: RoutingRules | None = None
+        self.members = Members(settings, random)
+        self._token = random.randrange(TOKEN_MODULUS)
+        self._owners: dict[bytes, _Owner] = {}
+        self._openings: dict[bytes, _Opening] = {}
+        self._lookups: dict[bytes, _Lookup] = {}
+        self._flows_by_token: dict[int, bytes] = {}
+        self._lookup_due: deque[tuple[float, int, bytes]] = deque()
+        self._open_due: deque[tuple[float, int, bytes]] = deque()
+        self._settle_due: deque[tuple[float, int, bytes]] = deque()
+        self._subscribe_s = 0.0
+        self._purged_s = 0.0
+        self._actions: list[Action] = []
+        self.newest_version = 0
+
+    @property
+    def rules(self) -> RoutingRules | None:
+        """Configuration in force, or None before the first one."""
+        return self._rules
+
+    @property
+    def flow_count(self) -> int:
+        """Number of flows whose owner is remembered."""
+        return len(self._owners)
+
+    def compute_wait(self, now: float) -> float:
+        """Return the seconds until `run_timers` has something to do."""
+        due = [self._subscribe_s]
+        due += [
+            queue[0][0]
+            for queue in (self._open_due, self._lookup_due, self._settle_due)
+            if queue
+        ]
+        return max(0.0, min(due) - now)
+
+    def set_rules(self, rules: RoutingRules) -> None:
+        """Apply a configuration; an older one is ignored."""
+        if self._rules is not None and rules.version <= self._rules.version:
+            return
+        self._rules = rules
+        self.newest_version = max(self.newest_version, rules.version)
+
+    def set_members(self, entries: Iterable[MemberEntry], now: float) -> None:
+        """Take over the published members."""
+        self.members.update(entries, now)
+
+    def set_evacuated(self, zones: Collection[str]) -> None:
+        """Place no new flows in these availability zones."""
+        self.members.set_evacuated(zones)
+
+    def handle_segment(self, segment: Segment, now: float) -> list[Action]:
+        """Return the actions for a packet of a caller."""
+        if segment.is_first:
+            self._handle_first(segment, now)
+        else:
+            self._handle_later(segment, now)
+        return self._take()
+
+    def handle_message(
+        self, sender: Address, message: Message, now: float
+    ) -> list[Action]:
+        """Return the actions for a message of an agent."""
+        match message:
+            case OpenReply():
+                self._handle_open_reply(sender, message, now)
+            case FindReply():
+                self._handle_find_reply(sender, message, now)
+            case LoadReport(load, rules_version):
+                self.members.record_load(sender, load, now)
+                self.newest_version = max(self.newest_version, rules_version)
+            case _:
+                self._count("message_dropped", "unexpected")
+        return self._take()
+
+    def handle_returned(
+        self, sender: Address, segment: Segment, now: float
+    ) -> list[Action]:
+        """Return the actions for a packet whose flow the sender does not own."""
+        self.members.record_message(sender, now)
+        owner = self._owners.get(segment.flow)
+        if owner is not None and owner.address == sender:
+            del self._owners[segment.flow]
+            self._log("owner_lost", segment.flow, "lookup", agent=sender[0])
+        if segment.is_reset or segment.is_first:
+            return self._take()
+        self._find_owner(segment, now, answered=sender)
+        return self._take()
+
+    def run_timers(self, now: float) -> list[Action]:
+        """Return the actions that are due."""
+        while self._open_due and self._open_due[0][0] <= now:
+            _, token, flow = self._open_due.popleft()
+            self._expire_attempt(token, flow, now)
+        while self._settle_due and self._settle_due[0][0] <= now:
+            _, token, flow = self._settle_due.popleft()
+            opening = self._openings.get(flow)
+            if opening is not None and opening.token == token:
+                self._end_opening(opening)
+        while self._lookup_due and self._lookup_due[0][0] <= now:
+            _, token, flow = self._lookup_due.popleft()
+            lookup = self._lookups.get(flow)
+            if lookup is not None and lookup.token == token:
+                self._repeat_lookup(lookup, now)
+        if now >= self._subscribe_s:
+            self._subscribe(now)
+        return self._take()
+
+    def _handle_first(self, segment: Segment, now: float) -> None:
+        route = self._find_route(segment.flow)
+        if route is None:
+            self._count("flow_refused", "no_route")
+            self._reset(segment, "no_route")
+            return
+        flow = segment.flow
+        opening = self._openings.get(flow)
+        if opening is not None and opening.segment.sequence == segment.sequence:
+            if opening.is_accepted:
+                # The server may not have answered; its agent decides whether to refuse.
+                opening.segment = segment
+                self._send_open(opening, opening.tried[-1], False, now)
+            return
+        owner = self._owners.get(flow)
+        if owner is not None and owner.first_sequence == segment.sequence:
+            self._send(owner.address, Relay(segment.data))
+            return
+        self._owners.pop(flow, None)
+        if opening is not None:
+            self._end_opening(opening)
+        opening = _Opening(
+            segment, route, route.choose_service(flow), self._create_token(flow), now
+        )
+        self._openings[flow] = opening
+        self._try_next(opening, now)
+
+    def _find_route(self, flow: bytes) -> Route | None:
+        if self._rules is None:
+            return None
+        return self._rules.routes.get(get_service_endpoint(flow))
+
+    def _try_next(self, opening: _Opening, now: float) -> None:
+        if len(opening.tried) >= self._settings.open_attempts:
+            self._give_up(opening, "attempts")
+            return
+        member, is_last = self.members.choose(opening.service, opening.tried, now)
+        if member is None:
+            member, is_last = self._choose_elsewhere(opening, now)
+        if member is None:
+            self._give_up(opening, "no_member")
+            return
+        address = member.entry.address
+        opening.tried.append(address)
+        opening.is_accepted = False
+        member.opened += 1
+        is_last = is_last or len(opening.tried) >= self._settings.open_attempts
+        self._send_open(opening, address, is_last, now)
+
+    def _choose_elsewhere(
+        self, opening: _Opening, now: float
+    ) -> tuple[Member | None, bool]:
+        """Return a member of another service that shares the route."""
+        for target in opening.route.targets:
+            if target.service == opening.service or target.weight <= 0:
+                continue
+            member, is_last = self.members.choose(target.service, opening.tried, now)
+            if member is not None:
+                opening.service = target.service
+                return member, is_last
+        return None, True
+
+    def _send_open(
+        self, opening: _Opening, address: Address, is_last: bool, now: float
+    ) -> None:
+        rules = self._rules.services.get(opening.service)
+        cold_rate = 0.0 if rules is None else rules.cold_rate
+        service_id = compute_service_id(opening.service)
+        data = opening.segment.data
+        message = OpenFlow(opening.token, service_id, cold_rate, is_last, data)
+        self._send(address, message)
+        due_s = now + self._settings.open_timeout_s
+        self._open_due.append((due_s, opening.token, opening.segment.flow))
+
+    def _handle_open_reply(
+        self, sender: Address, message: OpenReply, now: float
+    ) -> None:
+        self.members.record_message(sender, now)
+        member = self.members.get(sender)
+        if member is not None:
+            member.load = message.load
+        flow = self._flows_by_token.get(message.token)
+        opening = None if flow is None else self._openings.get(flow)
+        if opening is None or not opening.tried or opening.tried[-1] != sender:
+            return
+        if message.refusal is Refusal.NONE:
+            opening.is_accepted = True
+            self._owners[flow] = _Owner(sender, opening.segment.sequence, now)
+            due_s = now + self._settings.settle_s
+            self._settle_due.append((due_s, opening.token, flow))
+            return
+        self._count("open_refused", message.refusal.name.lower())
+        self._owners.pop(flow, None)
+        self._try_next(opening, now)
+
+    def _expire_attempt(self, token: int, flow: bytes, now: float) -> None:
+        opening = self._openings.get(flow)
+        if opening is None or opening.token != token or opening.is_accepted:
+            return
+        member = self.members.get(opening.tried[-1])
+        if member is not None:
+            self.members.record_failure(member, now)
+        self._count("open_refused", "timeout")
+        self._log("open", flow, "timeout", agent=opening.tried[-1][0])
+        self._try_next(opening, now)
+
+    def _give_up(self, opening: _Opening, reason: str) -> None:
+        self._end_opening(opening)
+        self._count("flow_refused", reason)
+        self._reset(opening.segment, reason, tried=len(opening.tried))
+
+    def _end_opening(self, opening: _Opening) -> None:
+        self._openings.pop(opening.segment.flow, None)
+        self._flows_by_token.pop(opening.token, None)
+
+    def _handle_later(self, segment: Segment, now: float) -> None:
+        owner = self._owners.get(segment.flow)
+        if owner is not None:
+            owner.seen_s = now
+            self._send(owner.address, Relay(segment.data))
+            return
+        opening = self._openings.get(segment.flow)
+        if opening is not None and opening.tried:
+            # The caller's answer may be faster than the agent's.
+            self._send(opening.tried[-1], Relay(segment.data))
+            return
+        if segment.is_reset:
+            self._count("packet_dropped", "reset_without_owner")
+            return
+        self._find_owner(segment, now)
+
+    def _find_owner(
+        self, segment: Segment, now: float, answered: Address | None = None
+    ) -> None:
+        flow = segment.flow
+        lookup = self._lookups.get(flow)
+        if lookup is not None:
+            if len(lookup.packets) < self._settings.lookup_packets:
+                lookup.packets.append(segment.data)
+            return
+        if len(self._lookups) >= self._settings.max_lookups:
+            self._count("packet_dropped", "lookups")
+            return
+        members = [m.entry.address for m in self.members if m.entry.address != answered]
+        token = self._create_token(flow)
+        lookup = _Lookup(segment, token, now, [segment.data], set(members))
+        self._lookups[flow] = lookup
+        self._ask(lookup, now)
+        if not lookup.unanswered:
+            self._end_lookup(lookup, now)
+
+    def _ask(self, lookup: _Lookup, now: float) -> None:
+        for address in lookup.unanswered:
+            self._send(address, FindOwner(lookup.token, lookup.segment.data))
+        delay_s = self._settings.lookup_delays_s[lookup.attempt]
+        due = (now + delay_s, lookup.token, lookup.segment.flow)
+        self._lookup_due.append(due)
+        if len(self._lookup_due) > 1 and self._lookup_due[-2][0] > due[0]:
+            # Delays differ, so the queue is kept in order of time.
+            self._lookup_due = deque(sorted(self._lookup_due))
+
+    def _repeat_lookup(self, lookup: _Lookup, now: float) -> None:
+        lookup.attempt += 1
+        if lookup.attempt >= len(self._settings.lookup_delays_s):
+            self._end_lookup(lookup, now)
+            return
+        self._ask(lookup, now)
+
+    def _handle_find_reply(
+        self, sender: Address, message: FindReply, now: float
+    ) -> None:
+        self.members.record_message(sender, now)
+        flow = self._flows_by_token.get(message.token)
+        lookup = None if flow is None else self._lookups.get(flow)
+        if lookup is None or lookup.token != message.token:
+            return
+        lookup.unanswered.discard(sender)
+        match message.ownership:
+            case Ownership.CERTAIN:
+                self._settle_lookup(lookup, sender, "certain", now)
+                return
+            case Ownership.LIKELY:
+                lookup.likely = sender
+        if not lookup.unanswered:
+            self._end_lookup(lookup, now)
+
+    def _end_lookup(self, lookup: _Lookup, now: float) -> None:
+        if lookup.likely is not None:
+            self._settle_lookup(lookup, lookup.likely, "likely", now)
+            return
+        flow = lookup.segment.flow
+        self._remove_lookup(lookup)
+        silent = [
+            address for address in lookup.unanswered if not self._is_gone(address, now)
+        ]
+        if silent or not len(list(self.members)):
+            self._count("lookup_ended", "unanswered")
+            self._log("lookup", flow, "unanswered", silent=len(silent))
+            return
+        self._count("lookup_ended", "no_owner")
+        self._reset(lookup.segment, "no_owner")
+
+    def _is_gone(self, address: Address, now: float) -> bool:
+        member = self.members.get(address)
+        return member is None or self.members.is_gone(member, now)
+
+    def _settle_lookup(
+        self, lookup: _Lookup, owner: Address, outcome: str, now: float
+    ) -> None:
+        flow = lookup.segment.flow
+        self._remove_lookup(lookup)
+        self._owners[flow] = _Owner(owner, None, now)
+        self._count("lookup_ended", outcome)
+        self._log("lookup", flow, outcome, agent=owner[0])
+        # The owner delivered the first packet when it was asked.
+        for data in lookup.packets[1:]:
+            self._send(owner, Relay(data))
+
+    def _remove_lookup(self, lookup: _Lookup) -> None:
+        self._lookups.pop(lookup.segment.flow, None)
+        self._flows_by_token.pop(lookup.token, None)
+
+    def _subscribe(self, now: float) -> None:
+        self._subscribe_s = now + self._settings.subscribe_period_s
+        version = 0 if self._rules is None else self._rules.version
+        for member in self.members:
+            self._send(member.entry.address, Subscribe(version))
+        if now - self._purged_s < self._settings.owner_lifetime_s / 4:
+            return
+        self._purged_s = now
+        oldest_s = now - self._settings.owner_lifetime_s
+        for flow in [f for f, o in self._owners.items() if o.seen_s < oldest_s]:
+            del self._owners[flow]
+
+    def _create_token(self, flow: bytes) -> int:
+        self._token = (self._token + 1) % TOKEN_MODULUS
+        self._flows_by_token[self._token] = flow
+        return self._token
+
+    def _reset(self, segment: Segment, reason: str, **inputs: object) -> None:
+        # Before the flow opened, any number is accepted; later the caller expects
+        # the one that it acknowledged last.
+        self._actions.append(ResetCaller(segment.flow, segment.acknowledgement))
+        self._log("reset", segment.flow, reason, **inputs)
+
+    def _send(self, address: Address, message: Message) -> None:
+        self._actions.append(SendMessage(address, message))
+
+    def _count(self, name: str, reason: str) -> None:
+        self._actions.append(Count(name, reason))
+
+    def _log(self, step: str, flow: bytes, outcome: str, **inputs: object) -> None:
+        version = 0 if self._rules is None else self._rules.version
+        self._actions.append(
+            Decision(step, flow, outcome, {"version": version, **inputs})
+        )
+
+    def _take(self) -> list[Action]:
+        actions, self._actions = self._actions, []
+        return actions
--- /dev/null
+++ b/src/bramleystair/steering/_balancer_settings.py
@@ -0,0 +1,53 @@
+"""Times and limits of a balancer's steering decisions."""
+
+import attrs
+
+
+@attrs.frozen
+class BalancerSteeringSettings:
+    """Options of `BalancerSteering`.
+
+    Parameters
+    ----------
+    open_timeout_s : float
+        Wait for an agent's reply before the next member is tried; several round trips
+        between availability zones and the pauses of a throttled process.
+    open_attempts : int
+        Members tried for one first packet; the caller repeats it anyway.
+    settle_s : float
+        Time for which an accepted flow may still be refused by its server.
+    lookup_delays_s : tuple of float
+        Delays after which members that did not answer a lookup are asked again; the
+        last one ends the lookup.
+    lookup_packets : int
+        Packets of one flow kept during a lookup; a sender has at most 16 in flight.
+    max_lookups : int
+        Lookups at once; further packets are dropped, and their senders repeat them.
+    subscribe_period_s : float
+        Interval between subscriptions to load reports.
+    stale_after_s : float
+        Age of a member's last message from which other members are preferred.
+    suspect_s, max_suspect_s : float
+        First and longest time for which a member that did not answer is avoided.
+    gone_after_s : float
+        Silence after which a member no longer prevents a flow from being given up;
+        longer than a planned restart of an agent.
+    owner_lifetime_s : float
+        Time after the last packet for which an owner is remembered.
+    sample : int
+        Members compared for each new flow.
+    """
+
+    open_timeout_s: float = 0.06
+    open_attempts: int = 4
+    settle_s: float = 1.5
+    lookup_delays_s: tuple[float, ...] = (0.06, 0.15, 0.4)
+    lookup_packets: int = 16
+    max_lookups: int = 4096
+    subscribe_period_s: float = 1.0
+    stale_after_s: float = 1.5
+    suspect_s: float = 0.5
+    max_suspect_s: float = 4.0
+    gone_after_s: float = 8.0
+    owner_lifetime_s: float = 60.0
+    sample: int = 3
--- /dev/null
+++ b/src/bramleystair/steering/_load.py
@@ -0,0 +1,54 @@
+"""Load of a backend server, measured from the packets that pass its agent."""
+
+import math
+
+# Weight of the newest sample in the average time to respond.
+SERVICE_TIME_WEIGHT = 0.1
+
+
+class LoadMeter:
+    """Average the requests in progress and the time to respond.
+
+    Parameters
+    ----------
+    window_s : float
+        Time constant of the average number of requests in progress.
+    """
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._updated_s: float | None = None
+        self.running = 0
+        self.busy = 0.0
+        self.service_s = 0.0
+
+    def start_request(self, now: float) -> None:
+        """Count a request that was passed to the server."""
+        self.update(now)
+        self.running += 1
+
+    def end_request(self, started_s: float | None, now: float) -> None:
+        """Count the response to a request, or its loss if `started_s` is None."""
+        self.update(now)
+        self.running -= 1
+        if started_s is None:
+            return
+        sample_s = now - started_s
+        if self.service_s == 0:
+            self.service_s = sample_s
+            return
+        self.service_s += SERVICE_TIME_WEIGHT * (sample_s - self.service_s)
+
+    def reset(self, now: float) -> None:
+        """Forget the measurements of a former server."""
+        self.running = 0
+        self.busy = 0.0
+        self.service_s = 0.0
+        self._updated_s = now
+
+    def update(self, now: float) -> None:
+        """Bring the average up to `now`."""
+        if self._updated_s is not None:
+            share = 1 - math.exp((self._updated_s - now) / self._window_s)
+            self.busy += share * (self.running - self.busy)
+        self._updated_s = now
--- /dev/null
+++ b/src/bramleystair/steering/_members.py
@@ -0,0 +1,180 @@
+"""What a balancer knows of the members, and the choice among them."""
+
+import random as random_module
+from collections.abc import Collection, Iterable
+
+import attrs
+
+from bramleystair.steering._balancer_settings import BalancerSteeringSettings
+from bramleystair.steering._types import Address, Load, MemberEntry, ServerState
+
+# Load that a new flow adds until a report shows its real load, in requests at once.
+FLOW_DEMAND = 0.08
+# Utilization up to which a server's speed decides rather than its load.
+SPEED_WEIGHT = 0.5
+# A cold server answers more slowly; it is chosen when the others are this much busier.
+COLD_PENALTY = 0.5
+
+
+@attrs.define(eq=False)
+class Member:
+    """One member with its last load report.
+
+    Parameters
+    ----------
+    opened : int
+        Flows sent to the member since its last report.
+    heard_s : float
+        Time of its last message.
+    suspect_until_s : float
+        Time until which it is avoided because it did not answer.
+    """
+
+    entry: MemberEntry
+    heard_s: float
+    load: Load | None = None
+    opened: int = 0
+    suspect_until_s: float = 0.0
+    failures: int = 0
+
+    def compute_utilization(self) -> float:
+        """Return the expected share of busy slots with one more flow."""
+        slots = max(1, self.entry.slots)
+        if self.load is None:
+            return (self.opened + 1) * FLOW_DEMAND / slots
+        flows = max(1, self.load.flows)
+        demand = max(FLOW_DEMAND / 2, self.load.busy / flows)
+        busy = max(self.load.busy, 0.5 * self.load.running)
+        return (busy + (self.opened + 1) * demand) / slots
+
+
+class Members:
+    """Members of all services.
+
+    Parameters
+    ----------
+    settings : BalancerSteeringSettings
+        Times after which a silent member is avoided.
+    random : random.Random
+        Source of the sample.
+    """
+
+    def __init__(
+        self, settings: BalancerSteeringSettings, random: random_module.Random
+    ) -> None:
+        self._settings = settings
+        self._random = random
+        self._members: dict[Address, Member] = {}
+        self._evacuated: frozenset[str] = frozenset()
+
+    def __iter__(self):
+        """Iterate over all members."""
+        return iter(self._members.values())
+
+    def get(self, address: Address) -> Member | None:
+        """Return the member at `address`, or None."""
+        return self._members.get(address)
+
+    def update(self, entries: Iterable[MemberEntry], now: float) -> None:
+        """Take over the published entries."""
+        members = {}
+        for entry in entries:
+            known = self._members.get(entry.address)
+            if known is None:
+                members[entry.address] = Member(entry, now)
+                continue
+            if (known.entry.server, known.entry.started_ms) != (
+                entry.server,
+                entry.started_ms,
+            ):
+                known.load = None
+            known.entry = entry
+            members[entry.address] = known
+        self._members = members
+
+    def set_evacuated(self, zones: Collection[str]) -> None:
+        """Place no new flows in `zones`."""
+        self._evacuated = frozenset(zones)
+
+    def record_message(self, address: Address, now: float) -> Member | None:
+        """Note that the member at `address` is alive and return it."""
+        member = self._members.get(address)
+        if member is not None:
+            member.heard_s = now
+            member.suspect_until_s = 0.0
+            member.failures = 0
+        return member
+
+    def record_load(self, address: Address, load: Load, now: float) -> None:
+        """Take over a load report."""
+        member = self.record_message(address, now)
+        if member is not None:
+            member.load = load
+            member.opened = 0
+
+    def record_failure(self, member: Member, now: float) -> None:
+        """Avoid a member that did not answer, longer after each failure."""
+        settings = self._settings
+        delay_s = min(settings.max_suspect_s, settings.suspect_s * 2**member.failures)
+        member.failures += 1
+        member.suspect_until_s = now + delay_s
+
+    def is_gone(self, member: Member, now: float) -> bool:
+        """Return whether the member has been silent too long to own a flow."""
+        return now - member.heard_s > self._settings.gone_after_s
+
+    def list_candidates(self, service: str) -> list[Member]:
+        """Return the members that may take new flows of `service`."""
+        return [
+            member
+            for member in self._members.values()
+            if member.entry.service == service
+            and member.entry.state is ServerState.READY
+            and member.entry.zone not in self._evacuated
+            and (member.load is None or member.load.state is ServerState.READY)
+        ]
+
+    def choose(
+        self, service: str, excluded: Collection[Address], now: float
+    ) -> tuple[Member | None, bool]:
+        """Return the member for a new flow, and whether it is the last one.
+
+        Members that answer are preferred to those that do not; among a random sample,
+        the one with the lowest cost is taken.
+        """
+        candidates = [
+            member
+            for member in self.list_candidates(service)
+            if member.entry.address not in excluded
+        ]
+        if not candidates:
+            return None, True
+        live = [member for member in candidates if self._is_live(member, now)]
+        accepting = [m for m in live if m.load is None or m.load.is_accepting]
+        pool = accepting or live or candidates
+        sample = self._random.sample(pool, min(self._settings.sample, len(pool)))
+        fastest_s = min(
+            (m.load.service_s for m in live if m.load and m.load.service_s > 0),
+            default=0.0,
+        )
+        best = min(sample, key=lambda member: _compute_cost(member, fastest_s))
+        return best, len(candidates) == 1
+
+    def _is_live(self, member: Member, now: float) -> bool:
+        return (
+            now >= member.suspect_until_s
+            and now - member.heard_s <= self._settings.stale_after_s
+        )
+
+
+def _compute_cost(member: Member, fastest_s: float) -> float:
+    cost = member.compute_utilization()
+    load = member.load
+    if load is None:
+        return cost
+    if load.service_s > 0 and fastest_s > 0:
+        # A server half as fast as the fastest one counts as busier by the weight.
+        cost += SPEED_WEIGHT * (1 - fastest_s / load.service_s)
+    if load.is_cold:
+        cost += COLD_PENALTY
+    return cost
--- /dev/null
+++ b/src/bramleystair/steering/_messages.py
@@ -0,0 +1,233 @@
+"""Messages between balancers and agents, and their encoding.
+
+The layout is fixed and packed with `struct`: each carries a packet unchanged after a
+few bytes, and the processes stay small enough for VMs of a hundred megabytes.
+"""
+
+import enum
+import struct
+
+import attrs
+from result import Err, Ok, Result
+
+from bramleystair.errors import StepError
+from bramleystair.steering._types import Load, ServerState
+
+
+class Refusal(enum.IntEnum):
+    """Why an agent did not take a new flow."""
+
+    NONE = 0
+    UNKNOWN_SERVER = 1
+    WRONG_SERVICE = 2
+    DRAINING = 3
+    COLD = 4
+    BUSY = 5
+    SILENT = 6
+    RETURNED = 7
+    STOPPING = 8
+
+
+class Ownership(enum.IntEnum):
+    """An agent's answer to a lookup."""
+
+    NONE = 0
+    LIKELY = 1
+    CERTAIN = 2
+
+
+@attrs.define
+class OpenFlow:
+    """Ask an agent to take a new flow; carries the caller's first packet.
+
+    Parameters
+    ----------
+    token : int
+        Identifies the attempt in the reply.
+    service_id : int
+        Service for which the flow is meant.
+    cold_rate : float
+        New flows per second that a cold server of the service bears; 0 for no limit.
+    is_last : bool
+        Whether no other member is left, so that a busy one should take it.
+    """
+
+    token: int
+    service_id: int
+    cold_rate: float
+    is_last: bool
+    data: bytes
+
+
+@attrs.define
+class OpenReply:
+    """Say whether the flow was taken; a refusal may follow an acceptance."""
+
+    token: int
+    refusal: Refusal
+    load: Load
+
+
+@attrs.define
+class Relay:
+    """Carry a packet to the owner of its flow."""
+
+    data: bytes
+
+
+@attrs.define
+class FindOwner:
+    """Ask an agent whether its server holds the flow of a packet.
+
+    An agent that may hold it delivers the packet.
+    """
+
+    token: int
+    data: bytes
+
+
+@attrs.define
+class FindReply:
+    """Answer a lookup."""
+
+    token: int
+    ownership: Ownership
+
+
+@attrs.define
+class ReturnPacket:
+    """Return a packet whose flow the agent's server does not hold."""
+
+    data: bytes
+
+
+@attrs.define
+class Subscribe:
+    """Ask an agent for load reports over the next seconds.
+
+    Parameters
+    ----------
+    rules_version : int
+        Version of the configuration that the sender applies.
+    """
+
+    rules_version: int = 0
+
+
+@attrs.define
+class LoadReport:
+    """Report the load of an agent's server.
+
+    Parameters
+    ----------
+    rules_version : int
+        Highest version of the configuration that any subscriber applies.
+    """
+
+    load: Load
+    rules_version: int = 0
+
+
+Message = (
+    OpenFlow
+    | OpenReply
+    | Relay
+    | FindOwner
+    | FindReply
+    | ReturnPacket
+    | Subscribe
+    | LoadReport
+)
+
+_OPEN = struct.Struct("!BIQf?")
+_OPEN_REPLY = struct.Struct("!BIB")
+_FIND = struct.Struct("!BI")
+_FIND_REPLY = struct.Struct("!BIB")
+_SUBSCRIBE = struct.Struct("!BQ")
+_REPORT = struct.Struct("!BQ")
+_LOAD = struct.Struct("!BHHfHf??")
+_STATES = tuple(ServerState)
+# First byte of each encoded message.
+OPEN, OPEN_REPLY, RELAY, FIND, FIND_REPLY, RETURN, SUBSCRIBE, REPORT = range(1, 9)
+_MAX_U16 = 0xFFFF
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the datagram that carries `message`."""
+    match message:
+        case Relay(data):
+            return b"\x03" + data
+        case OpenFlow(token, service_id, cold_rate, is_last, data):
+            return _OPEN.pack(OPEN, token, service_id, cold_rate, is_last) + data
+        case OpenReply(token, refusal, load):
+            return _OPEN_REPLY.pack(OPEN_REPLY, token, refusal) + _encode_load(load)
+        case FindOwner(token, data):
+            return _FIND.pack(FIND, token) + data
+        case FindReply(token, ownership):
+            return _FIND_REPLY.pack(FIND_REPLY, token, ownership)
+        case ReturnPacket(data):
+            return b"\x06" + data
+        case Subscribe(rules_version):
+            return _SUBSCRIBE.pack(SUBSCRIBE, rules_version)
+        case LoadReport(load, rules_version):
+            return _REPORT.pack(REPORT, rules_version) + _encode_load(load)
+
+
+def decode_message(data: bytes) -> Result[Message, StepError]:
+    """Return the message in a datagram.
+
+    Returns
+    -------
+    Result of Message or StepError
+        The error covers unknown kinds, wrong lengths and values out of range.
+    """
+    try:
+        return Ok(_decode(data))
+    except (struct.error, ValueError, IndexError) as error:
+        return Err(StepError("decode message", "", str(error)))
+
+
+def _decode(data: bytes) -> Message:
+    kind = data[0]
+    if kind == RELAY:
+        return Relay(data[1:])
+    if kind == OPEN:
+        fields = _OPEN.unpack_from(data)[1:]
+        return OpenFlow(*fields, data[_OPEN.size :])
+    if kind == OPEN_REPLY:
+        _, token, refusal = _OPEN_REPLY.unpack_from(data)
+        return OpenReply(token, Refusal(refusal), _decode_load(data, _OPEN_REPLY.size))
+    if kind == FIND:
+        _, token = _FIND.unpack_from(data)
+        return FindOwner(token, data[_FIND.size :])
+    if kind == FIND_REPLY:
+        _, token, ownership = _FIND_REPLY.unpack(data)
+        return FindReply(token, Ownership(ownership))
+    if kind == RETURN:
+        return ReturnPacket(data[1:])
+    if kind == SUBSCRIBE:
+        return Subscribe(_SUBSCRIBE.unpack(data)[1])
+    if kind == REPORT:
+        version = _REPORT.unpack_from(data)[1]
+        return LoadReport(_decode_load(data, _REPORT.size), version)
+    raise ValueError(f"unknown kind {kind}")
+
+
+def _encode_load(load: Load) -> bytes:
+    return _LOAD.pack(
+        _STATES.index(load.state),
+        min(load.slots, _MAX_U16),
+        min(load.running, _MAX_U16),
+        load.busy,
+        min(load.flows, _MAX_U16),
+        load.service_s,
+        load.is_cold,
+        load.is_accepting,
+    )
+
+
+def _decode_load(data: bytes, offset: int) -> Load:
+    if len(data) != offset + _LOAD.size:
+        raise ValueError("wrong length of a load")
+    state, *fields = _LOAD.unpack_from(data, offset)
+    return Load(_STATES[state], *fields)
--- /dev/null
+++ b/src/bramleystair/steering/_segments.py
@@ -0,0 +1,50 @@
+"""The fields of a packet on which steering decisions depend."""
+
+import attrs
+
+SEQUENCE_MODULUS = 2**32
+# Caller address, service address, caller port, service port.
+FLOW_BYTES = 12
+
+
+# Not frozen: a frozen class takes twice as long to create, once per packet.
+@attrs.define
+class Segment:
+    """One packet of a flow.
+
+    Parameters
+    ----------
+    flow : bytes
+        Addresses of caller and service, then their ports, in both directions alike.
+    data : bytes
+        The whole packet, passed on unchanged.
+    is_first : bool
+        Whether it opens the flow.
+    is_returned : bool
+        Whether the backend server sent the packet back because it does not hold the
+        flow or cannot accept it.
+    has_payload : bool
+        Whether it carries bytes of the connection.
+    sequence, acknowledgement : int
+        Numbers of the sender's and the receiver's bytes.
+    """
+
+    flow: bytes
+    data: bytes
+    is_first: bool
+    is_returned: bool
+    is_reset: bool
+    is_fin: bool
+    has_payload: bool
+    sequence: int
+    acknowledgement: int
+
+
+def get_service_endpoint(flow: bytes) -> bytes:
+    """Return address and port of the service."""
+    return flow[4:8] + flow[10:12]
+
+
+def compute_distance(start: int, end: int) -> int:
+    """Return how far the sequence number `end` is after `start`."""
+    return (end - start) % SEQUENCE_MODULUS
