Hold first packets while members restart, and end flows of lost servers

A balancer that is cut off from every agent stayed in the rotation. Change: a first packet is tried in rounds for 0.5 s, but for 0.1 s only while members answer that they are busy. An agent resets the flows of a server that was replaced, a balancer those of a member that was silent for 3 s while others were heard. A balancer that hears no member is not ready. A handler's exception is logged and does not end the process. Each role loads only its own modules.

--- a/src/bramleystair/loop/_loop.py
+++ b/src/bramleystair/loop/_loop.py
@@ -22,6 +22,11 @@
     ----------
     clock : Clock
         Time of the timer service.
+
+    Attributes
+    ----------
+    failures : int
+        Events whose handler raised an exception.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -29,6 +34,7 @@
         self.timers = TimerService(clock)
         self._selector = selectors.DefaultSelector()
         self._is_running = False
+        self.failures = 0
         self._wake_reader, self._wake_writer = socket.socketpair()
         for end in (self._wake_reader, self._wake_writer):
             end.setblocking(False)
@@ -71,8 +77,16 @@
         wait_s = self.timers.compute_wait()
         timeout_s = MAX_WAIT_S if wait_s is None else min(wait_s, MAX_WAIT_S)
         for key, _ in self._selector.select(timeout_s):
-            key.data()
-        self.timers.run_due()
+            self._call(key.data)
+        self._call(self.timers.run_due)
+
+    def _call(self, callback: Callable[[], object]) -> None:
+        try:
+            callback()
+        except Exception:
+            # One event that cannot be handled must not end the flows of all others.
+            self.failures += 1
+            log.exception("event handler failed")
 
     def stop(self) -> None:
         """Make `run` return after the present events."""
--- a/src/bramleystair/nodes/__init__.py
+++ b/src/bramleystair/nodes/__init__.py
@@ -1,8 +1,9 @@
-"""Processes that carry out the steering decisions on sockets."""
+"""Processes that carry out the steering decisions on sockets.
+
+`_balancer` and `_agent` are loaded by the role that needs them.
+"""
 
-from bramleystair.nodes._agent import AgentNode
-from bramleystair.nodes._balancer import BalancerNode
 from bramleystair.nodes._settings import NodeSettings, PacketCodec
-from bramleystair.nodes._start import run_node
+from bramleystair.nodes._start import Node, run_node
 
-__all__ = ["AgentNode", "BalancerNode", "NodeSettings", "PacketCodec", "run_node"]
+__all__ = ["Node", "NodeSettings", "PacketCodec", "run_node"]
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -10,13 +10,11 @@
 from bramleystair.logs import get_log
 from bramleystair.loop import EventLoop
 from bramleystair.mirror import ObjectStore, Publisher
-from bramleystair.nodes._balancer import MEMBER_KIND
 from bramleystair.nodes._datagrams import DatagramSocket
 from bramleystair.nodes._node import NodeBase, subscribe_once
-from bramleystair.nodes._settings import NodeSettings, PacketCodec
+from bramleystair.nodes._settings import MEMBER_KIND, NodeSettings, PacketCodec
 from bramleystair.steering import (
-    AgentSteering,
-    AgentSteeringSettings,
+    Action,
     FindOwner,
     OpenFlow,
     Relay,
@@ -24,7 +22,7 @@
     Subscribe,
     encode_entry,
 )
-from bramleystair.steering._events import Action
+from bramleystair.steering.agent import AgentSteering, AgentSteeringSettings
 
 log = get_log("agent")
 
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -12,19 +12,17 @@
 from bramleystair.mirror import Mirror, ObjectStore, StoredItem
 from bramleystair.nodes._datagrams import DatagramSocket
 from bramleystair.nodes._node import NodeBase, subscribe_once
-from bramleystair.nodes._settings import NodeSettings, PacketCodec
+from bramleystair.nodes._settings import MEMBER_KIND, NodeSettings, PacketCodec
 from bramleystair.steering import (
-    BalancerSteering,
-    BalancerSteeringSettings,
+    Action,
     ReturnPacket,
     RoutingRules,
     decode_entry,
 )
-from bramleystair.steering._events import Action
+from bramleystair.steering.balancer import BalancerSteering, BalancerSteeringSettings
 
 log = get_log("balancer")
 
-MEMBER_KIND = "members"
 # After two failed checks, half a second apart, callers' packets go to other nodes;
 # the rest covers packets on their way.
 WITHDRAW_S = 1.8
@@ -91,10 +89,16 @@
         subscribe_once(self._loop, delay_s, self._loop.stop)
 
     def is_ready(self) -> bool:
-        """Return whether configuration and members are known."""
+        """Return whether all objects are known and members are heard.
+
+        A balancer that is cut off from all members leaves the rotation, so that its
+        flows reach their servers through others.
+        """
         mirrors = (self._rules, self._evacuations, self._members)
-        return self._steering.rules is not None and all(
-            mirror.is_complete for mirror in mirrors
+        return (
+            self._steering.rules is not None
+            and all(mirror.is_complete for mirror in mirrors)
+            and not self._steering.is_isolated(self._loop.clock.now())
         )
 
     def _compute_wait(self, now: float) -> float:
--- a/src/bramleystair/nodes/_node.py
+++ b/src/bramleystair/nodes/_node.py
@@ -11,6 +11,7 @@
 from bramleystair.nodes._journal import DecisionJournal
 from bramleystair.nodes._settings import NodeSettings, PacketCodec
 from bramleystair.steering import (
+    Action,
     Decision,
     DeliverToCaller,
     DeliverToServer,
@@ -20,7 +21,6 @@
     decode_message,
     encode_message,
 )
-from bramleystair.steering._events import Action
 from bramleystair.timers import Subscription
 
 log = get_log("node")
--- a/src/bramleystair/nodes/_settings.py
+++ b/src/bramleystair/nodes/_settings.py
@@ -8,6 +8,9 @@
 
 Address = tuple[str, int]
 
+# Kind of the objects by which agents make themselves known in the store.
+MEMBER_KIND = "members"
+
 
 @attrs.frozen
 class NodeSettings:
--- /dev/null
+++ b/src/bramleystair/platform/_configuration.py
@@ -0,0 +1,51 @@
+"""The operator's configuration."""
+
+import socket
+from typing import Any
+
+from result import Err, Ok, Result
+
+from bramleystair.errors import StepError
+from bramleystair.steering._types import Route, RoutingRules, ServiceRules, Target
+
+CONFIG_KIND = "config"
+EVACUATION_KIND = "evacuations"
+
+
+def read_rules(spec: Any) -> Result[RoutingRules, StepError]:
+    """Return the routing rules of a configuration."""
+    try:
+        routes = [_read_route(item) for item in spec["Routes"]]
+        services = [
+            ServiceRules(
+                item["Name"],
+                float(item.get("ColdPerS", 0)),
+                item.get("HealthPath", "/health"),
+            )
+            for item in spec["Services"]
+        ]
+        return Ok(
+            RoutingRules(
+                int(spec["Version"]),
+                {route.endpoint: route for route in routes},
+                {service.name: service for service in services},
+                spec.get("Limits", {}).get("IdleTimeoutMs", 15_000) / 1000,
+            )
+        )
+    except (KeyError, TypeError, ValueError, OSError, AttributeError) as error:
+        return Err(StepError("read configuration", "store", repr(error)))
+
+
+def _read_route(item: dict[str, Any]) -> Route:
+    # The host is an address and the path prefix a port between slashes.
+    port = int(item["PathPrefix"].strip("/"))
+    endpoint = socket.inet_aton(item["Host"]) + port.to_bytes(2, "big")
+    if item.get("TrafficSplit"):
+        targets = tuple(
+            Target(part["Service"], float(part["Weight"]))
+            for part in item["TrafficSplit"]
+            if part["Weight"] > 0
+        )
+    else:
+        targets = (Target(item["Service"], 1.0),)
+    return Route(item["Name"], endpoint, targets, item.get("GoalMs", 0) / 1000)
--- a/src/bramleystair/platform/_main.py
+++ b/src/bramleystair/platform/_main.py
@@ -5,13 +5,7 @@
 import sys
 
 from bramleystair.loop import EventLoop
-from bramleystair.nodes import AgentNode, BalancerNode, NodeSettings, run_node
-from bramleystair.platform._documents import (
-    CONFIG_KIND,
-    EVACUATION_KIND,
-    read_report,
-    read_rules,
-)
+from bramleystair.nodes import Node, NodeSettings, run_node
 from bramleystair.platform._objects import PlatformStore
 from bramleystair.platform._packets import Codec
 from bramleystair.platform._settings import read_settings
@@ -37,7 +31,17 @@
     return run_node(settings.name, loop, lambda: build(loop, settings))
 
 
-def _build_balancer(loop: EventLoop, settings: NodeSettings) -> BalancerNode:
+# Each role loads only what it uses: after a power loss, callers wait for the start.
+
+
+def _build_balancer(loop: EventLoop, settings: NodeSettings) -> Node:
+    from bramleystair.nodes._balancer import BalancerNode
+    from bramleystair.platform._configuration import (
+        CONFIG_KIND,
+        EVACUATION_KIND,
+        read_rules,
+    )
+
     return BalancerNode(
         loop,
         settings,
@@ -50,7 +54,10 @@
     )
 
 
-def _build_agent(loop: EventLoop, settings: NodeSettings) -> AgentNode:
+def _build_agent(loop: EventLoop, settings: NodeSettings) -> Node:
+    from bramleystair.nodes._agent import AgentNode
+    from bramleystair.platform._heartbeats import read_report
+
     return AgentNode(
         loop,
         settings,
--- a/src/bramleystair/steering/__init__.py
+++ b/src/bramleystair/steering/__init__.py
@@ -1,15 +1,13 @@
 """Decisions of nodes whose balancers choose the owner of each flow.
 
-Balancers keep only a cache of owners. The agent beside a backend server admits flows
-and is the authority on which flows its server holds.
+Balancers keep only a cache of owners. The agent beside a backend server admits
+flows and is the authority on which flows its server holds. The decisions of the two roles are
+in `steering.agent` and `steering.balancer`, of which a process loads one.
 """
 
-from bramleystair.steering._agent import AgentSteering
-from bramleystair.steering._agent_settings import AgentSteeringSettings
-from bramleystair.steering._balancer import BalancerSteering
-from bramleystair.steering._balancer_settings import BalancerSteeringSettings
 from bramleystair.steering._entries import decode_entry, encode_entry
 from bramleystair.steering._events import (
+    Action,
     Decision,
     DeliverToCaller,
     DeliverToServer,
@@ -44,10 +42,7 @@
 )
 
 __all__ = [
-    "AgentSteering",
-    "AgentSteeringSettings",
-    "BalancerSteering",
-    "BalancerSteeringSettings",
+    "Action",
     "Decision",
     "DeliverToCaller",
     "DeliverToServer",
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -12,6 +12,7 @@
     Decision,
     DeliverToCaller,
     DeliverToServer,
+    ResetCaller,
     SendMessage,
 )
 from bramleystair.steering._load import LoadMeter
@@ -38,6 +39,8 @@
 
 # The acknowledgement of a handshake may count the opening packet or not.
 HANDSHAKE_DISTANCE = 1
+# Reports are sent at about the interval, the first one soon after the start.
+START_MARGIN_HEARTBEATS = 1.5
 
 
 @attrs.define(eq=False)
@@ -58,6 +61,10 @@
         Whether the server has shown that it holds the flow.
     request_s : float or None
         Start of the request in progress.
+    acknowledgement : int
+        What the caller acknowledged last, near which it accepts a reset.
+    server_s : float or None
+        Time of the server's last packet.
     """
 
     balancer: Address | None
@@ -69,6 +76,8 @@
     is_open: bool = False
     is_certain: bool = False
     request_s: float | None = None
+    acknowledgement: int = 0
+    server_s: float | None = None
 
 
 @attrs.define(eq=False)
@@ -165,9 +174,7 @@
             # Entries stay until the new server returns their packets.
             self._learning_until_s = now + self._settings.flow_lifetime_s
             self._meter.reset(now)
-            for flow in self._flows.values():
-                flow.is_certain = False
-                flow.request_s = None
+            self._release_former(report, now)
         self._report = report
         self._service_id = compute_service_id(report.service)
         self._cold_until_s = now + report.cold_left_s
@@ -281,6 +288,7 @@
         if flow is None:
             flow = self._flows[segment.flow] = _Flow(None, now)
         flow.seen_s = now
+        flow.server_s = now
         if segment.is_first:
             flow.server_sequence = segment.sequence
         elif not flow.is_certain:
@@ -377,6 +385,30 @@
             return Refusal.BUSY
         return Refusal.NONE
 
+    def _release_former(self, report: ServerReport, now: float) -> None:
+        """Reset the flows of a server that has been replaced by `report`'s.
+
+        A flow may belong to the new server if it was seen after that server started;
+        such flows stay until the server returns their packets.
+        """
+        intervals = report.sequence + START_MARGIN_HEARTBEATS
+        started_s = now - intervals * self._settings.heartbeat_s
+        for key, flow in list(self._flows.items()):
+            flow.request_s = None
+            is_former = flow.server_s is not None and flow.server_s < started_s
+            if is_former and flow.is_certain and flow.first_s < started_s:
+                self._release(key, flow, "server_replaced", now)
+            else:
+                flow.is_certain = False
+
+    def _release(self, key: bytes, flow: _Flow, reason: str, now: float) -> None:
+        self._remove_flow(key, now)
+        self._count("flow_released", reason)
+        if not flow.acknowledgement:
+            return
+        self._actions.append(ResetCaller(key, flow.acknowledgement))
+        self._log("reset", key, reason)
+
     def _handle_copy(
         self,
         sender: Address,
@@ -413,6 +445,7 @@
     ) -> None:
         flow.balancer = sender
         flow.seen_s = now
+        flow.acknowledgement = segment.acknowledgement
         if segment.has_payload and flow.request_s is None:
             flow.request_s = now
             self._meter.start_request(now)
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -32,15 +32,24 @@
 )
 
 TOKEN_MODULUS = 2**32
+# A later attempt at the same member would be refused for the same reason.
+_LASTING_REFUSALS = frozenset({Refusal.WRONG_SERVICE, Refusal.DRAINING})
 
 
 @attrs.define(eq=False)
 class _Owner:
-    """Remembered owner of a flow."""
+    """Remembered owner of a flow.
+
+    Parameters
+    ----------
+    acknowledgement : int
+        What the caller acknowledged last, near which it accepts a reset.
+    """
 
     address: Address
     first_sequence: int | None
     seen_s: float
+    acknowledgement: int = 0
 
 
 @attrs.define(eq=False)
@@ -52,7 +61,11 @@
     service: str
     token: int
     started_s: float
+    sent_s: float = 0.0
     tried: list[Address] = attrs.field(factory=list)
+    refusals: set[Refusal] = attrs.field(factory=set)
+    busy: list[Address] = attrs.field(factory=list)
+    current: Address | None = None
     is_accepted: bool = False
 
 
@@ -92,6 +105,7 @@
         self._lookups: dict[bytes, _Lookup] = {}
         self._flows_by_token: dict[int, bytes] = {}
         self._lookup_due: deque[tuple[float, int, bytes]] = deque()
+        self._retry_due: deque[tuple[float, int, bytes]] = deque()
         self._open_due: deque[tuple[float, int, bytes]] = deque()
         self._settle_due: deque[tuple[float, int, bytes]] = deque()
         self._subscribe_s = 0.0
@@ -114,7 +128,12 @@
         due = [self._subscribe_s]
         due += [
             queue[0][0]
-            for queue in (self._open_due, self._lookup_due, self._settle_due)
+            for queue in (
+                self._open_due,
+                self._lookup_due,
+                self._retry_due,
+                self._settle_due,
+            )
             if queue
         ]
         return max(0.0, min(due) - now)
@@ -177,6 +196,11 @@
         while self._open_due and self._open_due[0][0] <= now:
             _, token, flow = self._open_due.popleft()
             self._expire_attempt(token, flow, now)
+        while self._retry_due and self._retry_due[0][0] <= now:
+            _, token, flow = self._retry_due.popleft()
+            opening = self._openings.get(flow)
+            if opening is not None and opening.token == token:
+                self._try_next(opening, now)
         while self._settle_due and self._settle_due[0][0] <= now:
             _, token, flow = self._settle_due.popleft()
             opening = self._openings.get(flow)
@@ -203,7 +227,7 @@
             if opening.is_accepted:
                 # The server may not have answered; its agent decides whether to refuse.
                 opening.segment = segment
-                self._send_open(opening, opening.tried[-1], False, now)
+                self._send_open(opening, opening.current, False, now)
             return
         owner = self._owners.get(flow)
         if owner is not None and owner.first_sequence == segment.sequence:
@@ -224,34 +248,63 @@
         return self._rules.routes.get(get_service_endpoint(flow))
 
     def _try_next(self, opening: _Opening, now: float) -> None:
-        if len(opening.tried) >= self._settings.open_attempts:
-            self._give_up(opening, "attempts")
-            return
-        member, is_last = self.members.choose(opening.service, opening.tried, now)
+        member = None
+        if len(opening.tried) < self._settings.open_attempts:
+            member = self._choose(opening, opening.service, now)
         if member is None:
-            member, is_last = self._choose_elsewhere(opening, now)
+            member = self._choose_elsewhere(opening, now)
         if member is None:
-            self._give_up(opening, "no_member")
+            self._end_round(opening, now)
             return
+        self._try_member(opening, member, False, now)
+
+    def _choose(self, opening: _Opening, service: str, now: float) -> Member | None:
+        # With busy members that answer, silent ones are not worth the wait.
+        live_only = Refusal.BUSY in opening.refusals
+        return self.members.choose(service, opening.tried, live_only, now)
+
+    def _try_member(
+        self, opening: _Opening, member: Member, is_last: bool, now: float
+    ) -> None:
         address = member.entry.address
         opening.tried.append(address)
+        opening.current = address
         opening.is_accepted = False
         member.opened += 1
-        is_last = is_last or len(opening.tried) >= self._settings.open_attempts
         self._send_open(opening, address, is_last, now)
 
-    def _choose_elsewhere(
-        self, opening: _Opening, now: float
-    ) -> tuple[Member | None, bool]:
+    def _end_round(self, opening: _Opening, now: float) -> None:
+        """Decide after all members tried have refused or not answered."""
+        settings = self._settings
+        held_s = now - opening.started_s
+        if Refusal.BUSY in opening.refusals and held_s >= settings.busy_hold_s:
+            # A request that waited longer would be late, and delay others.
+            self._give_up(opening, "busy")
+            return
+        if not opening.refusals - _LASTING_REFUSALS:
+            self._give_up(opening, "no_member")
+            return
+        if held_s >= settings.hold_s:
+            self._give_up(opening, "not_accepted")
+            return
+        # Agents that restart know their servers again within a heartbeat.
+        opening.tried.clear()
+        opening.current = None
+        opening.refusals.clear()
+        opening.busy.clear()
+        due_s = now + settings.round_delay_s
+        self._retry_due.append((due_s, opening.token, opening.segment.flow))
+
+    def _choose_elsewhere(self, opening: _Opening, now: float) -> Member | None:
         """Return a member of another service that shares the route."""
         for target in opening.route.targets:
-            if target.service == opening.service or target.weight <= 0:
+            if target.service == opening.service:
                 continue
-            member, is_last = self.members.choose(target.service, opening.tried, now)
+            member = self._choose(opening, target.service, now)
             if member is not None:
                 opening.service = target.service
-                return member, is_last
-        return None, True
+                return member
+        return None
 
     def _send_open(
         self, opening: _Opening, address: Address, is_last: bool, now: float
@@ -262,6 +315,7 @@
         data = opening.segment.data
         message = OpenFlow(opening.token, service_id, cold_rate, is_last, data)
         self._send(address, message)
+        opening.sent_s = now
         due_s = now + self._settings.open_timeout_s
         self._open_due.append((due_s, opening.token, opening.segment.flow))
 
@@ -274,7 +328,7 @@
             member.load = message.load
         flow = self._flows_by_token.get(message.token)
         opening = None if flow is None else self._openings.get(flow)
-        if opening is None or not opening.tried or opening.tried[-1] != sender:
+        if opening is None or opening.current != sender:
             return
         if message.refusal is Refusal.NONE:
             opening.is_accepted = True
@@ -284,17 +338,25 @@
             return
         self._count("open_refused", message.refusal.name.lower())
         self._owners.pop(flow, None)
+        opening.refusals.add(message.refusal)
+        if message.refusal is Refusal.BUSY:
+            opening.busy.append(sender)
         self._try_next(opening, now)
 
     def _expire_attempt(self, token: int, flow: bytes, now: float) -> None:
         opening = self._openings.get(flow)
         if opening is None or opening.token != token or opening.is_accepted:
             return
-        member = self.members.get(opening.tried[-1])
+        address = opening.current
+        if address is None or opening.sent_s + self._settings.open_timeout_s > now:
+            # A reply to this attempt arrived, or a later one is on its way.
+            return
+        member = self.members.get(address)
         if member is not None:
             self.members.record_failure(member, now)
         self._count("open_refused", "timeout")
-        self._log("open", flow, "timeout", agent=opening.tried[-1][0])
+        opening.refusals.add(Refusal.NO_ANSWER)
+        self._log("open", flow, "timeout", agent=address[0])
         self._try_next(opening, now)
 
     def _give_up(self, opening: _Opening, reason: str) -> None:
@@ -310,12 +372,15 @@
         owner = self._owners.get(segment.flow)
         if owner is not None:
             owner.seen_s = now
+            owner.acknowledgement = segment.acknowledgement
+            if segment.is_reset:
+                del self._owners[segment.flow]
             self._send(owner.address, Relay(segment.data))
             return
         opening = self._openings.get(segment.flow)
-        if opening is not None and opening.tried:
+        if opening is not None and opening.current is not None:
             # The caller's answer may be faster than the agent's.
-            self._send(opening.tried[-1], Relay(segment.data))
+            self._send(opening.current, Relay(segment.data))
             return
         if segment.is_reset:
             self._count("packet_dropped", "reset_without_owner")
@@ -402,7 +467,8 @@
     ) -> None:
         flow = lookup.segment.flow
         self._remove_lookup(lookup)
-        self._owners[flow] = _Owner(owner, None, now)
+        acknowledgement = lookup.segment.acknowledgement
+        self._owners[flow] = _Owner(owner, None, now, acknowledgement)
         self._count("lookup_ended", outcome)
         self._log("lookup", flow, outcome, agent=owner[0])
         # The owner delivered the first packet when it was asked.
@@ -418,6 +484,7 @@
         version = 0 if self._rules is None else self._rules.version
         for member in self.members:
             self._send(member.entry.address, Subscribe(version))
+        self._release_lost(now)
         if now - self._purged_s < self._settings.owner_lifetime_s / 4:
             return
         self._purged_s = now
@@ -425,6 +492,26 @@
         for flow in [f for f, o in self._owners.items() if o.seen_s < oldest_s]:
             del self._owners[flow]
 
+    def _release_lost(self, now: float) -> None:
+        """Reset the flows of members that fell silent while others are heard."""
+        if self.members.is_isolated(now):
+            return
+        lost = self.members.list_lost(now)
+        if not lost:
+            return
+        for flow, owner in list(self._owners.items()):
+            if owner.address not in lost:
+                continue
+            del self._owners[flow]
+            if owner.acknowledgement:
+                self._actions.append(ResetCaller(flow, owner.acknowledgement))
+                self._count("flow_released", "member_lost")
+                self._log("reset", flow, "member_lost", agent=owner.address[0])
+
+    def is_isolated(self, now: float) -> bool:
+        """Return whether the balancer hears no member, as when it is cut off."""
+        return self.members.is_isolated(now)
+
     def _create_token(self, flow: bytes) -> int:
         self._token = (self._token + 1) % TOKEN_MODULUS
         self._flows_by_token[self._token] = flow
--- a/src/bramleystair/steering/_balancer_settings.py
+++ b/src/bramleystair/steering/_balancer_settings.py
@@ -13,7 +13,13 @@
         Wait for an agent's reply before the next member is tried; several round trips
         between availability zones and the pauses of a throttled process.
     open_attempts : int
-        Members tried for one first packet; the caller repeats it anyway.
+        Members of one service tried in a round.
+    round_delay_s : float
+        Pause before the members are tried again.
+    busy_hold_s : float
+        Time for which a first packet is tried while members answer that they are busy.
+    hold_s : float
+        Time for which a first packet is tried; the caller gives up after 1.4 s.
     settle_s : float
         Time for which an accepted flow may still be refused by its server.
     lookup_delays_s : tuple of float
@@ -32,6 +38,11 @@
     gone_after_s : float
         Silence after which a member no longer prevents a flow from being given up;
         longer than a planned restart of an agent.
+    isolated_after_s : float
+        Silence of all members after which the balancer itself counts as cut off.
+    lost_after_s : float
+        Silence of a member after which its flows are given up, if others are heard;
+        longer than a planned restart of an agent.
     owner_lifetime_s : float
         Time after the last packet for which an owner is remembered.
     sample : int
@@ -40,6 +51,9 @@
 
     open_timeout_s: float = 0.06
     open_attempts: int = 4
+    round_delay_s: float = 0.04
+    busy_hold_s: float = 0.1
+    hold_s: float = 0.5
     settle_s: float = 1.5
     lookup_delays_s: tuple[float, ...] = (0.06, 0.15, 0.4)
     lookup_packets: int = 16
@@ -49,5 +63,7 @@
     suspect_s: float = 0.5
     max_suspect_s: float = 4.0
     gone_after_s: float = 8.0
+    isolated_after_s: float = 2.0
+    lost_after_s: float = 3.0
     owner_lifetime_s: float = 60.0
     sample: int = 3
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -135,9 +135,13 @@
         ]
 
     def choose(
-        self, service: str, excluded: Collection[Address], now: float
-    ) -> tuple[Member | None, bool]:
-        """Return the member for a new flow, and whether it is the last one.
+        self,
+        service: str,
+        excluded: Collection[Address],
+        live_only: bool,
+        now: float,
+    ) -> Member | None:
+        """Return the member for a new flow, or None if none is left.
 
         Members that answer are preferred to those that do not; among a random sample,
         the one with the lowest cost is taken.
@@ -148,17 +152,41 @@
             if member.entry.address not in excluded
         ]
         if not candidates:
-            return None, True
+            return None
         live = [member for member in candidates if self._is_live(member, now)]
         accepting = [m for m in live if m.load is None or m.load.is_accepting]
-        pool = accepting or live or candidates
+        pool = accepting or live
+        if not pool and not live_only:
+            pool = candidates
+        if not pool:
+            return None
         sample = self._random.sample(pool, min(self._settings.sample, len(pool)))
         fastest_s = min(
             (m.load.service_s for m in live if m.load and m.load.service_s > 0),
             default=0.0,
         )
-        best = min(sample, key=lambda member: _compute_cost(member, fastest_s))
-        return best, len(candidates) == 1
+        return min(sample, key=lambda member: _compute_cost(member, fastest_s))
+
+    def choose_least_busy(self, addresses: Collection[Address]) -> Member | None:
+        """Return the member with the lowest utilization of those given."""
+        members = [self._members[a] for a in addresses if a in self._members]
+        return min(members, key=Member.compute_utilization, default=None)
+
+    def list_lost(self, now: float) -> frozenset[Address]:
+        """Return the members whose silence says that their VM is gone."""
+        limit_s = self._settings.lost_after_s
+        return frozenset(
+            address
+            for address, member in self._members.items()
+            if now - member.heard_s > limit_s
+        )
+
+    def is_isolated(self, now: float) -> bool:
+        """Return whether no member at all was heard of late."""
+        limit_s = self._settings.isolated_after_s
+        return bool(self._members) and all(
+            now - member.heard_s > limit_s for member in self._members.values()
+        )
 
     def _is_live(self, member: Member, now: float) -> bool:
         return (
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -26,6 +26,7 @@
     SILENT = 6
     RETURNED = 7
     STOPPING = 8
+    NO_ANSWER = 9
 
 
 class Ownership(enum.IntEnum):
