Ask the server for its health when an agent starts

Ruled out: passing first packets to a server of unknown state; a draining server accepts them. Change: an agent without a report sends a health check each 0.1 s, up to ten times, and takes the server for ready, and cold, until its first report. The log formatter is loaded after the node's first calls are on their way.

--- a/src/bramleystair/logs.py
+++ b/src/bramleystair/logs.py
@@ -4,8 +4,6 @@
 import sys
 from typing import TextIO
 
-from pythonjsonlogger.json import JsonFormatter
-
 ROOT_NAME = "bramleystair"
 
 
@@ -37,6 +35,9 @@
     stream : text stream, optional
         Destination; standard error by default.
     """
+    # Loaded here, so that a process can begin to serve before it loads the formatter.
+    from pythonjsonlogger.json import JsonFormatter
+
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(
         JsonFormatter(
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -2,11 +2,18 @@
 
 import random as random_module
 from collections.abc import Callable, Iterable
+from concurrent.futures import Future
 
 from result import Result
 
 from bramleystair.errors import StepError
-from bramleystair.http import HttpReply, HttpRequest, HttpServer
+from bramleystair.http import (
+    HttpClient,
+    HttpReply,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
 from bramleystair.logs import get_log
 from bramleystair.loop import EventLoop
 from bramleystair.mirror import ObjectStore, Publisher
@@ -28,6 +35,12 @@
 
 # Replies to balancers that have sent packets just before the stop.
 STOP_DELAY_S = 0.15
+# A server that starts together with its agent answers within some of these attempts;
+# afterwards its own report is awaited.
+HEALTH_ATTEMPTS = 10
+HEALTH_DELAY_S = 0.1
+HEALTH_TIMEOUT_S = 0.3
+HEALTHY = 200
 
 ReadReport = Callable[[HttpRequest], Result[ServerReport | str, StepError]]
 
@@ -72,6 +85,7 @@
             loop, settings.outbound_address, self._take_server_packet, self.metrics
         )
         self._reports = HttpServer(loop, settings.report_address, self._answer_report)
+        self._health = HttpClient(loop, settings.server_address)
         self._publisher = Publisher(
             store, MEMBER_KIND, settings.packet_address[0], loop.timers, random
         )
@@ -79,6 +93,7 @@
     def start(self) -> None:
         """Begin to serve."""
         self._schedule()
+        self._check_health(HEALTH_ATTEMPTS)
 
     def stop(self) -> None:
         """Refuse new flows, then end; the server keeps its flows."""
@@ -129,6 +144,27 @@
                 actions = self._steering.handle_find(sender, message, segment, now)
         self._handle(actions)
 
+    def _check_health(self, attempts: int) -> None:
+        """Ask the server for its health until it is known whether it serves."""
+        if attempts == 0 or self._steering.has_report or self._is_stopping:
+            self._health.close()
+            return
+        call = self._health.call(
+            "GET", self._settings.health_path, timeout_s=HEALTH_TIMEOUT_S
+        )
+        call.add_done_callback(lambda done: self._take_health(done, attempts))
+
+    def _take_health(self, call: Future, attempts: int) -> None:
+        response = call.result()
+        if isinstance(response, HttpResponse) and response.status == HEALTHY:
+            now = self._loop.clock.now()
+            self._handle(self._steering.assume_ready(self._settings.service, now))
+            self._health.close()
+            return
+        subscribe_once(
+            self._loop, HEALTH_DELAY_S, lambda: self._check_health(attempts - 1)
+        )
+
     def _take_server_packet(self, data: bytes, sender: tuple[str, int]) -> None:
         segment = self._codec.decode_outbound(data)
         if segment is None:
--- a/src/bramleystair/nodes/_settings.py
+++ b/src/bramleystair/nodes/_settings.py
@@ -35,6 +35,8 @@
         Where the backend server sends its packets.
     store_address : tuple of str and int
         Address of the platform's store.
+    health_path : str
+        Path of the backend server's health check.
     heartbeat_s : float
         Interval between the reports of a backend server.
     grace_s : float
@@ -54,6 +56,7 @@
     server_address: Address | None = None
     outbound_address: Address | None = None
     service: str = ""
+    health_path: str = "/health"
     heartbeat_s: float = 1.0
     grace_s: float = 6.0
     flow_lifetime_s: float = 60.0
--- a/src/bramleystair/nodes/_start.py
+++ b/src/bramleystair/nodes/_start.py
@@ -53,12 +53,13 @@
     build: Callable[[], Node],
 ) -> int:
     """Run a node until SIGTERM and return the exit status."""
-    set_up_logs(name, stream=_DroppingStream(STDOUT))
     node = build()
     loop.subscribe_signal(signal.SIGTERM, node.stop)
     loop.subscribe_signal(signal.SIGINT, node.stop)
     loop.subscribe_signal(signal.SIGHUP, node.reload)
     node.start()
+    # The first calls are on their way while the logs are set up.
+    set_up_logs(name, stream=_DroppingStream(STDOUT))
     log.info("started", extra={"node": name})
     loop.run()
     log.info("stopped", extra={"node": name})
--- a/src/bramleystair/steering/__init__.py
+++ b/src/bramleystair/steering/__init__.py
@@ -1,8 +1,8 @@
 """Decisions of nodes whose balancers choose the owner of each flow.
 
 Balancers keep only a cache of owners. The agent beside a backend server admits
-flows and is the authority on which flows its server holds. The decisions of the two roles are
-in `steering.agent` and `steering.balancer`, of which a process loads one.
+flows and is the authority on which flows its server holds. The decisions of the two
+roles are in `steering.agent` and `steering.balancer`, of which a process loads one.
 """
 
 from bramleystair.steering._entries import decode_entry, encode_entry
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -112,6 +112,8 @@
         self._settings = settings
         self._report: ServerReport | None = None
         self._reported_s = now
+        # Whether the report was derived from a health check instead of received.
+        self._is_assumed = False
         # The last server that took its leave; its late reports are ignored.
         self._removed: tuple[str, int] | None = None
         self._service_id = 0
@@ -131,6 +133,11 @@
         self._is_stopping = False
         self._actions: list[Action] = []
 
+    @property
+    def has_report(self) -> bool:
+        """Whether the server's state is known, or was assumed."""
+        return self._report is not None
+
     @property
     def flow_count(self) -> int:
         """Number of flows remembered."""
@@ -139,7 +146,7 @@
     def build_entry(self) -> MemberEntry | None:
         """Return what to publish, or None while no server is known."""
         report = self._report
-        if report is None:
+        if report is None or self._is_assumed:
             return None
         return MemberEntry(
             self._address,
@@ -170,12 +177,13 @@
         self._server_s = now
         self._reported_s = now
         is_new = known is None or _identify(report) != _identify(known)
-        if is_new and known is not None:
+        if is_new and known is not None and not self._is_assumed:
             # Entries stay until the new server returns their packets.
             self._learning_until_s = now + self._settings.flow_lifetime_s
             self._meter.reset(now)
             self._release_former(report, now)
         self._report = report
+        self._is_assumed = False
         self._service_id = compute_service_id(report.service)
         self._cold_until_s = now + report.cold_left_s
         if is_new or report.state is not known.state:
@@ -190,6 +198,25 @@
             self._send_reports(now)
         return self._take()
 
+    def assume_ready(self, service: str, now: float) -> list[Action]:
+        """Take the server for ready after a successful health check.
+
+        This holds until its first report. It counts as cold, since nothing is known
+        of its start.
+        """
+        if self._report is not None or self._removed is not None:
+            return []
+        self._is_assumed = True
+        self._report = ServerReport(
+            "", service, self._zone, ServerState.READY, self._settings.assumed_slots
+        )
+        self._service_id = compute_service_id(service)
+        self._cold_until_s = now + self._settings.assumed_cold_s
+        self._server_s = now
+        self._log("server_report", b"", "assumed_ready")
+        self._send_reports(now)
+        return self._take()
+
     def remove_server(self, server: str, now: float) -> list[Action]:
         """Note that the server says it is gone; another server's word is ignored."""
         if self._report is None or self._report.server != server:
--- a/src/bramleystair/steering/_agent_settings.py
+++ b/src/bramleystair/steering/_agent_settings.py
@@ -29,6 +29,10 @@
         Time for which a balancer's subscription lasts.
     busy_window_s : float
         Time constant of the averaged number of requests in progress.
+    assumed_slots : int
+        Slots of a server that has not reported yet; a small server's.
+    assumed_cold_s : float
+        Time for which such a server counts as cold, at most.
     stuck_after_s : float
         Age from which a request without a response no longer counts as in progress.
     """
@@ -42,4 +46,6 @@
     report_period_s: float = 0.25
     subscription_s: float = 3.0
     busy_window_s: float = 1.0
+    assumed_slots: int = 3
+    assumed_cold_s: float = 3.0
     stuck_after_s: float = 5.0
