Model the deployment, and refuse new flows from one request per slot on

An agent counted its server as silent for good when a first packet had gone unanswered before a crash. Change: model runs the steering decisions with callers, servers and faults on a manual clock; features/model.feature has a scenario for each load pattern. Agents refuse from 1 request per slot on, balancers hold for 0.05 s and leave a busy member alone for a round; a report ends a server's silence.

--- /dev/null
+++ b/features/steps/model_steps.py
@@ -0,0 +1,184 @@
+import random
+
+from behave import given, then, when
+
+from bramleystair.model import (
+    CallerSettings,
+    Fleet,
+    FleetSettings,
+    Outcome,
+    ServerSettings,
+)
+
+FAST, SLOW = ServerSettings(), ServerSettings(speed=0.5)
+
+
+@given(
+    "a modelled deployment of {servers:d} servers of which {slow:d} have half the speed"
+)
+def create_fleet(context, servers, slow):
+    settings = (SLOW,) * slow + (FAST,) * (servers - slow)
+    context.slow = slow
+    context.fleet = Fleet(FleetSettings(servers=settings))
+
+
+@given("a modelled deployment whose callers ask for twice the capacity")
+def create_overloaded_fleet(context):
+    context.fleet = Fleet(
+        FleetSettings(
+            servers=(FAST,) * 3,
+            callers=CallerSettings(callers=350, period_s=0.4),
+        )
+    )
+    # Three servers with five slots and 60 ms of work.
+    context.capacity = 3 * 5 / 0.06
+
+
+@given("a modelled deployment whose cold servers bear {rate:d} new flows per second")
+def create_cold_fleet(context, rate):
+    server = ServerSettings(cold_s=4.0)
+    callers = CallerSettings(keeps_flows=False, callers=130)
+    context.fleet = Fleet(
+        FleetSettings(servers=(server,) * 3, cold_rate=rate, callers=callers)
+    )
+    context.opened = []
+    for fleet_server in context.fleet.servers:
+        record_cold_opens(context, fleet_server)
+
+
+def record_cold_opens(context, server):
+    original = server._open
+
+    def open_flow(segment):
+        if server.is_cold() and server.lifetime > 0:
+            context.opened.append((server.name, context.fleet.events.now))
+        original(segment)
+
+    server._open = open_flow
+
+
+@when("it runs for {seconds:d} s")
+def run(context, seconds):
+    context.fleet.run_until(context.fleet.events.now + seconds)
+
+
+@when("each balancer is restarted for {down:f} s in turn, {gap:d} s apart")
+def restart_balancers(context, down, gap):
+    fleet = context.fleet
+    for number in range(fleet.settings.balancers):
+        fleet.stop_balancer(number)
+        fleet.run_until(fleet.events.now + down)
+        fleet.start_balancer(number)
+        fleet.run_until(fleet.events.now + gap)
+
+
+@when("each agent is restarted for {down:f} s in turn, {gap:d} s apart")
+def restart_agents(context, down, gap):
+    fleet = context.fleet
+    for number in range(len(fleet.servers)):
+        fleet.stop_agent(number)
+        fleet.run_until(fleet.events.now + down)
+        fleet.start_agent(number)
+        fleet.run_until(fleet.events.now + gap)
+
+
+@when("all processes lose power for {seconds:f} s")
+def lose_power(context, seconds):
+    context.fleet.lose_power(seconds)
+
+
+@when("server {number:d} crashes for {seconds:d} s")
+def crash(context, number, seconds):
+    fleet = context.fleet
+    fleet.servers[number].crash()
+    fleet.run_until(fleet.events.now + seconds)
+    fleet.servers[number].restart()
+
+
+@when("a deployment meets {count:d} random faults drawn with seed {seed:d}")
+def meet_faults(context, count, seed):
+    source = random.Random(seed)
+    fleet = context.fleet = Fleet(
+        FleetSettings(servers=(FAST, SLOW, FAST, FAST, FAST, FAST), seed=seed)
+    )
+    fleet.run_until(5)
+    for _ in range(count):
+        meet_fault(fleet, source)
+        fleet.run_until(fleet.events.now + source.uniform(0.2, 3))
+    fleet.run_until(fleet.events.now + 12)
+
+
+def meet_fault(fleet, source):
+    number = source.randrange(len(fleet.servers))
+    balancer = source.randrange(fleet.settings.balancers)
+    delay_s = source.uniform(0.1, 2)
+    call_after = fleet.events.call_after
+    match source.choice(("balancer", "agent", "cut", "crash", "evacuate")):
+        case "balancer":
+            fleet.stop_balancer(balancer)
+            call_after(delay_s, lambda: fleet.start_balancer(balancer))
+        case "agent":
+            fleet.stop_agent(number)
+            call_after(min(1.0, delay_s), lambda: fleet.start_agent(number))
+        case "cut":
+            fleet.cut(number)
+            call_after(delay_s, lambda: fleet.heal(number))
+        case "crash":
+            server = fleet.servers[number]
+            server.crash()
+            call_after(1 + delay_s, server.restart)
+        case "evacuate":
+            fleet.evacuate({f"zone-{source.randrange(3)}"})
+            call_after(delay_s, lambda: fleet.evacuate(set()))
+
+
+@then("at least {percent:d} % of the requests from {start:d} s on are in time")
+def check_in_time(context, percent, start):
+    share = context.fleet.report.compute_share(Outcome.IN_TIME, start)
+    assert share >= percent / 100, share
+
+
+@then("at least {percent:d} % of the last {seconds:d} s of requests are in time")
+def check_last(context, percent, seconds):
+    start = context.fleet.events.now - seconds
+    share = context.fleet.report.compute_share(Outcome.IN_TIME, start)
+    assert share >= percent / 100, share
+
+
+@then("each slow server ran fewer requests than each fast one")
+def check_slow(context):
+    runs = [server.runs for server in context.fleet.servers]
+    assert max(runs[: context.slow]) < min(runs[context.slow :]), runs
+
+
+@then("no open flow was broken")
+def check_flows(context):
+    assert context.fleet.report.broken_flows == 0, context.fleet.report.broken_flows
+
+
+@then("no open flow was broken by planned work")
+def check_planned(context):
+    # Cuts of up to two seconds are shorter than the silence of a lost member.
+    assert context.fleet.report.broken_flows == 0, context.fleet.report.broken_flows
+
+
+@then("requests in time are at least {percent:d} % of the capacity from {start:d} s on")
+def check_goodput(context, percent, start):
+    fleet = context.fleet
+    end = int(fleet.events.now) - 2
+    in_time = fleet.report.count(Outcome.IN_TIME, start, end) / (end - start)
+    share = in_time / context.capacity
+    assert share >= percent / 100, share
+
+
+@then("no cold server took more than {limit:d} new flows in any second")
+def check_cold(context, limit):
+    times = {}
+    for name, now in context.opened:
+        times.setdefault(name, []).append(now)
+    assert times
+    for opened in times.values():
+        for index, start in enumerate(opened):
+            # Under a second, since sums of floats differ in the last bit.
+            count = sum(now < start + 0.999 for now in opened[index:])
+            assert count <= limit, (count, opened)
--- /dev/null
+++ b/src/bramleystair/model/_fleet.py
@@ -0,0 +1,365 @@
+"""Balancers, agents and servers of the model, with the faults that they meet."""
+
+import random as random_module
+import struct
+import zlib
+
+import attrs
+
+from bramleystair.actions import Count
+from bramleystair.model._callers import Caller, CallerSettings
+from bramleystair.model._events import EventQueue
+from bramleystair.model._packets import RESET, decode_packet, encode_packet
+from bramleystair.model._report import Report
+from bramleystair.model._servers import Server, ServerSettings
+from bramleystair.steering import (
+    Action,
+    Decision,
+    DeliverToCaller,
+    DeliverToServer,
+    FindOwner,
+    Message,
+    OpenFlow,
+    Relay,
+    ResetCaller,
+    ReturnPacket,
+    Route,
+    RoutingRules,
+    SendMessage,
+    ServerReport,
+    ServerState,
+    ServiceRules,
+    Subscribe,
+    Target,
+)
+from bramleystair.steering.agent import AgentSteering, AgentSteeringSettings
+from bramleystair.steering.balancer import BalancerSteering, BalancerSteeringSettings
+
+ENDPOINT = bytes((198, 18, 0, 1)) + struct.pack("!H", 443)
+SERVICE = "feed"
+# One way between nodes, and between nodes and callers.
+NODE_DELAY_S = 0.001
+CALLER_DELAY_S = 0.001
+TIMER_PERIOD_S = 0.01
+PORT = 9000
+# A balancer that starts reads the store.
+START_DELAY_S = 0.05
+
+Address = tuple[str, int]
+
+
+@attrs.frozen
+class FleetSettings:
+    """Size and settings of a modelled deployment.
+
+    Parameters
+    ----------
+    work_s : float
+        Mean work of a request in seconds.
+    heartbeat_s : float
+        Interval between the reports of servers.
+    cold_rate : float
+        New flows per second that a cold server bears; 0 for no limit.
+    seed : int
+        Seed of all random choices.
+    """
+
+    balancers: int = 3
+    servers: tuple[ServerSettings, ...] = (ServerSettings(),) * 5
+    callers: CallerSettings = CallerSettings()
+    work_s: float = 0.06
+    heartbeat_s: float = 0.8
+    cold_rate: float = 0.0
+    seed: int = 1
+    balancer_steering: BalancerSteeringSettings = BalancerSteeringSettings()
+    agent_steering: AgentSteeringSettings = AgentSteeringSettings()
+
+
+class Fleet:
+    """Run a deployment on a manual clock.
+
+    Parameters
+    ----------
+    settings : FleetSettings
+        Size and settings.
+    """
+
+    def __init__(self, settings: FleetSettings) -> None:
+        self.settings = settings
+        self.events = EventQueue()
+        self.random = random_module.Random(settings.seed)
+        self.report = Report()
+        self.counts: dict[tuple[str, str], int] = {}
+        self.decisions: list[tuple[float, Decision]] = []
+        self._balancers: dict[Address, BalancerSteering | None] = {}
+        self._agents: dict[Address, AgentSteering | None] = {}
+        self._servers: dict[Address, Server] = {}
+        self._states: dict[Address, ServerState] = {}
+        self._sequences: dict[Address, int] = {}
+        self._cut: set[Address] = set()
+        self._entries: dict[Address, object] = {}
+        self._evacuated: set[str] = set()
+        self._version = 1
+        self._callers: dict[bytes, Caller] = {}
+        for number, server in enumerate(settings.servers):
+            self.add_server(server, number)
+        for number in range(settings.balancers):
+            self.start_balancer(number)
+        self._create_callers()
+        self.events.call_after(TIMER_PERIOD_S, self._run_timers)
+
+    @property
+    def servers(self) -> tuple[Server, ...]:
+        """All servers in the order of their numbers."""
+        return tuple(self._servers.values())
+
+    def run_until(self, time_s: float) -> Report:
+        """Advance to `time_s` and return what was measured so far."""
+        self.events.run_until(time_s)
+        self.report.runs = {server.name: server.runs for server in self.servers}
+        return self.report
+
+    def add_server(self, settings: ServerSettings, number: int) -> None:
+        """Start a server and the agent beside it."""
+        address = _get_agent_address(number)
+        self._servers[address] = Server(
+            f"s{number}",
+            settings,
+            self.events,
+            self.random,
+            self.settings.work_s,
+            lambda data: self._take_server_packet(address, data),
+        )
+        self._states[address] = ServerState.READY
+        self._sequences[address] = 0
+        self.start_agent(number)
+        delay_s = self.random.uniform(0, 0.2)
+        self.events.call_after(delay_s, lambda: self._send_heartbeat(address))
+
+    def start_balancer(self, number: int) -> None:
+        """Start a balancer without any memory; it reads the store first."""
+        address = _get_balancer_address(number)
+        self._balancers[address] = None
+        self.events.call_after(START_DELAY_S, lambda: self._begin_balancer(address))
+
+    def stop_balancer(self, number: int) -> None:
+        """End a balancer; its memory is lost."""
+        self._balancers[_get_balancer_address(number)] = None
+
+    def start_agent(self, number: int) -> None:
+        """Start an agent without any memory."""
+        address = _get_agent_address(number)
+        settings = attrs.evolve(
+            self.settings.agent_steering, heartbeat_s=self.settings.heartbeat_s
+        )
+        self._agents[address] = AgentSteering(
+            address, f"zone-{number % 3}", settings, self.events.now
+        )
+
+    def stop_agent(self, number: int) -> None:
+        """End an agent; its server goes on."""
+        self._agents[_get_agent_address(number)] = None
+
+    def drain_server(self, number: int) -> None:
+        """Let a server report that it is leaving."""
+        address = _get_agent_address(number)
+        self._states[address] = ServerState.DRAINING
+        self._send_report(address)
+
+    def evacuate(self, zones: set[str]) -> None:
+        """Mark availability zones as evacuated."""
+        self._evacuated = zones
+        for balancer in self._balancers.values():
+            if balancer is not None:
+                balancer.set_evacuated(zones)
+
+    def cut(self, number: int) -> None:
+        """Cut an agent's VM off from the balancers."""
+        self._cut.add(_get_agent_address(number))
+
+    def heal(self, number: int) -> None:
+        """End the cut of an agent's VM."""
+        self._cut.discard(_get_agent_address(number))
+
+    def lose_power(self, duration_s: float) -> None:
+        """Stop all processes and start them again after `duration_s`."""
+        for number in range(len(self._servers)):
+            self.stop_agent(number)
+        for server in self.servers:
+            server.crash()
+        for number in range(self.settings.balancers):
+            self.stop_balancer(number)
+        self.events.call_after(duration_s, self._restore_power)
+
+    def _restore_power(self) -> None:
+        for number, server in enumerate(self.servers):
+            server.restart()
+            delay_s = self.random.uniform(0.2, 0.5)
+            self.events.call_after(delay_s, lambda n=number: self._restore(n))
+        for number in range(self.settings.balancers):
+            self.start_balancer(number)
+
+    def _restore(self, number: int) -> None:
+        address = _get_agent_address(number)
+        self.start_agent(number)
+        self._sequences[address] = 0
+        self._send_report(address)
+
+    def _create_callers(self) -> None:
+        settings = self.settings.callers
+        for number in range(settings.callers):
+            caller = Caller(
+                number,
+                ENDPOINT,
+                settings,
+                self.events,
+                self.random,
+                self._send_to_balancer,
+                self.report.record,
+            )
+            self._callers[struct.pack("!I", 0x64400000 + number)] = caller
+            caller.start()
+
+    def _begin_balancer(self, address: Address) -> None:
+        balancer = BalancerSteering(self.settings.balancer_steering, self.random)
+        balancer.set_rules(self._build_rules())
+        balancer.set_members(self._entries.values(), self.events.now)
+        balancer.set_evacuated(self._evacuated)
+        self._balancers[address] = balancer
+
+    def _build_rules(self) -> RoutingRules:
+        route = Route("feed", ENDPOINT, (Target(SERVICE, 1.0),))
+        rules = ServiceRules(SERVICE, self.settings.cold_rate)
+        return RoutingRules(self._version, {ENDPOINT: route}, {SERVICE: rules})
+
+    def _send_heartbeat(self, address: Address) -> None:
+        self._send_report(address)
+        self.events.call_after(
+            self.settings.heartbeat_s, lambda: self._send_heartbeat(address)
+        )
+
+    def _send_report(self, address: Address) -> None:
+        agent, server = self._agents[address], self._servers[address]
+        if agent is None or not server.is_up:
+            return
+        self._sequences[address] += 1
+        cold_until_s = server.started_s + server.settings.cold_s
+        report = ServerReport(
+            f"{server.name}-{server.lifetime}",
+            SERVICE,
+            "",
+            self._states[address],
+            server.settings.slots,
+            max(0.0, cold_until_s - self.events.now),
+            self._sequences[address],
+            int(server.started_s * 1000),
+        )
+        self._carry_out(address, agent.take_report(report, self.events.now))
+        entry = agent.build_entry()
+        if entry == self._entries.get(address):
+            return
+        self._entries[address] = entry
+        for balancer in self._balancers.values():
+            if balancer is not None:
+                balancer.set_members(self._entries.values(), self.events.now)
+
+    def _send_to_balancer(self, data: bytes) -> None:
+        live = [a for a, balancer in self._balancers.items() if balancer is not None]
+        if not live:
+            return
+        flow = decode_packet(data).flow
+        # Highest hash, so that only the flows of a balancer that ends move.
+        address = max(live, key=lambda a: zlib.crc32(a[0].encode() + flow))
+        self.events.call_after(
+            CALLER_DELAY_S, lambda: self._take_caller_packet(address, data)
+        )
+
+    def _take_caller_packet(self, address: Address, data: bytes) -> None:
+        balancer = self._balancers[address]
+        if balancer is None:
+            return
+        actions = balancer.handle_segment(decode_packet(data), self.events.now)
+        self._carry_out(address, actions)
+
+    def _take_server_packet(self, address: Address, data: bytes) -> None:
+        agent = self._agents[address]
+        if agent is None:
+            return
+        actions = agent.handle_server_segment(decode_packet(data), self.events.now)
+        self._carry_out(address, actions)
+
+    def _take_message(
+        self, receiver: Address, sender: Address, message: Message
+    ) -> None:
+        now = self.events.now
+        agent = self._agents.get(receiver)
+        balancer = self._balancers.get(receiver)
+        if agent is not None:
+            match message:
+                case Subscribe():
+                    actions = agent.handle_subscription(sender, message, now)
+                case Relay(data):
+                    actions = agent.handle_relay(sender, decode_packet(data), now)
+                case OpenFlow():
+                    segment = decode_packet(message.data)
+                    actions = agent.handle_open(sender, message, segment, now)
+                case FindOwner():
+                    segment = decode_packet(message.data)
+                    actions = agent.handle_find(sender, message, segment, now)
+            self._carry_out(receiver, actions)
+        elif balancer is not None:
+            if isinstance(message, ReturnPacket):
+                segment = decode_packet(message.data)
+                actions = balancer.handle_returned(sender, segment, now)
+            else:
+                actions = balancer.handle_message(sender, message, now)
+            self._carry_out(receiver, actions)
+
+    def _carry_out(self, node: Address, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case SendMessage(address, message):
+                    self._send_message(node, address, message)
+                case DeliverToServer(data):
+                    server = self._servers[node]
+                    self.events.call_after(0, lambda s=server, d=data: s.take(d))
+                case DeliverToCaller(_, data):
+                    self._send_to_caller(data)
+                case ResetCaller(flow, sequence):
+                    if sequence and any(s.holds(flow) for s in self.servers):
+                        self.report.broken_flows += 1
+                    self._send_to_caller(encode_packet(flow, RESET, sequence, 0))
+                case Decision():
+                    self.decisions.append((self.events.now, action))
+                case Count(name, reason, amount):
+                    known = self.counts.get((name, reason), 0)
+                    self.counts[name, reason] = known + amount
+
+    def _send_message(
+        self, sender: Address, receiver: Address, message: Message
+    ) -> None:
+        if self._cut & {sender, receiver}:
+            return
+        self.events.call_after(
+            NODE_DELAY_S, lambda: self._take_message(receiver, sender, message)
+        )
+
+    def _send_to_caller(self, data: bytes) -> None:
+        segment = decode_packet(data)
+        caller = self._callers[segment.flow[:4]]
+        self.events.call_after(CALLER_DELAY_S, lambda: caller.take(segment))
+
+    def _run_timers(self) -> None:
+        now = self.events.now
+        for address, node in [*self._balancers.items(), *self._agents.items()]:
+            if node is not None and node.compute_wait(now) <= 0:
+                self._carry_out(address, node.run_timers(now))
+        self.events.call_after(TIMER_PERIOD_S, self._run_timers)
+
+
+def _get_balancer_address(number: int) -> Address:
+    return f"10.0.0.{number + 1}", PORT
+
+
+def _get_agent_address(number: int) -> Address:
+    return f"10.0.1.{number + 1}", PORT
--- /dev/null
+++ b/src/bramleystair/model/_report.py
@@ -0,0 +1,47 @@
+"""What a run of the model measured."""
+
+from collections import Counter
+
+import attrs
+
+from bramleystair.model._callers import Outcome
+
+
+@attrs.define
+class Report:
+    """Outcomes of requests and of flows.
+
+    Parameters
+    ----------
+    outcomes : Counter
+        Number of requests by second of their first attempt and outcome.
+    broken_flows : int
+        Open flows that were reset although their server held them.
+    runs : dict of str to int
+        Requests processed by server.
+    """
+
+    outcomes: Counter[tuple[int, Outcome]] = attrs.field(factory=Counter)
+    broken_flows: int = 0
+    runs: dict[str, int] = attrs.field(factory=dict)
+
+    def record(self, outcome: Outcome, started_s: float) -> None:
+        """Count a request."""
+        self.outcomes[int(started_s), outcome] += 1
+
+    def count(
+        self, outcome: Outcome, start_s: float = 0, end_s: float = float("inf")
+    ) -> int:
+        """Return the requests first sent in the interval that ended so."""
+        return sum(
+            number
+            for (second, how), number in self.outcomes.items()
+            if how is outcome and start_s <= second < end_s
+        )
+
+    def compute_share(
+        self, outcome: Outcome, start_s: float = 0, end_s: float = float("inf")
+    ) -> float:
+        """Return the share of the interval's requests that ended so."""
+        total = sum(self.count(how, start_s, end_s) for how in Outcome)
+        return self.count(outcome, start_s, end_s) / total if total else 0.0
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -176,6 +176,8 @@
             return self._take()
         self._server_s = now
         self._reported_s = now
+        # A server that reports gets another first packet, even if one went unanswered.
+        self._unanswered_s = None
         is_new = known is None or _identify(report) != _identify(known)
         if is_new and known is not None and not self._is_assumed:
             # Entries stay until the new server returns their packets.
--- a/src/bramleystair/steering/_agent_settings.py
+++ b/src/bramleystair/steering/_agent_settings.py
@@ -42,7 +42,7 @@
     return_wait_s: float = 0.02
     first_reply_s: float = 0.15
     silent_heartbeats: float = 2.5
-    max_load: float = 1.5
+    max_load: float = 1.0
     report_period_s: float = 0.25
     subscription_s: float = 3.0
     busy_window_s: float = 1.0
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -64,7 +64,6 @@
     sent_s: float = 0.0
     tried: list[Address] = attrs.field(factory=list)
     refusals: set[Refusal] = attrs.field(factory=set)
-    busy: list[Address] = attrs.field(factory=list)
     current: Address | None = None
     is_accepted: bool = False
 
@@ -277,6 +276,8 @@
         """Decide after all members tried have refused or not answered."""
         settings = self._settings
         held_s = now - opening.started_s
+        if self.members.has_busy(opening.service, now):
+            opening.refusals.add(Refusal.BUSY)
         if Refusal.BUSY in opening.refusals and held_s >= settings.busy_hold_s:
             # A request that waited longer would be late, and delay others.
             self._give_up(opening, "busy")
@@ -291,7 +292,6 @@
         opening.tried.clear()
         opening.current = None
         opening.refusals.clear()
-        opening.busy.clear()
         due_s = now + settings.round_delay_s
         self._retry_due.append((due_s, opening.token, opening.segment.flow))
 
@@ -340,7 +340,7 @@
         self._owners.pop(flow, None)
         opening.refusals.add(message.refusal)
         if message.refusal is Refusal.BUSY:
-            opening.busy.append(sender)
+            self.members.record_busy(sender, now)
         self._try_next(opening, now)
 
     def _expire_attempt(self, token: int, flow: bytes, now: float) -> None:
--- a/src/bramleystair/steering/_balancer_settings.py
+++ b/src/bramleystair/steering/_balancer_settings.py
@@ -52,7 +52,7 @@
     open_timeout_s: float = 0.06
     open_attempts: int = 4
     round_delay_s: float = 0.04
-    busy_hold_s: float = 0.1
+    busy_hold_s: float = 0.05
     hold_s: float = 0.5
     settle_s: float = 1.5
     lookup_delays_s: tuple[float, ...] = (0.06, 0.15, 0.4)
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -28,6 +28,8 @@
         Time of its last message.
     suspect_until_s : float
         Time until which it is avoided because it did not answer.
+    busy_until_s : float
+        Time until which it is not asked again because it refused as busy.
     """
 
     entry: MemberEntry
@@ -36,6 +38,7 @@
     opened: int = 0
     suspect_until_s: float = 0.0
     failures: int = 0
+    busy_until_s: float = 0.0
 
     def compute_utilization(self) -> float:
         """Return the expected share of busy slots with one more flow."""
@@ -154,9 +157,10 @@
         if not candidates:
             return None
         live = [member for member in candidates if self._is_live(member, now)]
-        accepting = [m for m in live if m.load is None or m.load.is_accepting]
-        pool = accepting or live
-        if not pool and not live_only:
+        idle = [member for member in live if now >= member.busy_until_s]
+        accepting = [m for m in idle if m.load is None or m.load.is_accepting]
+        pool = accepting or idle
+        if not pool and not live and not live_only:
             pool = candidates
         if not pool:
             return None
@@ -167,10 +171,17 @@
         )
         return min(sample, key=lambda member: _compute_cost(member, fastest_s))
 
-    def choose_least_busy(self, addresses: Collection[Address]) -> Member | None:
-        """Return the member with the lowest utilization of those given."""
-        members = [self._members[a] for a in addresses if a in self._members]
-        return min(members, key=Member.compute_utilization, default=None)
+    def record_busy(self, address: Address, now: float) -> None:
+        """Do not ask a member that refused as busy again at once."""
+        member = self._members.get(address)
+        if member is not None:
+            member.busy_until_s = now + self._settings.round_delay_s
+
+    def has_busy(self, service: str, now: float) -> bool:
+        """Return whether a member of `service` has just refused as busy."""
+        return any(
+            now < member.busy_until_s for member in self.list_candidates(service)
+        )
 
     def list_lost(self, now: float) -> frozenset[Address]:
         """Return the members whose silence says that their VM is gone."""
