--- /dev/null
+++ b/features/mirror.feature
@@ -0,0 +1,90 @@
+Feature: Copies of the store's objects and the node's own object
+
+  Guards against copies that miss a change after a gap, and against writes that are lost,
+  repeated or executed late.
+
+  Scenario: A watch brings changes in order
+    Given a store with members a and b
+    And a mirror of the members that has started
+    When c is added to the store
+    And a is deleted from the store
+    Then the mirror holds b and c
+
+  Scenario: Objects on several pages are all listed
+    # Guards against changes lost between the pages.
+    Given a store with 7 members on pages of 3
+    And a mirror of the members that has started
+    Then the mirror holds 7 members
+
+  Scenario: A lost history is listed again
+    Given a store with members a and b
+    And a mirror of the members that has started
+    When the store loses its history while a is deleted and c is added
+    And the store's clock advances by 1 s
+    Then the mirror holds b and c
+
+  Scenario: The copy stays while the store is down
+    # Guards against a balancer that forgets its members during an outage.
+    Given a store with members a and b
+    And a mirror of the members that has started
+    When the store is down
+    And the store's clock advances by 10 s
+    Then the mirror holds a and b
+    When the store is up again with c added
+    And the store's clock advances by 2 s
+    Then the mirror holds a, b and c
+
+  Scenario: A node's object is written when it changes only
+    Given an empty store and a publisher
+    When it publishes ready
+    And it publishes ready
+    And it publishes draining
+    Then the store holds draining
+    And the store took 2 writes
+
+  Scenario Outline: A write whose answer was lost is recognised
+    # Guards against a second object, and against a retry that never ends.
+    Given an empty store and a publisher
+    When the store loses the answer to a write that is <fate>
+    And it publishes ready
+    And the store's clock advances by 3 s
+    Then the store holds ready
+    And the publisher is settled
+
+    Examples:
+      | fate     |
+      | done     |
+      | not done |
+
+  Scenario: A late write does not undo a newer one
+    Given an empty store and a publisher
+    When it publishes ready
+    And the store executes a write only after 2 s
+    And it publishes draining
+    And the store's clock advances by 1 s
+    And it publishes ready
+    And the store's clock advances by 5 s
+    Then the store holds ready
+
+  Scenario: An object is back within two seconds of the store's return
+    Given an empty store and a publisher
+    When the store is down
+    And it publishes ready
+    And the store's clock advances by 30 s
+    And the store is up again
+    And the store's clock advances by 2 s
+    Then the store holds ready
+
+  Scenario: A server that takes its leave disappears
+    Given an empty store and a publisher
+    When it publishes ready
+    And it publishes nothing
+    Then the store holds nothing
+    When it publishes nothing
+    Then the store took 2 writes
+
+  Scenario: An object of a former lifetime is taken over
+    Given an empty store and a publisher
+    When another process has published draining
+    And it publishes ready
+    Then the store holds ready
--- /dev/null
+++ b/features/steering.feature
@@ -0,0 +1,154 @@
+Feature: Steering decisions of balancers and agents
+
+  Scenario Outline: An agent refuses what its server must not get
+    # Guards against new flows at a server that is leaving, of another service, or of
+    # unknown state, whatever the balancers believe.
+    Given an agent whose server <state>
+    When a new flow for <service> arrives
+    Then it is refused as <reason>
+
+    Examples:
+      | state                    | service | reason         |
+      | has not reported         | web     | unknown_server |
+      | is ready                 | api     | wrong_service  |
+      | is draining              | web     | draining       |
+      | has taken its leave      | web     | unknown_server |
+      | is fully busy            | web     | busy           |
+      | has been silent for long | web     | silent         |
+
+  Scenario: A late report does not undo a newer one
+    Given an agent whose server is draining
+    When an older report says that it is ready
+    And a new flow for web arrives
+    Then it is refused as draining
+
+  Scenario: A report of a former server at the same address is ignored
+    Given an agent whose server is ready
+    When a report of a server that started earlier says that it is draining
+    And a new flow for web arrives
+    Then it is taken
+
+  Scenario: A late report of a server that has taken its leave is ignored
+    Given an agent whose server has taken its leave
+    When an older report says that it is ready
+    And a new flow for web arrives
+    Then it is refused as unknown_server
+
+  Scenario: A first packet that the server returns is refused
+    Given an agent whose server is ready
+    When a new flow for web arrives
+    And the server returns its first packet
+    Then it is refused as returned
+
+  Scenario: A copy of a first packet that the server did not answer is refused
+    # Guards against a caller whose copies all go to a server that hangs.
+    Given an agent whose server is ready
+    When a new flow for web arrives
+    And 0.2 s later its first packet is repeated
+    Then it is refused as silent
+
+  Scenario: A restarted agent lets its server answer for an unknown flow
+    # Guards against a reset of a flow that the server holds.
+    Given an agent whose server is ready
+    When a packet of an unknown flow arrives
+    Then it is delivered to the server
+    When the server returns it
+    Then it goes back to the balancer
+
+  Scenario: An agent that has seen all flows answers for its server
+    Given an agent whose server is ready and that started 100 s ago
+    When a packet of an unknown flow arrives
+    Then it goes back to the balancer
+
+  Scenario: A handshake that was completed with another server is not delivered
+    # Guards against two servers that take parts of one flow.
+    Given an agent whose server is ready
+    When a new flow for web arrives
+    And the server answers it with the number 1000
+    And the caller acknowledges the number 5001
+    Then it goes back to the balancer
+
+  Scenario: Flows of a replaced server are reset before their next request
+    # Guards against a non-idempotent request that is sent into a flow without a server.
+    Given an agent whose server is ready
+    When a new flow for web arrives
+    And the server answers it with the number 1000
+    And the caller acknowledges the number 1001
+    And the server sends a packet
+    And 8 s later another server reports for the first time
+    Then the caller is reset near the number 1001
+
+  Scenario: Flows that a replaced server may hold are not reset
+    Given an agent whose server is ready
+    When a new flow for web arrives
+    And the server answers it with the number 1000
+    And the caller acknowledges the number 1001
+    And the server sends a packet
+    And 0.5 s later another server reports for the first time
+    Then the caller is not reset
+
+  Scenario: A balancer without memory finds the owner
+    Given a balancer with 3 members
+    When a packet of an unknown flow reaches the balancer
+    Then all 3 members are asked
+    When member 2 says that it owns the flow
+    And a packet of an unknown flow reaches the balancer
+    Then the packet goes to member 2
+
+  Scenario: A flow that no member holds is reset at once
+    Given a balancer with 3 members
+    When a packet of an unknown flow reaches the balancer
+    And all members say that they do not hold it
+    Then the caller is reset by the balancer
+
+  Scenario: A flow is not reset while a member has not answered
+    # Guards against a reset while the owner's agent restarts or is frozen.
+    Given a balancer with 3 members
+    When a packet of an unknown flow reaches the balancer
+    And members 0 and 1 say that they do not hold it
+    And 1 s pass at the balancer
+    Then the caller is not reset by the balancer
+
+  Scenario: A first packet without a route is refused at once
+    Given a balancer with 3 members
+    When a first packet for an address without a route arrives
+    Then the caller is reset by the balancer
+
+  Scenario: A member that does not answer is replaced by another
+    Given a balancer with 3 members
+    When a first packet arrives and its member does not answer for 0.07 s
+    Then another member is tried
+
+  Scenario: An evacuated zone gets no new flow
+    Given a balancer with 3 members
+    When the zones of members 0 and 1 are evacuated
+    Then 20 first packets all go to member 2
+
+  Scenario: An older configuration is ignored
+    Given a balancer with 3 members
+    When a configuration of a lower version without routes arrives
+    And a first packet arrives
+    Then a member is tried
+
+  Scenario: A balancer that hears no member is isolated
+    # Guards against flows that are kept at a balancer which is cut off.
+    Given a balancer with 3 members
+    When 3 s pass at the balancer
+    Then the balancer is isolated
+    When member 1 reports its load
+    Then the balancer is not isolated
+
+  Scenario: Flows of a member that fell silent are reset
+    Given a balancer with 3 members
+    When a packet of an unknown flow reaches the balancer
+    And member 2 says that it owns the flow
+    And for 4 s only members 0 and 1 report their loads
+    Then the caller is reset by the balancer
+
+  Scenario: A split by weight is the same at each balancer
+    Given a route split 90 to 10 between web and api
+    Then 10,000 flows go to web in 88 to 92 % of the cases, twice alike
+
+  Scenario: Messages survive their encoding, and others are refused
+    Then each kind of message is the same after encoding and decoding
+    And 500 random datagrams are decoded or refused
--- /dev/null
+++ b/features/steps/mirror_steps.py
@@ -0,0 +1,253 @@
+import random
+from concurrent.futures import Future
+
+import attrs
+from behave import given, then, when
+
+from bramleystair.mirror import (
+    Changes,
+    FailureKind,
+    Listing,
+    Mirror,
+    Publisher,
+    StoredItem,
+    StoreFailure,
+)
+from bramleystair.timers import ManualClock, TimerService
+
+KIND, NAME = "members", "m"
+
+
+def complete(value):
+    future = Future()
+    future.set_result(value)
+    return future
+
+
+def fail(kind=FailureKind.UNREACHABLE, present=None):
+    return StoreFailure("call", "store", kind.value, kind, present)
+
+
+@attrs.define
+class FakeStore:
+    """Object store in memory that answers at once unless told otherwise."""
+
+    timers: TimerService
+    page: int = 100
+    items: dict = attrs.field(factory=dict)
+    history: list = attrs.field(factory=list)
+    revision: int = 5
+    oldest: int = 0
+    is_up: bool = True
+    waiting: list = attrs.field(factory=list)
+    writes: int = 0
+    fate: str = ""
+    late_s: float = 0.0
+
+    def list_items(self, kind, after):
+        if not self.is_up:
+            return complete(fail())
+        names = sorted(name for name in self.items if name > after)
+        items = tuple(self.items[name] for name in names[: self.page])
+        return complete(Listing(items, self.revision, len(names) > self.page))
+
+    def watch(self, kind, revision):
+        if not self.is_up:
+            return complete(fail())
+        if revision < self.oldest:
+            return complete(fail(FailureKind.HISTORY_LOST))
+        events = self.get_events(revision)
+        if events:
+            return complete(Changes(events, self.revision))
+        future = Future()
+        self.waiting.append((revision, future))
+        return future
+
+    def get_events(self, revision):
+        return tuple(event for event in self.history if event[0].revision > revision)
+
+    def create(self, kind, name, value):
+        return self.write(name, value, lambda: name not in self.items)
+
+    def replace(self, kind, name, value, revision):
+        return self.write(name, value, lambda: self.has(name, revision))
+
+    def delete(self, kind, name, revision):
+        return self.write(name, None, lambda: self.has(name, revision))
+
+    def has(self, name, revision):
+        return name in self.items and self.items[name].revision == revision
+
+    def write(self, name, value, condition):
+        if not self.is_up:
+            return complete(fail())
+        self.writes += 1
+        fate, self.fate = self.fate, ""
+        late_s, self.late_s = self.late_s, 0.0
+        if fate == "not done":
+            return complete(fail())
+        if late_s:
+            self.timers.subscribe_once(
+                late_s, lambda _: self.execute(name, value, condition)
+            )
+            return complete(fail())
+        answer = self.execute(name, value, condition)
+        return complete(fail() if fate else answer)
+
+    def execute(self, name, value, condition):
+        if not condition():
+            present = self.items.get(name)
+            kind = FailureKind.CONFLICT if present else FailureKind.NOT_FOUND
+            return fail(kind, present)
+        return self.put(name, value)
+
+    def put(self, name, value):
+        self.revision += 1
+        item = StoredItem(name, self.revision, value)
+        self.history.append((item, value is None))
+        if value is None:
+            del self.items[name]
+        else:
+            self.items[name] = item
+        self.notify()
+        return None if value is None else item
+
+    def notify(self):
+        waiting, self.waiting = self.waiting, []
+        for revision, future in waiting:
+            future.set_result(Changes(self.get_events(revision), self.revision))
+
+
+def create_store(context, **options):
+    context.clock = ManualClock()
+    context.timers = TimerService(context.clock)
+    context.store = FakeStore(context.timers, **options)
+
+
+@given("a store with members a and b")
+def create_small_store(context):
+    create_store(context)
+    for name in ("a", "b"):
+        context.store.put(name, {"name": name})
+
+
+@given("a store with {count:d} members on pages of {page:d}")
+def create_paged_store(context, count, page):
+    create_store(context, page=page)
+    for number in range(count):
+        context.store.put(f"m{number}", {})
+
+
+@given("a mirror of the members that has started")
+def start_mirror(context):
+    context.copy = {}
+
+    def take(items):
+        context.copy = dict(items)
+
+    context.mirror = Mirror(context.store, KIND, context.timers, random.Random(1), take)
+    context.mirror.start()
+
+
+@given("an empty store and a publisher")
+def create_publisher(context):
+    create_store(context)
+    context.publisher = Publisher(
+        context.store, KIND, NAME, context.timers, random.Random(1)
+    )
+
+
+@when("{name} is added to the store")
+def add(context, name):
+    context.store.put(name, {"name": name})
+
+
+@when("{name} is deleted from the store")
+def delete(context, name):
+    context.store.put(name, None)
+
+
+@when("the store loses its history while a is deleted and c is added")
+def lose_history(context):
+    store = context.store
+    waiting, store.waiting = store.waiting, []
+    store.put("a", None)
+    store.put("c", {})
+    store.oldest = store.revision
+    for _, future in waiting:
+        future.set_result(fail(FailureKind.HISTORY_LOST))
+
+
+@when("the store is down")
+def stop_store(context):
+    context.store.is_up = False
+    waiting, context.store.waiting = context.store.waiting, []
+    for _, future in waiting:
+        future.set_result(fail())
+
+
+@when("the store is up again with c added")
+def restart_store_changed(context):
+    context.store.is_up = True
+    context.store.put("c", {})
+
+
+@when("the store is up again")
+def restart_store(context):
+    context.store.is_up = True
+
+
+@when("the store's clock advances by {seconds:d} s")
+def pass_time(context, seconds):
+    for _ in range(seconds * 100):
+        context.clock.advance(0.01)
+        context.timers.run_due()
+
+
+@when("the store loses the answer to a write that is {fate}")
+def lose_answer(context, fate):
+    context.store.fate = fate
+
+
+@when("the store executes a write only after {seconds:d} s")
+def delay_write(context, seconds):
+    context.store.late_s = seconds
+
+
+@when("it publishes {value}")
+def publish(context, value):
+    context.publisher.publish(None if value == "nothing" else {"state": value})
+
+
+@when("another process has published {value}")
+def publish_other(context, value):
+    context.store.put(NAME, {"state": value})
+
+
+@then("the mirror holds {names}")
+def check_mirror(context, names):
+    if names.endswith(" members"):
+        assert len(context.copy) == int(names.split()[0]), context.copy
+        return
+    expected = names.replace(" and ", ", ").split(", ")
+    assert sorted(context.copy) == expected, context.copy
+
+
+@then("the store holds {value}")
+def check_store(context, value):
+    item = context.store.items.get(NAME)
+    if value == "nothing":
+        assert item is None, item
+        return
+    assert item is not None
+    assert item.value == {"state": value}, item
+
+
+@then("the store took {count:d} writes")
+def check_writes(context, count):
+    assert context.store.writes == count, context.store.writes
+
+
+@then("the publisher is settled")
+def check_settled(context):
+    assert context.publisher.is_settled
--- /dev/null
+++ b/features/steps/steering_steps.py
@@ -0,0 +1,422 @@
+import random
+import struct
+
+from behave import given, then, when
+
+from bramleystair.steering import (
+    DeliverToServer,
+    FindOwner,
+    FindReply,
+    Load,
+    LoadReport,
+    MemberEntry,
+    OpenFlow,
+    OpenReply,
+    Ownership,
+    Refusal,
+    Relay,
+    ResetCaller,
+    ReturnPacket,
+    Route,
+    RoutingRules,
+    Segment,
+    SendMessage,
+    ServerReport,
+    ServerState,
+    ServiceRules,
+    Subscribe,
+    Target,
+    decode_message,
+    encode_message,
+)
+from bramleystair.steering._types import compute_service_id
+from bramleystair.steering.agent import AgentSteering, AgentSteeringSettings
+from bramleystair.steering.balancer import BalancerSteering, BalancerSteeringSettings
+
+BALANCER = ("10.0.0.1", 7)
+AGENT = ("10.0.1.1", 8)
+ENDPOINT = bytes((198, 18, 0, 1, 1, 187))
+FLOW = bytes((100, 64, 0, 7)) + ENDPOINT[:4] + bytes((156, 65)) + ENDPOINT[4:]
+FIRST_NUMBER = 500
+
+
+def make_segment(flow=FLOW, first=False, returned=False, sequence=1, ack=0, size=0):
+    data = flow + bytes((first, returned)) + struct.pack("!II", sequence, ack)
+    return Segment(flow, data, first, returned, False, False, size > 0, sequence, ack)
+
+
+def make_report(state=ServerState.READY, sequence=10, started_ms=1000, server="i-1"):
+    return ServerReport(server, "web", "z", state, 2, 0.0, sequence, started_ms)
+
+
+def advance(context, seconds):
+    context.now += seconds
+
+
+def create_agent(context, age=0.0):
+    context.now = 100.0
+    context.agent = AgentSteering(
+        AGENT, "z", AgentSteeringSettings(heartbeat_s=0.8), context.now - age
+    )
+
+
+@given("an agent whose server {state}")
+def create_agent_with(context, state):
+    create_agent(context)
+    agent = context.agent
+    if state == "has not reported":
+        return
+    if state.endswith("started 100 s ago"):
+        create_agent(context, age=100)
+        agent = context.agent
+    is_draining = state == "is draining"
+    report = make_report(ServerState.DRAINING if is_draining else ServerState.READY)
+    agent.take_report(report, context.now)
+    if state == "has taken its leave":
+        agent.remove_server("i-1", context.now)
+    if state == "is fully busy":
+        for number in range(2):
+            flow = bytes((number,)) + FLOW[1:]
+            agent.handle_relay(BALANCER, make_segment(flow, size=10), context.now)
+    if state == "has been silent for long":
+        context.now += 10
+
+
+@when("a new flow for {service} arrives")
+def open_flow(context, service):
+    message = OpenFlow(7, compute_service_id(service), 0.0, False, b"")
+    segment = make_segment(first=True, sequence=FIRST_NUMBER)
+    context.actions = context.agent.handle_open(BALANCER, message, segment, context.now)
+
+
+@when("{seconds:f} s later its first packet is repeated")
+def repeat_first(context, seconds):
+    context.now += seconds
+    open_flow(context, "web")
+
+
+@when("an older report says that it is ready")
+def send_late_report(context):
+    context.agent.take_report(make_report(sequence=3), context.now)
+
+
+@when("a report of a server that started earlier says that it is draining")
+def send_former_report(context):
+    report = make_report(ServerState.DRAINING, 40, started_ms=10, server="i-0")
+    context.agent.take_report(report, context.now)
+
+
+@when("the server returns its first packet")
+def return_first(context):
+    segment = make_segment(first=True, returned=True, sequence=FIRST_NUMBER)
+    context.actions = context.agent.handle_server_segment(segment, context.now)
+
+
+@when("a packet of an unknown flow arrives")
+def relay_unknown(context):
+    context.actions = context.agent.handle_relay(
+        BALANCER, make_segment(ack=77, size=5), context.now
+    )
+
+
+@when("the server returns it")
+def return_unknown(context):
+    segment = make_segment(returned=True, ack=77, size=5)
+    context.actions = context.agent.handle_server_segment(segment, context.now)
+
+
+@when("the server answers it with the number {number:d}")
+def answer(context, number):
+    segment = make_segment(first=True, sequence=number, ack=FIRST_NUMBER + 1)
+    context.actions = context.agent.handle_server_segment(segment, context.now)
+
+
+@when("the caller acknowledges the number {number:d}")
+def acknowledge(context, number):
+    segment = make_segment(sequence=FIRST_NUMBER + 1, ack=number)
+    context.actions = context.agent.handle_relay(BALANCER, segment, context.now)
+
+
+@when("the server sends a packet")
+def send_from_server(context):
+    segment = make_segment(sequence=1001, size=9)
+    context.actions = context.agent.handle_server_segment(segment, context.now)
+
+
+@when("{seconds:g} s later another server reports for the first time")
+def replace_server(context, seconds):
+    context.now += seconds
+    report = make_report(sequence=1, started_ms=9000, server="i-2")
+    context.actions = context.agent.take_report(report, context.now)
+
+
+def list_messages(context, kind):
+    return [
+        action
+        for action in context.actions
+        if isinstance(action, SendMessage) and isinstance(action.message, kind)
+    ]
+
+
+@then("it is refused as {reason}")
+def check_refusal(context, reason):
+    replies = [a.message.refusal for a in list_messages(context, OpenReply)]
+    assert replies == [Refusal[reason.upper()]], replies
+    assert not any(isinstance(a, DeliverToServer) for a in context.actions)
+
+
+@then("it is taken")
+def check_taken(context):
+    replies = [a.message.refusal for a in list_messages(context, OpenReply)]
+    assert replies == [Refusal.NONE], replies
+    assert any(isinstance(a, DeliverToServer) for a in context.actions)
+
+
+@then("it is delivered to the server")
+def check_delivered(context):
+    assert any(isinstance(a, DeliverToServer) for a in context.actions)
+    assert not list_messages(context, ReturnPacket)
+
+
+@then("it goes back to the balancer")
+def check_returned_packet(context):
+    returned = list_messages(context, ReturnPacket)
+    assert [action.address for action in returned] == [BALANCER], context.actions
+    assert not any(isinstance(a, DeliverToServer) for a in context.actions)
+
+
+@then("the caller is reset near the number {number:d}")
+def check_agent_reset(context, number):
+    resets = [a for a in context.actions if isinstance(a, ResetCaller)]
+    assert [(r.flow, r.sequence) for r in resets] == [(FLOW, number)], resets
+
+
+@then("the caller is not reset")
+def check_no_agent_reset(context):
+    assert not any(isinstance(a, ResetCaller) for a in context.actions)
+
+
+def get_member(number):
+    return (f"10.0.1.{number}", 8)
+
+
+@given("a balancer with {count:d} members")
+def create_balancer(context, count):
+    context.now = 50.0
+    context.balancer = BalancerSteering(BalancerSteeringSettings(), random.Random(4))
+    route = Route("r", ENDPOINT, (Target("web", 1.0),))
+    rules = RoutingRules(9, {ENDPOINT: route}, {"web": ServiceRules("web")})
+    context.balancer.set_rules(rules)
+    entries = [
+        MemberEntry(get_member(n), f"zone-{n}", "web", ServerState.READY, 2)
+        for n in range(count)
+    ]
+    context.balancer.set_members(entries, context.now)
+    context.balancer.run_timers(context.now)
+    context.count = count
+    context.all_actions = []
+
+
+def record(context, actions):
+    context.actions = actions
+    context.all_actions += actions
+
+
+@when("a packet of an unknown flow reaches the balancer")
+def send_unknown(context):
+    segment = make_segment(ack=77, size=5)
+    record(context, context.balancer.handle_segment(segment, context.now))
+
+
+@when("member {number:d} says that it owns the flow")
+def own(context, number):
+    token = [
+        a.message.token
+        for a in context.all_actions
+        if isinstance(a, SendMessage) and isinstance(a.message, FindOwner)
+    ][0]
+    message = FindReply(token, Ownership.CERTAIN)
+    record(
+        context,
+        context.balancer.handle_message(get_member(number), message, context.now),
+    )
+
+
+def deny(context, numbers):
+    token = list_messages(context, FindOwner)[0].message.token
+    actions = []
+    for number in numbers:
+        actions += context.balancer.handle_message(
+            get_member(number), FindReply(token, Ownership.NONE), context.now
+        )
+    record(context, actions)
+
+
+@when("all members say that they do not hold it")
+def deny_all(context):
+    deny(context, range(context.count))
+
+
+@when("members 0 and 1 say that they do not hold it")
+def deny_two(context):
+    deny(context, (0, 1))
+
+
+@when("{seconds:d} s pass at the balancer")
+def run_balancer(context, seconds):
+    for _ in range(seconds * 100):
+        context.now += 0.01
+        record(context, context.balancer.run_timers(context.now))
+
+
+@when("for {seconds:d} s only members 0 and 1 report their loads")
+def report_two(context, seconds):
+    for _ in range(seconds * 2):
+        context.now += 0.5
+        for number in (0, 1):
+            report(context, number)
+        record(context, context.balancer.run_timers(context.now))
+
+
+@when("member {number:d} reports its load")
+def report(context, number):
+    message = LoadReport(Load(slots=2))
+    record(
+        context,
+        context.balancer.handle_message(get_member(number), message, context.now),
+    )
+
+
+@when("a first packet for an address without a route arrives")
+def send_unrouted(context):
+    flow = FLOW[:-1] + b"\x00"
+    segment = make_segment(flow, first=True)
+    record(context, context.balancer.handle_segment(segment, context.now))
+
+
+@when("a first packet arrives")
+def send_first(context):
+    segment = make_segment(first=True)
+    record(context, context.balancer.handle_segment(segment, context.now))
+
+
+@when("a first packet arrives and its member does not answer for {seconds:f} s")
+def leave_unanswered(context, seconds):
+    send_first(context)
+    context.first = list_messages(context, OpenFlow)[0].address
+    context.now += seconds
+    record(context, context.balancer.run_timers(context.now))
+
+
+@when("the zones of members 0 and 1 are evacuated")
+def evacuate(context):
+    context.balancer.set_evacuated({"zone-0", "zone-1"})
+
+
+@when("a configuration of a lower version without routes arrives")
+def set_older(context):
+    context.balancer.set_rules(RoutingRules(8))
+
+
+@then("all {count:d} members are asked")
+def check_asked(context, count):
+    asked = {action.address for action in list_messages(context, FindOwner)}
+    assert asked == {get_member(n) for n in range(count)}, asked
+
+
+@then("the packet goes to member {number:d}")
+def check_relayed(context, number):
+    relayed = [action.address for action in list_messages(context, Relay)]
+    assert relayed == [get_member(number)], relayed
+
+
+def list_resets(context):
+    return [a for a in context.all_actions if isinstance(a, ResetCaller)]
+
+
+@then("the caller is reset by the balancer")
+def check_reset(context):
+    assert len(list_resets(context)) == 1, context.all_actions
+
+
+@then("the caller is not reset by the balancer")
+def check_no_reset(context):
+    assert not list_resets(context)
+
+
+@then("another member is tried")
+def check_other(context):
+    tried = [action.address for action in list_messages(context, OpenFlow)]
+    assert len(tried) == 1
+    assert tried[0] != context.first
+
+
+@then("a member is tried")
+def check_tried(context):
+    assert len(list_messages(context, OpenFlow)) == 1
+
+
+@then("{count:d} first packets all go to member {number:d}")
+def check_evacuated(context, count, number):
+    for index in range(count):
+        flow = bytes((index,)) + FLOW[1:]
+        segment = make_segment(flow, first=True)
+        record(context, context.balancer.handle_segment(segment, context.now))
+        tried = [action.address for action in list_messages(context, OpenFlow)]
+        assert tried == [get_member(number)], tried
+
+
+@then("the balancer is isolated")
+def check_isolated(context):
+    assert context.balancer.is_isolated(context.now)
+
+
+@then("the balancer is not isolated")
+def check_connected(context):
+    assert not context.balancer.is_isolated(context.now)
+
+
+@given("a route split 90 to 10 between web and api")
+def create_route(context):
+    targets = (Target("web", 90), Target("api", 10))
+    context.routes = [Route("r", ENDPOINT, targets) for _ in range(2)]
+
+
+@then("10,000 flows go to web in 88 to 92 % of the cases, twice alike")
+def check_split_shares(context):
+    flows = [random.Random(n).randbytes(12) for n in range(10_000)]
+    first, second = (
+        [route.choose_service(flow) for flow in flows] for route in context.routes
+    )
+    assert first == second
+    assert 0.88 < first.count("web") / len(first) < 0.92
+
+
+MESSAGES = (
+    OpenFlow(3, 2**60, 4.5, True, b"packet"),
+    OpenReply(3, Refusal.BUSY, Load(running=3, busy=1.5, is_cold=True)),
+    Relay(b"packet"),
+    FindOwner(9, b"packet"),
+    FindReply(9, Ownership.LIKELY),
+    ReturnPacket(b"packet"),
+    Subscribe(12),
+    LoadReport(Load(ServerState.DRAINING, is_accepting=False), 12),
+)
+
+
+@then("each kind of message is the same after encoding and decoding")
+def check_codec(context):
+    for message in MESSAGES:
+        assert decode_message(encode_message(message)).unwrap() == message, message
+
+
+@then("{count:d} random datagrams are decoded or refused")
+def check_random_datagrams(context, count):
+    source = random.Random(8)
+    results = [
+        decode_message(source.randbytes(source.randrange(60))) for _ in range(count)
+    ]
+    kinds = [bytes((kind,)) + source.randbytes(21) for kind in range(1, 9)]
+    results += [decode_message(data) for data in kinds]
+    assert any(result.is_err() for result in results)
+    assert decode_message(b"").is_err()
--- a/src/bramleystair/platform/_configuration.py
+++ b/src/bramleystair/platform/_configuration.py
@@ -10,6 +10,15 @@
 
 CONFIG_KIND = "config"
 EVACUATION_KIND = "evacuations"
+# What a document of another shape raises while it is read.
+_UNREADABLE = (
+    KeyError,
+    TypeError,
+    ValueError,
+    OSError,
+    OverflowError,
+    AttributeError,
+)
 
 
 def read_rules(spec: Any) -> Result[RoutingRules, StepError]:
@@ -32,7 +41,7 @@
                 spec.get("Limits", {}).get("IdleTimeoutMs", 15_000) / 1000,
             )
         )
-    except (KeyError, TypeError, ValueError, OSError, AttributeError) as error:
+    except _UNREADABLE as error:
         return Err(StepError("read configuration", "store", repr(error)))
 
 
@@ -40,12 +49,19 @@
     # The host is an address and the path prefix a port between slashes.
     port = int(item["PathPrefix"].strip("/"))
     endpoint = socket.inet_aton(item["Host"]) + port.to_bytes(2, "big")
-    if item.get("TrafficSplit"):
-        targets = tuple(
-            Target(part["Service"], float(part["Weight"]))
-            for part in item["TrafficSplit"]
-            if part["Weight"] > 0
-        )
-    else:
-        targets = (Target(item["Service"], 1.0),)
-    return Route(item["Name"], endpoint, targets, item.get("GoalMs", 0) / 1000)
+    split = item.get("TrafficSplit") or [{"Service": item["Service"], "Weight": 1}]
+    targets = tuple(
+        Target(_read_text(part["Service"]), float(part["Weight"]))
+        for part in split
+        if part["Weight"] > 0
+    )
+    if not targets:
+        raise ValueError(f"route {item['Name']} has no service")
+    name = _read_text(item["Name"])
+    return Route(name, endpoint, targets, item.get("GoalMs", 0) / 1000)
+
+
+def _read_text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is not a text")
+    return value
