Start from peers while the store is away, and notice lost members sooner

Ruled out: a watch with short waits, which costs calls; silence of the agent as the only sign of its end, since a planned restart looks the same. A member counts as lost after 1.2 s and two intervals of subscriptions, which are shorter in small deployments; an agent that stops on purpose says so and is waited for. The first 2 s of a cut cost the requests in progress.

--- /dev/null
+++ b/features/steps/nodes_steps.py
@@ -0,0 +1,285 @@
+import logging
+import os
+import random
+import signal
+import socket
+
+from behave import given, then, when
+
+from bramleystair.http import (
+    HttpClient,
+    HttpFailure,
+    HttpReply,
+    HttpServer,
+)
+from bramleystair.logs import ROOT_NAME
+from bramleystair.loop import EventLoop
+from bramleystair.mirror import Mirror, StoredItem
+from bramleystair.nodes._journal import DecisionJournal
+from bramleystair.nodes._snapshots import SnapshotClient, SnapshotServer
+from bramleystair.nodes._start import _DroppingStream
+from bramleystair.steering import Decision
+from bramleystair.timers import MonotonicClock
+
+HOST = "127.0.0.1"
+
+
+def run_until(context, condition, limit_s):
+    """Run the loop until the condition holds; the limit only ends a failed test."""
+    end = context.loop.clock.now() + limit_s
+    while not condition() and context.loop.clock.now() < end:
+        context.loop.timers.subscribe_once(0.02, lambda _: None)
+        context.loop.run_once()
+    return condition()
+
+
+@given("an event loop")
+def create_loop(context):
+    context.loop = EventLoop(MonotonicClock())
+    context.add_cleanup(context.loop.close)
+
+
+@when("a timer raises an error before another timer is due")
+def raise_in_timer(context):
+    context.ran = []
+
+    def fail(_):
+        raise KeyError("broken")
+
+    context.loop.timers.subscribe_once(0.01, fail)
+    context.loop.timers.subscribe_once(0.05, context.ran.append)
+
+
+@then("the other timer ran and 1 failure was counted")
+def check_timer(context):
+    assert run_until(context, lambda: bool(context.ran), 5)
+    assert context.loop.failures == 1
+
+
+@when("the process receives SIGHUP")
+def send_signal(context):
+    context.ran = []
+    previous = signal.getsignal(signal.SIGHUP)
+    context.loop.subscribe_signal(signal.SIGHUP, lambda: context.ran.append(1))
+    context.add_cleanup(signal.signal, signal.SIGHUP, previous)
+    context.add_cleanup(signal.set_wakeup_fd, -1)
+    os.kill(os.getpid(), signal.SIGHUP)
+
+
+@then("its handler ran")
+def check_signal(context):
+    assert run_until(context, lambda: bool(context.ran), 5)
+
+
+def start_server(context, respond):
+    server = HttpServer(context.loop, (HOST, 0), respond)
+    context.add_cleanup(server.close)
+    context.endpoint = (HOST, server.port)
+
+
+@given("an HTTP server on it that echoes")
+def start_echo(context):
+    start_server(context, lambda request: HttpReply(200, request.body))
+
+
+@given("an HTTP server on it that answers with {size:d} bytes")
+def start_large(context, size):
+    start_server(context, lambda request: HttpReply(200, b"x" * size))
+
+
+@given("a port that accepts connections and stays silent")
+def start_silent(context):
+    listener = socket.create_server((HOST, 0))
+    context.add_cleanup(listener.close)
+    context.endpoint = listener.getsockname()
+
+
+@given("a port that nobody listens on")
+def reserve_port(context):
+    with socket.create_server((HOST, 0)) as listener:
+        context.endpoint = listener.getsockname()
+
+
+@when("{count:d} calls are made one after the other")
+def make_calls(context, count):
+    client = HttpClient(context.loop, context.endpoint)
+    context.add_cleanup(client.close)
+    context.ports = set()
+    context.answers = []
+    for number in range(count):
+        call = client.call("POST", "/x", f"body {number}".encode(), 10.0)
+        assert run_until(context, call.done, 15)
+        context.answers.append(call.result())
+        context.ports.add(client._idle[-1]._socket.getsockname())
+
+
+@when("a call with a limit of {limit:f} s is made")
+def make_call(context, limit):
+    client = HttpClient(context.loop, context.endpoint)
+    call = client.call("GET", "/", timeout_s=limit)
+    assert run_until(context, call.done, 15)
+    context.answers = [call.result()]
+
+
+@when("{count:d} random byte strings are sent to it")
+def send_random(context, count):
+    source = random.Random(2)
+    for _ in range(count):
+        with socket.create_connection(context.endpoint) as connection:
+            connection.sendall(source.randbytes(source.randrange(1, 200)) + b"\r\n\r\n")
+            context.loop.run_once()
+    context.loop.timers.subscribe_once(0.01, lambda _: None)
+    context.loop.run_once()
+
+
+@then("all {count:d} are answered with their bodies over {connections:d} connection")
+def check_answers(context, count, connections):
+    bodies = [answer.body for answer in context.answers]
+    assert bodies == [f"body {number}".encode() for number in range(count)]
+    assert len(context.ports) == connections
+
+
+@then("the response has {size:d} bytes")
+def check_size(context, size):
+    assert len(context.answers[0].body) == size
+
+
+@then('it fails with "{detail}"')
+def check_failure(context, detail):
+    assert context.answers[0].detail == detail, context.answers
+
+
+@then("it fails with a reason")
+def check_any_failure(context):
+    assert isinstance(context.answers[0], HttpFailure)
+    assert context.answers[0].detail
+
+
+class AbsentStore:
+    """A store whose answers never come."""
+
+    def list_items(self, kind, after):
+        from concurrent.futures import Future
+
+        return Future()
+
+
+def create_mirrors(context, members):
+    mirrors = {}
+    for name in ("rules", "evacuations", "members"):
+        mirrors[name] = Mirror(
+            AbsentStore(),
+            name,
+            context.loop.timers,
+            random.Random(1),
+            lambda items: None,
+        )
+    if members:
+        names = [f"m{number}" for number in range(members)]
+        copies = {name: StoredItem(name, 5, {"port": 1}) for name in names}
+        mirrors["rules"].preload({"main": StoredItem("main", 4, {"Version": 1})})
+        mirrors["evacuations"].preload({})
+        mirrors["members"].preload(copies)
+    return mirrors
+
+
+@given("a peer that holds {count:d} members and a dead peer")
+def start_peer(context, count):
+    start_server(context, SnapshotServer(create_mirrors(context, count)).answer)
+    with socket.create_server((HOST, 0)) as listener:
+        context.dead = listener.getsockname()
+
+
+def start_client(context):
+    peers = (context.dead, context.endpoint)
+    SnapshotClient(context.loop, peers, context.mirrors).start()
+
+
+@when("a balancer starts while the store is away")
+def start_balancer(context):
+    context.mirrors = create_mirrors(context, 0)
+    start_client(context)
+
+
+@then("it holds {count:d} members within {seconds:d} s")
+def check_members(context, count, seconds):
+    members = context.mirrors["members"]
+    assert run_until(context, lambda: members.is_complete, seconds)
+    assert len(members.items) == count
+    assert context.mirrors["rules"].items["main"].value == {"Version": 1}
+
+
+@when("a balancer that has listed {count:d} members receives the peer's copy")
+def receive_late(context, count):
+    context.mirrors = create_mirrors(context, count)
+    context.mirrors["members"].preload({})
+
+
+@then("it still holds {count:d} members")
+def check_kept(context, count):
+    assert len(context.mirrors["members"].items) == count
+
+
+class Recorder(logging.Handler):
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
+
+
+@given("a decision journal")
+def create_journal(context):
+    context.time_s = 5.0
+    context.journal = DecisionJournal(lambda: context.time_s)
+    context.recorder = Recorder()
+    logger = logging.getLogger(ROOT_NAME)
+    level = logger.level
+    logger.setLevel(logging.INFO)
+    logger.addHandler(context.recorder)
+    context.add_cleanup(logger.removeHandler, context.recorder)
+    context.add_cleanup(logger.setLevel, level)
+
+
+@when("{count:d} decisions of one kind and 1 of another are recorded within a second")
+def record_decisions(context, count):
+    for _ in range(count):
+        context.journal.record(Decision("open", bytes(12), "busy", {"running": 3}))
+    context.journal.record(Decision("reset", bytes(12), "no_owner"))
+
+
+@then("{count:d} lines of the first kind and 1 of the other are written")
+def check_lines(context, count):
+    steps = [record.step for record in context.recorder.records]
+    assert steps.count("open") == count
+    assert steps.count("reset") == 1
+
+
+@then("the next second tells that {count:d} were left out")
+def check_left_out(context, count):
+    context.time_s = 6.0
+    context.journal.record(Decision("open", b"", "busy"))
+    assert any(
+        getattr(record, "count", None) == count for record in context.recorder.records
+    )
+
+
+@given("a pipe that nobody reads")
+def create_pipe(context):
+    reader, writer = os.pipe()
+    context.add_cleanup(os.close, reader)
+    context.add_cleanup(os.close, writer)
+    context.stream = _DroppingStream(writer)
+
+
+@when("{count:d} log lines are written to it")
+def write_lines(context, count):
+    for _ in range(count):
+        context.stream.write("x" * 100 + "\n")
+
+
+@then("the writer was not blocked and lines were dropped")
+def check_dropped(context):
+    # Reaching this step shows that no write waited for the reader.
+    assert context.stream.dropped > 0
--- a/src/bramleystair/http/_server.py
+++ b/src/bramleystair/http/_server.py
@@ -7,7 +7,7 @@
 import h11
 
 from bramleystair.logs import get_log
-from bramleystair.loop import EventLoop
+from bramleystair.loop import READ, WRITE, EventLoop
 
 log = get_log("http")
 
@@ -109,6 +109,7 @@
         self._parser = h11.Connection(h11.SERVER)
         self._head: h11.Request | None = None
         self._body = b""
+        self._outgoing = b""
         self._is_open = True
         loop.watch(sock, self._read)
 
@@ -168,15 +169,25 @@
         if reply.body:
             data += send(h11.Data(data=reply.body))
         data += send(h11.EndOfMessage())
+        self._outgoing += data
+        self._write()
+
+    def _write(self) -> None:
         try:
-            # Replies fit the socket's buffer; a peer that does not read is dropped.
-            sent = self._socket.send(data)
+            sent = self._socket.send(self._outgoing)
+        except BlockingIOError:
+            sent = 0
         except OSError as error:
             log.info("reply failed: %s", error)
             self.close()
             return
-        if sent < len(data) or self._parser.our_state is not h11.DONE:
+        self._outgoing = self._outgoing[sent:]
+        if self._outgoing:
+            self._loop.rewatch(self._socket, self._write, WRITE)
+            return
+        if self._parser.our_state is not h11.DONE:
             self.close()
             return
+        self._loop.rewatch(self._socket, self._read, READ)
         if self._parser.their_state is h11.DONE:
             self._parser.start_next_cycle()
--- a/src/bramleystair/mirror/_mirror.py
+++ b/src/bramleystair/mirror/_mirror.py
@@ -70,6 +70,19 @@
         self._generation += 1
         self._list("")
 
+    @property
+    def items(self) -> dict[str, StoredItem]:
+        """The copy, by name."""
+        return self._items
+
+    def preload(self, items: dict[str, StoredItem]) -> None:
+        """Use a peer's copy until the first listing; ignored after it."""
+        if self.is_complete:
+            return
+        self._items = items
+        self.is_complete = True
+        self._on_change(items)
+
     def restart(self) -> None:
         """Abandon a waiting watch, which may have gone silent, and list again."""
         log.info("%s: listing again", self._kind)
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -7,12 +7,14 @@
 from result import Result
 
 from bramleystair.errors import StepError
+from bramleystair.http import HttpServer
 from bramleystair.logs import get_log
 from bramleystair.loop import EventLoop
 from bramleystair.mirror import Mirror, ObjectStore, StoredItem
 from bramleystair.nodes._datagrams import DatagramSocket
 from bramleystair.nodes._node import NodeBase, subscribe_once
 from bramleystair.nodes._settings import MEMBER_KIND, NodeSettings, PacketCodec
+from bramleystair.nodes._snapshots import SnapshotClient, SnapshotServer
 from bramleystair.steering import (
     Action,
     ReturnPacket,
@@ -72,11 +74,19 @@
             store, evacuation_kind, timers, random, self._set_evacuations
         )
         self._members = Mirror(store, MEMBER_KIND, timers, random, self._set_members)
+        self._mirrors = {
+            "rules": self._rules,
+            "evacuations": self._evacuations,
+            "members": self._members,
+        }
+        HttpServer(loop, settings.message_address, SnapshotServer(self._mirrors).answer)
+        self._snapshots = SnapshotClient(loop, settings.peers, self._mirrors)
 
     def start(self) -> None:
         """Begin to read the store; packets are handled from now on."""
-        for mirror in (self._rules, self._evacuations, self._members):
+        for mirror in self._mirrors.values():
             mirror.start()
+        self._snapshots.start()
         self._schedule()
 
     def stop(self) -> None:
@@ -94,10 +104,9 @@
         A balancer that is cut off from all members leaves the rotation, so that its
         flows reach their servers through others.
         """
-        mirrors = (self._rules, self._evacuations, self._members)
         return (
             self._steering.rules is not None
-            and all(mirror.is_complete for mirror in mirrors)
+            and all(mirror.is_complete for mirror in self._mirrors.values())
             and not self._steering.is_isolated(self._loop.clock.now())
         )
 
--- a/src/bramleystair/nodes/_settings.py
+++ b/src/bramleystair/nodes/_settings.py
@@ -25,6 +25,8 @@
         Where a balancer receives messages of agents.
     ready_address : tuple of str and int
         Where readiness is asked for.
+    peers : tuple of (str, int)
+        Message addresses of balancers, some of which may be stale or down.
     metrics_address : tuple of str and int or None
         Where counters are served.
     report_address : tuple of str and int or None
@@ -51,6 +53,7 @@
     message_address: Address
     ready_address: Address
     store_address: Address
+    peers: tuple[Address, ...] = ()
     metrics_address: Address | None = None
     report_address: Address | None = None
     server_address: Address | None = None
--- a/src/bramleystair/platform/_settings.py
+++ b/src/bramleystair/platform/_settings.py
@@ -28,12 +28,15 @@
     bounds = document.get("Bounds", {})
     ip = document["Ip"]
     first_port, _ = document["InternalPortRange"]
+    # Seeds are addresses of another call; ports are the same on all machines.
+    hosts = [parse_address(seed)[0] for seed in document.get("Seeds", ())]
     return NodeSettings(
         name=document["Node"],
         zone=document["Zone"],
         packet_address=parse_address(listen["DatagramAddr"]),
         message_address=(ip, first_port),
         ready_address=parse_address(listen["Ready"]),
+        peers=tuple((host, first_port) for host in hosts if host != ip),
         store_address=parse_address(document["platform"]["Address"]),
         metrics_address=(ip, metrics_port) if metrics_port else None,
         report_address=_parse_optional(listen.get("Control")),
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -367,7 +367,7 @@
         self._meter.update(now)
         report = self._report
         if report is None:
-            return Load(is_accepting=False)
+            return Load(is_accepting=False, is_stopping=self._is_stopping)
         is_accepting = (
             not self._is_stopping
             and not self.is_server_silent(now)
@@ -382,6 +382,7 @@
             self._meter.service_s,
             now < self._cold_until_s,
             is_accepting,
+            self._is_stopping,
         )
 
     def _is_late(self, report: ServerReport, known: ServerReport, now: float) -> bool:
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -480,7 +480,7 @@
         self._flows_by_token.pop(lookup.token, None)
 
     def _subscribe(self, now: float) -> None:
-        self._subscribe_s = now + self._settings.subscribe_period_s
+        self._subscribe_s = now + self.members.compute_period()
         version = 0 if self._rules is None else self._rules.version
         for member in self.members:
             self._send(member.entry.address, Subscribe(version))
--- a/src/bramleystair/steering/_balancer_settings.py
+++ b/src/bramleystair/steering/_balancer_settings.py
@@ -30,7 +30,10 @@
     max_lookups : int
         Lookups at once; further packets are dropped, and their senders repeat them.
     subscribe_period_s : float
-        Interval between subscriptions to load reports.
+        Interval between subscriptions to load reports, at least.
+    subscribe_gap_s : float
+        Share of that interval for each member, so that large deployments send no more
+        than a fixed rate.
     stale_after_s : float
         Age of a member's last message from which other members are preferred.
     suspect_s, max_suspect_s : float
@@ -41,8 +44,8 @@
     isolated_after_s : float
         Silence of all members after which the balancer itself counts as cut off.
     lost_after_s : float
-        Silence of a member after which its flows are given up, if others are heard;
-        longer than a planned restart of an agent.
+        Silence of a member, beyond two intervals of subscriptions, after which its
+        flows are given up, if others are heard; an agent that is killed is back before.
     owner_lifetime_s : float
         Time after the last packet for which an owner is remembered.
     sample : int
@@ -58,12 +61,13 @@
     lookup_delays_s: tuple[float, ...] = (0.06, 0.15, 0.4)
     lookup_packets: int = 16
     max_lookups: int = 4096
-    subscribe_period_s: float = 1.0
+    subscribe_period_s: float = 0.5
+    subscribe_gap_s: float = 0.02
     stale_after_s: float = 1.5
     suspect_s: float = 0.5
     max_suspect_s: float = 4.0
     gone_after_s: float = 8.0
     isolated_after_s: float = 2.0
-    lost_after_s: float = 3.0
+    lost_after_s: float = 1.2
     owner_lifetime_s: float = 60.0
     sample: int = 3
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -40,6 +40,11 @@
     failures: int = 0
     busy_until_s: float = 0.0
 
+    @property
+    def is_restarting(self) -> bool:
+        """Whether the agent said that it stops while its server goes on."""
+        return self.load is not None and self.load.is_stopping
+
     def compute_utilization(self) -> float:
         """Return the expected share of busy slots with one more flow."""
         slots = max(1, self.entry.slots)
@@ -185,11 +190,19 @@
 
     def list_lost(self, now: float) -> frozenset[Address]:
         """Return the members whose silence says that their VM is gone."""
-        limit_s = self._settings.lost_after_s
+        limit_s = self._settings.lost_after_s + 2 * self.compute_period()
         return frozenset(
             address
             for address, member in self._members.items()
             if now - member.heard_s > limit_s
+            and (not member.is_restarting or self.is_gone(member, now))
+        )
+
+    def compute_period(self) -> float:
+        """Return the seconds between subscriptions to load reports."""
+        settings = self._settings
+        return max(
+            settings.subscribe_period_s, settings.subscribe_gap_s * len(self._members)
         )
 
     def is_isolated(self, now: float) -> bool:
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -146,7 +146,7 @@
 _FIND_REPLY = struct.Struct("!BIB")
 _SUBSCRIBE = struct.Struct("!BQ")
 _REPORT = struct.Struct("!BQ")
-_LOAD = struct.Struct("!BHHfHf??")
+_LOAD = struct.Struct("!BHHfHf???")
 _STATES = tuple(ServerState)
 # First byte of each encoded message.
 OPEN, OPEN_REPLY, RELAY, FIND, FIND_REPLY, RETURN, SUBSCRIBE, REPORT = range(1, 9)
@@ -224,6 +224,7 @@
         load.service_s,
         load.is_cold,
         load.is_accepting,
+        load.is_stopping,
     )
 
 
--- a/src/bramleystair/steering/_types.py
+++ b/src/bramleystair/steering/_types.py
@@ -80,6 +80,8 @@
     service_s : float
         Average time from a request to the first byte of its response in seconds; 0
         when not known.
+    is_stopping : bool
+        Whether the agent ends, and its server goes on.
     """
 
     state: ServerState = ServerState.READY
@@ -90,6 +92,7 @@
     service_s: float = 0.0
     is_cold: bool = False
     is_accepting: bool = True
+    is_stopping: bool = False
 
 
 @attrs.frozen
