Prefer members of the balancer's own zone

Ruled out: a strict preference, which would follow the few servers of a zone instead of their load. Change: a member in another zone counts as busier by 0.15 of its slots.

--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -63,7 +63,9 @@
         super().__init__(loop, settings, codec)
         self._read_rules = read_rules
         self._steering = BalancerSteering(
-            BalancerSteeringSettings(owner_lifetime_s=settings.flow_lifetime_s), random
+            BalancerSteeringSettings(owner_lifetime_s=settings.flow_lifetime_s),
+            random,
+            settings.zone,
         )
         self._messages = DatagramSocket(
             loop, settings.message_address, self._take_message, self.metrics
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -90,14 +90,19 @@
         Times and limits.
     random : random.Random
         Source of random choices.
+    zone : str
+        Availability zone of the balancer.
     """
 
     def __init__(
-        self, settings: BalancerSteeringSettings, random: random_module.Random
+        self,
+        settings: BalancerSteeringSettings,
+        random: random_module.Random,
+        zone: str = "",
     ) -> None:
         self._settings = settings
         self._rules: RoutingRules | None = None
-        self.members = Members(settings, random)
+        self.members = Members(settings, random, zone)
         self._token = random.randrange(TOKEN_MODULUS)
         self._owners: dict[bytes, _Owner] = {}
         self._openings: dict[bytes, _Opening] = {}
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -14,6 +14,8 @@
 SPEED_WEIGHT = 0.5
 # A cold server answers more slowly; it is chosen when the others are this much busier.
 COLD_PENALTY = 0.5
+# Traffic between zones is priced, but a busy server costs callers more.
+ZONE_PENALTY = 0.15
 
 
 @attrs.define(eq=False)
@@ -65,12 +67,18 @@
         Times after which a silent member is avoided.
     random : random.Random
         Source of the sample.
+    zone : str
+        Availability zone of the balancer.
     """
 
     def __init__(
-        self, settings: BalancerSteeringSettings, random: random_module.Random
+        self,
+        settings: BalancerSteeringSettings,
+        random: random_module.Random,
+        zone: str = "",
     ) -> None:
         self._settings = settings
+        self._zone = zone
         self._random = random
         self._members: dict[Address, Member] = {}
         self._evacuated: frozenset[str] = frozenset()
@@ -174,7 +182,7 @@
             (m.load.service_s for m in live if m.load and m.load.service_s > 0),
             default=0.0,
         )
-        return min(sample, key=lambda member: _compute_cost(member, fastest_s))
+        return min(sample, key=lambda member: self._compute_cost(member, fastest_s))
 
     def record_busy(self, address: Address, now: float) -> None:
         """Do not ask a member that refused as busy again at once."""
@@ -218,15 +226,16 @@
             and now - member.heard_s <= self._settings.stale_after_s
         )
 
-
-def _compute_cost(member: Member, fastest_s: float) -> float:
-    cost = member.compute_utilization()
-    load = member.load
-    if load is None:
+    def _compute_cost(self, member: Member, fastest_s: float) -> float:
+        cost = member.compute_utilization()
+        if member.entry.zone != self._zone:
+            cost += ZONE_PENALTY
+        load = member.load
+        if load is None:
+            return cost
+        if load.service_s > 0 and fastest_s > 0:
+            # A server half as fast as the fastest one counts as busier by the weight.
+            cost += SPEED_WEIGHT * (1 - fastest_s / load.service_s)
+        if load.is_cold:
+            cost += COLD_PENALTY
         return cost
-    if load.service_s > 0 and fastest_s > 0:
-        # A server half as fast as the fastest one counts as busier by the weight.
-        cost += SPEED_WEIGHT * (1 - fastest_s / load.service_s)
-    if load.is_cold:
-        cost += COLD_PENALTY
-    return cost
