Publish durations as histograms and log accepted first packets

Cause: a flow's path could only be followed when it failed; latencies were not measured. Change: metrics has histograms; agents observe the time to respond, balancers the time to open a flow and to look one up. A balancer logs which agent took a flow, after how many attempts and at which utilization, under the same bound as all decisions.

--- a/features/metrics.feature
+++ b/features/metrics.feature
@@ -12,6 +12,18 @@
       | bramleystair_packet_refused_total{node="balancer-1",reason="malformed"} | 4000  |
       | bramleystair_flows{node="balancer-1",subject="feed"}                    | 7     |
 
+  Scenario: Durations are published as a histogram
+    # Guards against buckets that are not cumulative.
+    Given a metrics server
+    When the durations 0.002, 0.002, 0.3 and 9 s of "open" are observed
+    Then each of 2 responses to "/metrics" has these values
+      | name                                                              | value |
+      | bramleystair_open_seconds_bucket{le="0.001",node="balancer-1"}    | 0.0   |
+      | bramleystair_open_seconds_bucket{le="0.0025",node="balancer-1"}   | 2.0   |
+      | bramleystair_open_seconds_bucket{le="0.5",node="balancer-1"}      | 3.0   |
+      | bramleystair_open_seconds_bucket{le="+Inf",node="balancer-1"}     | 4.0   |
+      | bramleystair_open_seconds_count{node="balancer-1"}                | 4.0   |
+
   Scenario: The health of a process
     Given a metrics server
     When the process is not ready
--- a/features/steps/metrics_steps.py
+++ b/features/steps/metrics_steps.py
@@ -46,6 +46,12 @@
     context.metrics.set_gauge(name, value, subject)
 
 
+@when('the durations 0.002, 0.002, 0.3 and 9 s of "{name}" are observed')
+def observe(context, name):
+    for seconds in (0.002, 0.002, 0.3, 9):
+        context.metrics.observe(name, seconds)
+
+
 @then('each of {times:d} responses to "/metrics" has these values')
 def check_values(context, times):
     for _ in range(times):
--- a/src/bramleystair/actions.py
+++ b/src/bramleystair/actions.py
@@ -26,3 +26,11 @@
     name: str
     reason: str
     amount: int = 1
+
+
+@attrs.frozen
+class Observe:
+    """Add a duration to the histogram `name`."""
+
+    name: str
+    seconds: float
--- a/src/bramleystair/nodes/_node.py
+++ b/src/bramleystair/nodes/_node.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
-from bramleystair.actions import Count
+from bramleystair.actions import Count, Observe
 from bramleystair.http import HttpReply, HttpRequest, HttpServer
 from bramleystair.logs import get_log
 from bramleystair.loop import EventLoop
@@ -104,6 +104,8 @@
                 self._journal.record(action)
             case Count(name, reason, amount):
                 self.metrics.count(name, reason, amount)
+            case Observe(name, seconds):
+                self.metrics.observe(name, seconds)
 
     def _deliver_to_server(self, data: bytes) -> None:
         raise NotImplementedError
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from bramleystair.actions import Count
+from bramleystair.actions import Count, Observe
 from bramleystair.steering._agent_settings import AgentSteeringSettings
 from bramleystair.steering._cold_gate import ColdGate
 from bramleystair.steering._events import (
@@ -324,6 +324,7 @@
             flow.is_certain = True
             self._confirm(segment.flow)
         if segment.has_payload and flow.request_s is not None:
+            self._actions.append(Observe("response", now - flow.request_s))
             self._meter.end_request(flow.request_s, now)
             flow.request_s = None
         if segment.is_reset:
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from bramleystair.actions import Count
+from bramleystair.actions import Count, Observe
 from bramleystair.steering._balancer_settings import BalancerSteeringSettings
 from bramleystair.steering._events import Action, Decision, ResetCaller, SendMessage
 from bramleystair.steering._members import Member, Members
@@ -337,6 +337,7 @@
             return
         if message.refusal is Refusal.NONE:
             opening.is_accepted = True
+            self._record_opened(opening, sender, now)
             self._owners[flow] = _Owner(sender, opening.segment.sequence, now)
             due_s = now + self._settings.settle_s
             self._settle_due.append((due_s, opening.token, flow))
@@ -348,6 +349,20 @@
             self.members.record_busy(sender, now)
         self._try_next(opening, now)
 
+    def _record_opened(self, opening: _Opening, agent: Address, now: float) -> None:
+        waited_s = now - opening.started_s
+        self._actions.append(Observe("open", waited_s))
+        member = self.members.get(agent)
+        self._log(
+            "open",
+            opening.segment.flow,
+            "accepted",
+            agent=agent[0],
+            tried=len(opening.tried),
+            waited_ms=round(waited_s * 1000, 1),
+            utilization=round(member.compute_utilization(), 2) if member else None,
+        )
+
     def _expire_attempt(self, token: int, flow: bytes, now: float) -> None:
         opening = self._openings.get(flow)
         if opening is None or opening.token != token or opening.is_accepted:
@@ -475,6 +490,7 @@
         acknowledgement = lookup.segment.acknowledgement
         self._owners[flow] = _Owner(owner, None, now, acknowledgement)
         self._count("lookup_ended", outcome)
+        self._actions.append(Observe("lookup", now - lookup.started_s))
         self._log("lookup", flow, outcome, agent=owner[0])
         # The owner delivered the first packet when it was asked.
         for data in lookup.packets[1:]:
--- a/src/bramleystair/steering/_events.py
+++ b/src/bramleystair/steering/_events.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from bramleystair.actions import Count
+from bramleystair.actions import Count, Observe
 from bramleystair.steering._messages import Message
 from bramleystair.steering._types import Address
 
@@ -69,5 +69,11 @@
 
 
 Action = (
-    SendMessage | DeliverToServer | DeliverToCaller | ResetCaller | Decision | Count
+    SendMessage
+    | DeliverToServer
+    | DeliverToCaller
+    | ResetCaller
+    | Decision
+    | Count
+    | Observe
 )
