Move lookups to a module of their own, and list again when others are ahead

Change: steering._lookups has the lookups, steering._outbox the actions of both roles. A balancer that is behind the others for 1.5 s lists the configuration again. Conclusion: no decision changes but for a watch that went silent.

--- a/features/steering.feature
+++ b/features/steering.feature
@@ -168,3 +168,9 @@
   Scenario: Messages survive their encoding, and others are refused
     Then each kind of message is the same after encoding and decoding
     And 500 random datagrams are decoded or refused
+
+  Scenario: A balancer learns that others apply a newer configuration
+    # Guards against a watch that went silent without an error.
+    Given a balancer with 3 members
+    When member 1 reports that version 12 is applied
+    Then the balancer knows of version 12 and applies version 9
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -461,3 +461,15 @@
     results += [decode_message(data) for data in kinds]
     assert any(result.is_err() for result in results)
     assert decode_message(b"").is_err()
+
+
+@when("member {number:d} reports that version {version:d} is applied")
+def report_version(context, number, version):
+    message = LoadReport(Load(slots=2), version)
+    context.balancer.handle_message(get_member(number), message, context.now)
+
+
+@then("the balancer knows of version {newest:d} and applies version {version:d}")
+def check_versions(context, newest, version):
+    assert context.balancer.newest_version == newest
+    assert context.balancer.rules.version == version
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -33,6 +33,8 @@
 # agents refuse what their servers must not get.
 GATHER_S = 0.4
 MEMBER_GATHER_S = 1.0
+# A watch brings a change within the pause above; one that went silent does not.
+BEHIND_S = 1.5
 # Share of the time before SIGKILL that may be used for leaving.
 GRACE_SHARE = 0.6
 
@@ -67,6 +69,7 @@
     ) -> None:
         super().__init__(loop, settings, codec)
         self._read_rules = read_rules
+        self._behind_since_s: float | None = None
         self._steering = BalancerSteering(
             BalancerSteeringSettings(owner_lifetime_s=settings.flow_lifetime_s),
             random,
@@ -125,8 +128,20 @@
         return self._steering.compute_wait(now)
 
     def _run_timers(self, now: float) -> Iterable[Action]:
+        self._check_version(now)
         return self._steering.run_timers(now)
 
+    def _check_version(self, now: float) -> None:
+        """List the configuration again if others apply a newer one for a while."""
+        rules = self._steering.rules
+        if rules is None or self._steering.newest_version <= rules.version:
+            self._behind_since_s = None
+        elif self._behind_since_s is None:
+            self._behind_since_s = now
+        elif now - self._behind_since_s > BEHIND_S:
+            self._behind_since_s = now
+            self._rules.restart()
+
     def _get_message_socket(self) -> DatagramSocket:
         return self._messages
 
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -4,16 +4,13 @@
 
 import attrs
 
-from bramleystair.actions import Count, Observe
 from bramleystair.steering._agent_settings import AgentSteeringSettings
 from bramleystair.steering._cold_gate import ColdGate
 from bramleystair.steering._events import (
     Action,
-    Decision,
     DeliverToCaller,
     DeliverToServer,
     ResetCaller,
-    SendMessage,
 )
 from bramleystair.steering._load import LoadMeter
 from bramleystair.steering._messages import (
@@ -28,6 +25,7 @@
     Subscribe,
     TryPacket,
 )
+from bramleystair.steering._outbox import Outbox
 from bramleystair.steering._segments import Segment, compute_distance
 from bramleystair.steering._types import (
     Address,
@@ -132,7 +130,7 @@
         self._next_report_s = now
         self._purged_s = now
         self._is_stopping = False
-        self._actions: list[Action] = []
+        self._outbox = Outbox()
 
     @property
     def has_report(self) -> bool:
@@ -170,11 +168,11 @@
         """Take over the server's report on itself; a late one is ignored."""
         known = self._report
         if _identify(report) == self._removed:
-            self._count("report_ignored", "removed")
-            return self._take()
+            self._outbox.count("report_ignored", "removed")
+            return self._outbox.take()
         if known is not None and self._is_late(report, known, now):
-            self._count("report_ignored", "late")
-            return self._take()
+            self._outbox.count("report_ignored", "late")
+            return self._outbox.take()
         self._server_s = now
         self._reported_s = now
         # A server that reports gets another first packet, even if one went unanswered.
@@ -190,7 +188,7 @@
         self._service_id = compute_service_id(report.service)
         self._cold_until_s = now + report.cold_left_s
         if is_new or report.state is not known.state:
-            self._log(
+            self._outbox.log(
                 "server_report",
                 b"",
                 report.state.value,
@@ -199,7 +197,7 @@
                 cold_left_s=report.cold_left_s,
             )
             self._send_reports(now)
-        return self._take()
+        return self._outbox.take()
 
     def assume_ready(self, service: str, now: float) -> list[Action]:
         """Take the server for ready after a successful health check.
@@ -216,26 +214,26 @@
         self._service_id = compute_service_id(service)
         self._cold_until_s = now + self._settings.assumed_cold_s
         self._server_s = now
-        self._log("server_report", b"", "assumed_ready")
+        self._outbox.log("server_report", b"", "assumed_ready")
         self._send_reports(now)
-        return self._take()
+        return self._outbox.take()
 
     def remove_server(self, server: str, now: float) -> list[Action]:
         """Note that the server says it is gone; another server's word is ignored."""
         if self._report is None or self._report.server != server:
-            self._count("report_ignored", "other_server")
-            return self._take()
-        self._log("server_report", b"", "gone", server=server)
+            self._outbox.count("report_ignored", "other_server")
+            return self._outbox.take()
+        self._outbox.log("server_report", b"", "gone", server=server)
         self._removed = _identify(self._report)
         self._report = None
         self._send_reports(now)
-        return self._take()
+        return self._outbox.take()
 
     def stop(self, now: float) -> list[Action]:
         """Refuse new flows and tell the balancers so."""
         self._is_stopping = True
         self._send_reports(now)
-        return self._take()
+        return self._outbox.take()
 
     def handle_open(
         self, sender: Address, message: OpenFlow, segment: Segment, now: float
@@ -244,11 +242,11 @@
         flow = self._flows.get(segment.flow)
         if flow is not None and flow.first_sequence == segment.sequence:
             self._handle_copy(sender, message, segment, flow, now)
-            return self._take()
+            return self._outbox.take()
         refusal = self._check_admission(message, now)
         if refusal is not Refusal.NONE:
             self._refuse(sender, message.token, segment.flow, refusal, now)
-            return self._take()
+            return self._outbox.take()
         if flow is not None:
             self._remove_flow(segment.flow, now)
         self._cold_gate.record(now)
@@ -259,7 +257,7 @@
             self._unanswered_s = now
         self._deliver(segment)
         self._reply(sender, message.token, Refusal.NONE, now)
-        return self._take()
+        return self._outbox.take()
 
     def handle_relay(
         self, sender: Address, segment: Segment, now: float
@@ -268,15 +266,15 @@
         flow = self._flows.get(segment.flow)
         if flow is not None:
             if self._is_other_handshake(flow, segment):
-                self._actions.append(SendMessage(sender, ReturnPacket(segment.data)))
-                return self._take()
+                self._outbox.send(sender, ReturnPacket(segment.data))
+                return self._outbox.take()
             self._deliver_known(sender, flow, segment, now)
-            return self._take()
+            return self._outbox.take()
         if now >= self._learning_until_s:
-            self._actions.append(SendMessage(sender, ReturnPacket(segment.data)))
-            return self._take()
+            self._outbox.send(sender, ReturnPacket(segment.data))
+            return self._outbox.take()
         self._deliver_known(sender, self._learn(sender, segment, now), segment, now)
-        return self._take()
+        return self._outbox.take()
 
     def handle_find(
         self, sender: Address, message: FindOwner, now: float
@@ -293,7 +291,7 @@
         else:
             ownership = Ownership.UNSURE
         self._answer(sender, message.token, ownership)
-        return self._take()
+        return self._outbox.take()
 
     def handle_try(
         self, sender: Address, message: TryPacket, segment: Segment, now: float
@@ -304,13 +302,13 @@
             flow = self._learn(sender, segment, now)
         elif self._is_other_handshake(flow, segment):
             self._answer(sender, message.token, Ownership.NONE)
-            return self._take()
+            return self._outbox.take()
         self._deliver_known(sender, flow, segment, now)
         if flow.is_certain:
             self._answer(sender, message.token, Ownership.CERTAIN)
         else:
             self._await_return(sender, message.token, segment.flow, now)
-        return self._take()
+        return self._outbox.take()
 
     def handle_server_segment(self, segment: Segment, now: float) -> list[Action]:
         """Handle a packet that the server sent."""
@@ -318,7 +316,7 @@
         self._unanswered_s = None
         if segment.is_returned:
             self._handle_returned(segment, now)
-            return self._take()
+            return self._outbox.take()
         flow = self._flows.get(segment.flow)
         if flow is None:
             flow = self._flows[segment.flow] = _Flow(None, now)
@@ -330,13 +328,13 @@
             flow.is_certain = True
             self._confirm(segment.flow)
         if segment.has_payload and flow.request_s is not None:
-            self._actions.append(Observe("response", now - flow.request_s))
+            self._outbox.observe("response", now - flow.request_s)
             self._meter.end_request(flow.request_s, now)
             flow.request_s = None
         if segment.is_reset:
             self._end_request(flow, now)
-        self._actions.append(DeliverToCaller(segment.flow, segment.data))
-        return self._take()
+        self._outbox.add(DeliverToCaller(segment.flow, segment.data))
+        return self._outbox.take()
 
     def handle_subscription(
         self, sender: Address, message: Subscribe, now: float
@@ -346,8 +344,8 @@
         self._subscribers[sender] = now
         self._rules_version = max(self._rules_version, message.rules_version)
         if is_new:
-            self._actions.append(SendMessage(sender, self._build_report(now)))
-        return self._take()
+            self._outbox.send(sender, self._build_report(now))
+        return self._outbox.take()
 
     def run_timers(self, now: float) -> list[Action]:
         """Return the actions that are due."""
@@ -361,7 +359,7 @@
             )
             self._send_reports(now)
             self._purge(now)
-        return self._take()
+        return self._outbox.take()
 
     def is_server_silent(self, now: float) -> bool:
         """Return whether the server neither reports nor answers."""
@@ -443,11 +441,11 @@
 
     def _release(self, key: bytes, flow: _Flow, reason: str, now: float) -> None:
         self._remove_flow(key, now)
-        self._count("flow_released", reason)
+        self._outbox.count("flow_released", reason)
         if not flow.acknowledgement:
             return
-        self._actions.append(ResetCaller(key, flow.acknowledgement))
-        self._log("reset", key, reason)
+        self._outbox.add(ResetCaller(key, flow.acknowledgement))
+        self._outbox.log("reset", key, reason)
 
     def _handle_copy(
         self,
@@ -498,7 +496,7 @@
         for lookup in lookups:
             self._answer(lookup.balancer, lookup.token, Ownership.NONE)
         if flow is None:
-            self._count("packet_dropped", "returned_unknown")
+            self._outbox.count("packet_dropped", "returned_unknown")
             return
         self._remove_flow(segment.flow, now)
         if segment.is_first:
@@ -509,8 +507,10 @@
             return
         if lookups or flow.balancer is None:
             return
-        self._log("returned", segment.flow, "not_held", was_certain=flow.is_certain)
-        self._actions.append(SendMessage(flow.balancer, ReturnPacket(segment.data)))
+        self._outbox.log(
+            "returned", segment.flow, "not_held", was_certain=flow.is_certain
+        )
+        self._outbox.send(flow.balancer, ReturnPacket(segment.data))
 
     def _await_return(
         self, sender: Address, token: int, flow: bytes, now: float
@@ -569,7 +569,7 @@
             return
         report = self._build_report(now)
         for address in self._subscribers:
-            self._actions.append(SendMessage(address, report))
+            self._outbox.send(address, report)
 
     def _build_report(self, now: float) -> LoadReport:
         return LoadReport(self.build_load(now), self._rules_version)
@@ -578,29 +578,19 @@
         self, sender: Address, token: int, flow: bytes, refusal: Refusal, now: float
     ) -> None:
         reason = refusal.name.lower()
-        self._count("flow_refused", reason)
-        self._log("open", flow, reason, running=self._meter.running)
+        self._outbox.count("flow_refused", reason)
+        self._outbox.log("open", flow, reason, running=self._meter.running)
         self._reply(sender, token, refusal, now)
 
     def _reply(self, sender: Address, token: int, refusal: Refusal, now: float) -> None:
         reply = OpenReply(token, refusal, self.build_load(now))
-        self._actions.append(SendMessage(sender, reply))
+        self._outbox.send(sender, reply)
 
     def _answer(self, sender: Address, token: int, ownership: Ownership) -> None:
-        self._actions.append(SendMessage(sender, FindReply(token, ownership)))
+        self._outbox.send(sender, FindReply(token, ownership))
 
     def _deliver(self, segment: Segment) -> None:
-        self._actions.append(DeliverToServer(segment.data))
-
-    def _count(self, name: str, reason: str) -> None:
-        self._actions.append(Count(name, reason))
-
-    def _log(self, step: str, flow: bytes, outcome: str, **inputs: object) -> None:
-        self._actions.append(Decision(step, flow, outcome, inputs))
-
-    def _take(self) -> list[Action]:
-        actions, self._actions = self._actions, []
-        return actions
+        self._outbox.add(DeliverToServer(segment.data))
 
 
 def _identify(report: ServerReport) -> tuple[str, int]:
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -1,29 +1,26 @@
 """Decisions of a balancer: which agent receives each packet of a caller."""
 
-import bisect
 import random as random_module
 from collections import deque
 from collections.abc import Collection, Iterable
 
 import attrs
 
-from bramleystair.actions import Count, Observe
 from bramleystair.steering._balancer_settings import BalancerSteeringSettings
-from bramleystair.steering._events import Action, Decision, ResetCaller, SendMessage
+from bramleystair.steering._events import Action, ResetCaller
+from bramleystair.steering._lookups import OwnerLookups
 from bramleystair.steering._members import Member, Members
 from bramleystair.steering._messages import (
-    FindOwner,
     FindReply,
     LoadReport,
     Message,
     OpenFlow,
     OpenReply,
-    Ownership,
     Refusal,
     Relay,
     Subscribe,
-    TryPacket,
 )
+from bramleystair.steering._outbox import Outbox
 from bramleystair.steering._segments import Segment, get_service_endpoint
 from bramleystair.steering._types import (
     Address,
@@ -70,33 +67,6 @@
     is_accepted: bool = False
 
 
-@attrs.define(eq=False)
-class _Lookup:
-    """A flow whose owner the members are asked for.
-
-    Parameters
-    ----------
-    unanswered : set of address
-        Members that have not answered.
-    later : tuple of address
-        Members to be asked when these hold no such flow.
-    unsure : set of address
-        Members that let their servers decide by a packet.
-    """
-
-    segment: Segment
-    token: int
-    started_s: float
-    packets: list[bytes]
-    unanswered: set[Address]
-    later: tuple[Address, ...] = ()
-    unsure: set[Address] = attrs.field(factory=set)
-    tried: set[Address] = attrs.field(factory=set)
-    silent: int = 0
-    attempt: int = 0
-    likely: Address | None = None
-
-
 class BalancerSteering:
     """Choose the agent for each packet of a caller.
 
@@ -122,18 +92,21 @@
         self._token = random.randrange(TOKEN_MODULUS)
         self._owners: dict[bytes, _Owner] = {}
         self._openings: dict[bytes, _Opening] = {}
-        self._lookups: dict[bytes, _Lookup] = {}
-        # Latest packet of flows that wait for a lookup.
-        self._pending: dict[bytes, Segment] = {}
-        self._unanswered_until_s: dict[bytes, float] = {}
+        self._outbox = Outbox()
+        self._lookups = OwnerLookups(
+            settings,
+            self.members,
+            self._outbox,
+            self._token,
+            self._find_route,
+            self._remember_owner,
+        )
         self._flows_by_token: dict[int, bytes] = {}
-        self._lookup_due: list[tuple[float, int, bytes]] = []
         self._retry_due: deque[tuple[float, int, bytes]] = deque()
         self._open_due: deque[tuple[float, int, bytes]] = deque()
         self._settle_due: deque[tuple[float, int, bytes]] = deque()
         self._subscribe_s = 0.0
         self._purged_s = 0.0
-        self._actions: list[Action] = []
         self.newest_version = 0
 
     @property
@@ -148,12 +121,11 @@
 
     def compute_wait(self, now: float) -> float:
         """Return the seconds until `run_timers` has something to do."""
-        due = [self._subscribe_s]
+        due = [self._subscribe_s, self._lookups.due_s]
         due += [
             queue[0][0]
             for queue in (
                 self._open_due,
-                self._lookup_due,
                 self._retry_due,
                 self._settle_due,
             )
@@ -166,6 +138,7 @@
         if self._rules is not None and rules.version <= self._rules.version:
             return
         self._rules = rules
+        self._outbox.version = rules.version
         self.newest_version = max(self.newest_version, rules.version)
 
     def set_members(self, entries: Iterable[MemberEntry], now: float) -> None:
@@ -182,7 +155,7 @@
             self._handle_first(segment, now)
         else:
             self._handle_later(segment, now)
-        return self._take()
+        return self._outbox.take()
 
     def handle_message(
         self, sender: Address, message: Message, now: float
@@ -192,13 +165,13 @@
             case OpenReply():
                 self._handle_open_reply(sender, message, now)
             case FindReply():
-                self._handle_find_reply(sender, message, now)
+                self._lookups.handle_reply(sender, message, now)
             case LoadReport(load, rules_version):
                 self.members.record_load(sender, load, now)
                 self.newest_version = max(self.newest_version, rules_version)
             case _:
-                self._count("message_dropped", "unexpected")
-        return self._take()
+                self._outbox.count("message_dropped", "unexpected")
+        return self._outbox.take()
 
     def handle_returned(
         self, sender: Address, segment: Segment, now: float
@@ -208,11 +181,11 @@
         owner = self._owners.get(segment.flow)
         if owner is not None and owner.address == sender:
             del self._owners[segment.flow]
-            self._log("owner_lost", segment.flow, "lookup", agent=sender[0])
+            self._outbox.log("owner_lost", segment.flow, "lookup", agent=sender[0])
         if segment.is_reset or segment.is_first:
-            return self._take()
-        self._find_owner(segment, now, answered=sender)
-        return self._take()
+            return self._outbox.take()
+        self._lookups.find(segment, now, answered=sender)
+        return self._outbox.take()
 
     def run_timers(self, now: float) -> list[Action]:
         """Return the actions that are due."""
@@ -229,20 +202,16 @@
             opening = self._openings.get(flow)
             if opening is not None and opening.token == token:
                 self._end_opening(opening)
-        while self._lookup_due and self._lookup_due[0][0] <= now:
-            _, token, flow = self._lookup_due.pop(0)
-            lookup = self._lookups.get(flow)
-            if lookup is not None and lookup.token == token:
-                self._repeat_lookup(lookup, now)
+        self._lookups.run_timers(now)
         if now >= self._subscribe_s:
             self._subscribe(now)
-        return self._take()
+        return self._outbox.take()
 
     def _handle_first(self, segment: Segment, now: float) -> None:
         route = self._find_route(segment.flow)
         if route is None:
-            self._count("flow_refused", "no_route")
-            self._reset(segment, "no_route")
+            self._outbox.count("flow_refused", "no_route")
+            self._outbox.reset(segment, "no_route")
             return
         flow = segment.flow
         opening = self._openings.get(flow)
@@ -254,7 +223,7 @@
             return
         owner = self._owners.get(flow)
         if owner is not None and owner.first_sequence == segment.sequence:
-            self._send(owner.address, Relay(segment.data))
+            self._outbox.send(owner.address, Relay(segment.data))
             return
         self._owners.pop(flow, None)
         if opening is not None:
@@ -338,7 +307,7 @@
         service_id = compute_service_id(opening.service)
         data = opening.segment.data
         message = OpenFlow(opening.token, service_id, cold_rate, is_last, data)
-        self._send(address, message)
+        self._outbox.send(address, message)
         opening.sent_s = now
         due_s = now + self._settings.open_timeout_s
         self._open_due.append((due_s, opening.token, opening.segment.flow))
@@ -361,7 +330,7 @@
             due_s = now + self._settings.settle_s
             self._settle_due.append((due_s, opening.token, flow))
             return
-        self._count("open_refused", message.refusal.name.lower())
+        self._outbox.count("open_refused", message.refusal.name.lower())
         self._owners.pop(flow, None)
         opening.refusals.add(message.refusal)
         if message.refusal is Refusal.BUSY:
@@ -370,9 +339,9 @@
 
     def _record_opened(self, opening: _Opening, agent: Address, now: float) -> None:
         waited_s = now - opening.started_s
-        self._actions.append(Observe("open", waited_s))
+        self._outbox.observe("open", waited_s)
         member = self.members.get(agent)
-        self._log(
+        self._outbox.log(
             "open",
             opening.segment.flow,
             "accepted",
@@ -393,15 +362,15 @@
         member = self.members.get(address)
         if member is not None:
             self.members.record_failure(member, now)
-        self._count("open_refused", "timeout")
+        self._outbox.count("open_refused", "timeout")
         opening.refusals.add(Refusal.NO_ANSWER)
-        self._log("open", flow, "timeout", agent=address[0])
+        self._outbox.log("open", flow, "timeout", agent=address[0])
         self._try_next(opening, now)
 
     def _give_up(self, opening: _Opening, reason: str) -> None:
         self._end_opening(opening)
-        self._count("flow_refused", reason)
-        self._reset(opening.segment, reason, tried=len(opening.tried))
+        self._outbox.count("flow_refused", reason)
+        self._outbox.reset(opening.segment, reason, tried=len(opening.tried))
 
     def _end_opening(self, opening: _Opening) -> None:
         self._openings.pop(opening.segment.flow, None)
@@ -414,175 +383,31 @@
             owner.acknowledgement = segment.acknowledgement
             if segment.is_reset:
                 del self._owners[segment.flow]
-            self._send(owner.address, Relay(segment.data))
+            self._outbox.send(owner.address, Relay(segment.data))
             return
         opening = self._openings.get(segment.flow)
         if opening is not None and opening.current is not None:
             # The caller's answer may be faster than the agent's.
-            self._send(opening.current, Relay(segment.data))
+            self._outbox.send(opening.current, Relay(segment.data))
             return
         if segment.is_reset:
-            self._count("packet_dropped", "reset_without_owner")
-            return
-        self._find_owner(segment, now)
-
-    def _find_owner(
-        self, segment: Segment, now: float, answered: Address | None = None
-    ) -> None:
-        flow = segment.flow
-        lookup = self._lookups.get(flow)
-        if lookup is not None:
-            if len(lookup.packets) < self._settings.lookup_packets:
-                lookup.packets.append(segment.data)
-            return
-        if self._unanswered_until_s.get(flow, 0.0) > now:
-            self._count("packet_dropped", "lookup_unanswered")
-            return
-        if len(self._lookups) < self._settings.max_lookups:
-            self._start_lookup(segment, answered, now)
-        elif len(self._pending) < self._settings.max_pending or flow in self._pending:
-            self._pending[flow] = segment
-        else:
-            self._count("packet_dropped", "lookups")
-
-    def _start_lookup(
-        self, segment: Segment, answered: Address | None, now: float
-    ) -> None:
-        flow = segment.flow
-        first, later = self._list_lookup_members(flow, answered)
-        token = self._create_token(flow)
-        lookup = _Lookup(segment, token, now, [segment.data], first, later)
-        self._lookups[flow] = lookup
-        self._ask(lookup, now)
-        self._proceed_lookup(lookup, now)
-
-    def _list_lookup_members(
-        self, flow: bytes, answered: Address | None
-    ) -> tuple[set[Address], tuple[Address, ...]]:
-        """Return the members of the route's services, and all others.
-
-        The route may have been moved to other services since the flow was opened.
-        """
-        route = self._find_route(flow)
-        services = {target.service for target in route.targets} if route else set()
-        members = [m for m in self.members if m.entry.address != answered]
-        first = {m.entry.address for m in members if m.entry.service in services}
-        later = tuple(m.entry.address for m in members if m.entry.address not in first)
-        return (first, later) if first else (set(later), ())
-
-    def _ask(self, lookup: _Lookup, now: float) -> None:
-        segment = lookup.segment
-        for address in lookup.unanswered:
-            if address in lookup.unsure:
-                lookup.tried.add(address)
-                self._send(address, TryPacket(lookup.token, segment.data))
-                continue
-            message = FindOwner(lookup.token, segment.flow, segment.acknowledgement)
-            self._send(address, message)
-        delay_s = self._settings.lookup_delays_s[lookup.attempt]
-        due = (now + delay_s, lookup.token, segment.flow)
-        bisect.insort(self._lookup_due, due)
-
-    def _repeat_lookup(self, lookup: _Lookup, now: float) -> None:
-        lookup.attempt += 1
-        if lookup.attempt < len(self._settings.lookup_delays_s):
-            self._ask(lookup, now)
-            return
-        lookup.silent += sum(
-            not self._is_gone(address, now) for address in lookup.unanswered
-        )
-        lookup.unanswered.clear()
-        lookup.attempt = 0
-        self._proceed_lookup(lookup, now)
-
-    def _handle_find_reply(
-        self, sender: Address, message: FindReply, now: float
-    ) -> None:
-        self.members.record_message(sender, now)
-        flow = self._flows_by_token.get(message.token)
-        lookup = None if flow is None else self._lookups.get(flow)
-        if lookup is None or lookup.token != message.token:
-            return
-        lookup.unanswered.discard(sender)
-        match message.ownership:
-            case Ownership.CERTAIN:
-                self._settle_lookup(lookup, sender, "certain", now)
-                return
-            case Ownership.LIKELY:
-                lookup.likely = sender
-            case Ownership.UNSURE:
-                lookup.unsure.add(sender)
-        self._proceed_lookup(lookup, now)
-
-    def _proceed_lookup(self, lookup: _Lookup, now: float) -> None:
-        """Go on once all members asked have answered or were waited for."""
-        if lookup.unanswered:
-            return
-        if lookup.likely is not None:
-            self._settle_lookup(lookup, lookup.likely, "likely", now)
-            return
-        untried = lookup.unsure - lookup.tried
-        if untried:
-            lookup.unanswered = untried
-        elif lookup.later:
-            lookup.unanswered, lookup.later = set(lookup.later), ()
-        else:
-            self._fail_lookup(lookup, now)
+            self._outbox.count("packet_dropped", "reset_without_owner")
             return
-        lookup.attempt = 0
-        self._ask(lookup, now)
-
-    def _fail_lookup(self, lookup: _Lookup, now: float) -> None:
-        flow = lookup.segment.flow
-        self._remove_lookup(lookup, now)
-        if lookup.silent or not len(self.members):
-            self._unanswered_until_s[flow] = now + self._settings.lookup_pause_s
-            self._count("lookup_ended", "unanswered")
-            self._log("lookup", flow, "unanswered", silent=lookup.silent)
-            return
-        self._count("lookup_ended", "no_owner")
-        self._reset(lookup.segment, "no_owner")
-
-    def _is_gone(self, address: Address, now: float) -> bool:
-        member = self.members.get(address)
-        return member is None or self.members.is_gone(member, now)
+        self._lookups.find(segment, now)
 
-    def _settle_lookup(
-        self, lookup: _Lookup, owner: Address, outcome: str, now: float
-    ) -> None:
-        flow = lookup.segment.flow
-        self._remove_lookup(lookup, now)
-        acknowledgement = lookup.segment.acknowledgement
-        self._owners[flow] = _Owner(owner, None, now, acknowledgement)
-        self._count("lookup_ended", outcome)
-        self._actions.append(Observe("lookup", now - lookup.started_s))
-        self._log("lookup", flow, outcome, agent=owner[0])
-        # A member that was unsure has delivered the first packet.
-        start = 1 if owner in lookup.tried else 0
-        for data in lookup.packets[start:]:
-            self._send(owner, Relay(data))
-
-    def _remove_lookup(self, lookup: _Lookup, now: float) -> None:
-        self._lookups.pop(lookup.segment.flow, None)
-        self._flows_by_token.pop(lookup.token, None)
-        if self._pending and len(self._lookups) < self._settings.max_lookups:
-            flow = next(iter(self._pending))
-            self._start_lookup(self._pending.pop(flow), None, now)
+    def _remember_owner(self, segment: Segment, owner: Address, now: float) -> None:
+        self._owners[segment.flow] = _Owner(owner, None, now, segment.acknowledgement)
 
     def _subscribe(self, now: float) -> None:
         self._subscribe_s = now + self.members.compute_period()
         version = 0 if self._rules is None else self._rules.version
         for member in self.members:
-            self._send(member.entry.address, Subscribe(version))
+            self._outbox.send(member.entry.address, Subscribe(version))
         self._release_lost(now)
         if now - self._purged_s < self._settings.owner_lifetime_s / 4:
             return
         self._purged_s = now
-        self._unanswered_until_s = {
-            flow: until_s
-            for flow, until_s in self._unanswered_until_s.items()
-            if until_s > now
-        }
+        self._lookups.purge(now)
         oldest_s = now - self._settings.owner_lifetime_s
         for flow in [f for f, o in self._owners.items() if o.seen_s < oldest_s]:
             del self._owners[flow]
@@ -599,9 +424,9 @@
                 continue
             del self._owners[flow]
             if owner.acknowledgement:
-                self._actions.append(ResetCaller(flow, owner.acknowledgement))
-                self._count("flow_released", "member_lost")
-                self._log("reset", flow, "member_lost", agent=owner.address[0])
+                self._outbox.add(ResetCaller(flow, owner.acknowledgement))
+                self._outbox.count("flow_released", "member_lost")
+                self._outbox.log("reset", flow, "member_lost", agent=owner.address[0])
 
     def is_isolated(self, now: float) -> bool:
         """Return whether the balancer hears no member, as when it is cut off."""
@@ -611,25 +436,3 @@
         self._token = (self._token + 1) % TOKEN_MODULUS
         self._flows_by_token[self._token] = flow
         return self._token
-
-    def _reset(self, segment: Segment, reason: str, **inputs: object) -> None:
-        # Before the flow opened, any number is accepted; later the caller expects
-        # the one that it acknowledged last.
-        self._actions.append(ResetCaller(segment.flow, segment.acknowledgement))
-        self._log("reset", segment.flow, reason, **inputs)
-
-    def _send(self, address: Address, message: Message) -> None:
-        self._actions.append(SendMessage(address, message))
-
-    def _count(self, name: str, reason: str) -> None:
-        self._actions.append(Count(name, reason))
-
-    def _log(self, step: str, flow: bytes, outcome: str, **inputs: object) -> None:
-        version = 0 if self._rules is None else self._rules.version
-        self._actions.append(
-            Decision(step, flow, outcome, {"version": version, **inputs})
-        )
-
-    def _take(self) -> list[Action]:
-        actions, self._actions = self._actions, []
-        return actions
--- /dev/null
+++ b/src/bramleystair/steering/_lookups.py
@@ -0,0 +1,256 @@
+"""Lookup of the owners of flows that a balancer does not know."""
+
+import bisect
+from collections.abc import Callable
+
+import attrs
+
+from bramleystair.steering._balancer_settings import BalancerSteeringSettings
+from bramleystair.steering._members import Members
+from bramleystair.steering._messages import (
+    FindOwner,
+    FindReply,
+    Ownership,
+    Relay,
+    TryPacket,
+)
+from bramleystair.steering._outbox import Outbox
+from bramleystair.steering._segments import Segment
+from bramleystair.steering._types import Address, Route
+
+TOKEN_MODULUS = 2**32
+
+
+@attrs.define(eq=False)
+class _Lookup:
+    """A flow whose owner the members are asked for.
+
+    Parameters
+    ----------
+    unanswered : set of address
+        Members that have not answered.
+    later : tuple of address
+        Members to be asked when these hold no such flow.
+    unsure : set of address
+        Members that let their servers decide by a packet.
+    """
+
+    segment: Segment
+    token: int
+    started_s: float
+    packets: list[bytes]
+    unanswered: set[Address]
+    later: tuple[Address, ...] = ()
+    unsure: set[Address] = attrs.field(factory=set)
+    tried: set[Address] = attrs.field(factory=set)
+    silent: int = 0
+    attempt: int = 0
+    likely: Address | None = None
+
+
+class OwnerLookups:
+    """Ask the members for the owners of flows, a few flows at a time.
+
+    Parameters
+    ----------
+    settings : BalancerSteeringSettings
+        Delays and limits.
+    members : Members
+        Members to ask.
+    outbox : Outbox
+        Takes questions, relayed packets and resets.
+    first_token : int
+        Token of the first lookup.
+    find_route : callable
+        Returns the route of a flow, or None.
+    on_found : callable
+        Called with packet and owner once an owner is known.
+    """
+
+    def __init__(
+        self,
+        settings: BalancerSteeringSettings,
+        members: Members,
+        outbox: Outbox,
+        first_token: int,
+        find_route: Callable[[bytes], Route | None],
+        on_found: Callable[[Segment, Address, float], None],
+    ) -> None:
+        self._settings = settings
+        self._members = members
+        self._outbox = outbox
+        self._token = first_token
+        self._find_route = find_route
+        self._on_found = on_found
+        self._lookups: dict[bytes, _Lookup] = {}
+        self._flows_by_token: dict[int, bytes] = {}
+        # Latest packet of flows that wait for a lookup.
+        self._pending: dict[bytes, Segment] = {}
+        self._unanswered_until_s: dict[bytes, float] = {}
+        self._due: list[tuple[float, int, bytes]] = []
+
+    @property
+    def due_s(self) -> float:
+        """Time at which `run_timers` has something to do."""
+        return self._due[0][0] if self._due else float("inf")
+
+    def run_timers(self, now: float) -> None:
+        """Repeat or end the lookups that are due."""
+        while self._due and self._due[0][0] <= now:
+            _, token, flow = self._due.pop(0)
+            lookup = self._lookups.get(flow)
+            if lookup is not None and lookup.token == token:
+                self._repeat(lookup, now)
+
+    def purge(self, now: float) -> None:
+        """Forget the pauses that are over."""
+        self._unanswered_until_s = {
+            flow: until_s
+            for flow, until_s in self._unanswered_until_s.items()
+            if until_s > now
+        }
+
+    def find(
+        self, segment: Segment, now: float, answered: Address | None = None
+    ) -> None:
+        """Look the owner of a packet's flow up; `answered` is known not to be it."""
+        flow = segment.flow
+        lookup = self._lookups.get(flow)
+        if lookup is not None:
+            if len(lookup.packets) < self._settings.lookup_packets:
+                lookup.packets.append(segment.data)
+            return
+        if self._unanswered_until_s.get(flow, 0.0) > now:
+            self._outbox.count("packet_dropped", "lookup_unanswered")
+            return
+        if len(self._lookups) < self._settings.max_lookups:
+            self._start(segment, answered, now)
+        elif len(self._pending) < self._settings.max_pending or flow in self._pending:
+            self._pending[flow] = segment
+        else:
+            self._outbox.count("packet_dropped", "lookups")
+
+    def _start(self, segment: Segment, answered: Address | None, now: float) -> None:
+        flow = segment.flow
+        first, later = self._list_members(flow, answered)
+        token = self._create_token(flow)
+        lookup = _Lookup(segment, token, now, [segment.data], first, later)
+        self._lookups[flow] = lookup
+        self._ask(lookup, now)
+        self._proceed(lookup, now)
+
+    def _list_members(
+        self, flow: bytes, answered: Address | None
+    ) -> tuple[set[Address], tuple[Address, ...]]:
+        """Return the members of the route's services, and all others.
+
+        The route may have been moved to other services since the flow was opened.
+        """
+        route = self._find_route(flow)
+        services = {target.service for target in route.targets} if route else set()
+        members = [m for m in self._members if m.entry.address != answered]
+        first = {m.entry.address for m in members if m.entry.service in services}
+        later = tuple(m.entry.address for m in members if m.entry.address not in first)
+        return (first, later) if first else (set(later), ())
+
+    def _ask(self, lookup: _Lookup, now: float) -> None:
+        segment = lookup.segment
+        for address in lookup.unanswered:
+            if address in lookup.unsure:
+                lookup.tried.add(address)
+                self._outbox.send(address, TryPacket(lookup.token, segment.data))
+                continue
+            message = FindOwner(lookup.token, segment.flow, segment.acknowledgement)
+            self._outbox.send(address, message)
+        delay_s = self._settings.lookup_delays_s[lookup.attempt]
+        due = (now + delay_s, lookup.token, segment.flow)
+        bisect.insort(self._due, due)
+
+    def _repeat(self, lookup: _Lookup, now: float) -> None:
+        lookup.attempt += 1
+        if lookup.attempt < len(self._settings.lookup_delays_s):
+            self._ask(lookup, now)
+            return
+        lookup.silent += sum(
+            not self._is_gone(address, now) for address in lookup.unanswered
+        )
+        lookup.unanswered.clear()
+        lookup.attempt = 0
+        self._proceed(lookup, now)
+
+    def handle_reply(self, sender: Address, message: FindReply, now: float) -> None:
+        """Take a member's answer."""
+        self._members.record_message(sender, now)
+        flow = self._flows_by_token.get(message.token)
+        lookup = None if flow is None else self._lookups.get(flow)
+        if lookup is None or lookup.token != message.token:
+            return
+        lookup.unanswered.discard(sender)
+        match message.ownership:
+            case Ownership.CERTAIN:
+                self._settle(lookup, sender, "certain", now)
+                return
+            case Ownership.LIKELY:
+                lookup.likely = sender
+            case Ownership.UNSURE:
+                lookup.unsure.add(sender)
+        self._proceed(lookup, now)
+
+    def _proceed(self, lookup: _Lookup, now: float) -> None:
+        """Go on once all members asked have answered or were waited for."""
+        if lookup.unanswered:
+            return
+        if lookup.likely is not None:
+            self._settle(lookup, lookup.likely, "likely", now)
+            return
+        untried = lookup.unsure - lookup.tried
+        if untried:
+            lookup.unanswered = untried
+        elif lookup.later:
+            lookup.unanswered, lookup.later = set(lookup.later), ()
+        else:
+            self._fail(lookup, now)
+            return
+        lookup.attempt = 0
+        self._ask(lookup, now)
+
+    def _fail(self, lookup: _Lookup, now: float) -> None:
+        flow = lookup.segment.flow
+        self._remove(lookup, now)
+        if lookup.silent or not len(self._members):
+            self._unanswered_until_s[flow] = now + self._settings.lookup_pause_s
+            self._outbox.count("lookup_ended", "unanswered")
+            self._outbox.log("lookup", flow, "unanswered", silent=lookup.silent)
+            return
+        self._outbox.count("lookup_ended", "no_owner")
+        self._outbox.reset(lookup.segment, "no_owner")
+
+    def _is_gone(self, address: Address, now: float) -> bool:
+        member = self._members.get(address)
+        return member is None or self._members.is_gone(member, now)
+
+    def _settle(
+        self, lookup: _Lookup, owner: Address, outcome: str, now: float
+    ) -> None:
+        flow = lookup.segment.flow
+        self._remove(lookup, now)
+        self._on_found(lookup.segment, owner, now)
+        self._outbox.count("lookup_ended", outcome)
+        self._outbox.observe("lookup", now - lookup.started_s)
+        self._outbox.log("lookup", flow, outcome, agent=owner[0])
+        # A member that was unsure has delivered the first packet.
+        start = 1 if owner in lookup.tried else 0
+        for data in lookup.packets[start:]:
+            self._outbox.send(owner, Relay(data))
+
+    def _remove(self, lookup: _Lookup, now: float) -> None:
+        self._lookups.pop(lookup.segment.flow, None)
+        self._flows_by_token.pop(lookup.token, None)
+        if self._pending and len(self._lookups) < self._settings.max_lookups:
+            flow = next(iter(self._pending))
+            self._start(self._pending.pop(flow), None, now)
+
+    def _create_token(self, flow: bytes) -> int:
+        self._token = (self._token + 1) % TOKEN_MODULUS
+        self._flows_by_token[self._token] = flow
+        return self._token
