Add a randomized soak of the real programs

Cause: the promises were tested on a model and on the bench, not with the programs as processes on this machine. Change: platform.standins has a store, backend servers and callers behind a router that hashes steadily; soak runs them with the real nodes on loopback addresses, with signals that stop, pause, kill and restart, and a proxy to the store that delays, resets, loses answers and goes silent, in two overlapping series.

--- /dev/null
+++ b/src/bramleystair/platform/standins/_packets.py
@@ -0,0 +1,41 @@
+"""Packets as callers and backend servers write them."""
+
+from bramleystair.platform._packets import _FLAGS_OFFSET, _HEAD, BOUNCED
+
+
+def build_packet(
+    source: bytes,
+    destination: bytes,
+    flags: int,
+    sequence: int,
+    acknowledgement: int,
+    payload: bytes = b"",
+) -> bytes:
+    """Return a packet; an end is its address and port, packed."""
+    return (
+        _HEAD.pack(
+            1,
+            sequence,
+            acknowledgement,
+            source[:4],
+            destination[4:],
+            source[4:],
+            destination[:4],
+            len(payload),
+            0,
+            flags,
+            0,
+        )
+        + payload
+    )
+
+
+def get_payload(data: bytes) -> bytes:
+    """Return the bytes after the head."""
+    return data[_HEAD.size :]
+
+
+def mark_bounced(data: bytes) -> bytes:
+    """Return a packet as a server sends it back."""
+    flags = data[_FLAGS_OFFSET] | BOUNCED
+    return data[:_FLAGS_OFFSET] + bytes((flags, 0)) + data[_FLAGS_OFFSET + 2 :]
--- /dev/null
+++ b/src/bramleystair/soak/__init__.py
@@ -0,0 +1,6 @@
+"""Randomized soak of the real programs as processes on loopback addresses."""
+
+from bramleystair.soak._cli import main
+from bramleystair.soak._run import SoakResult, run_seed
+
+__all__ = ["SoakResult", "main", "run_seed"]
--- /dev/null
+++ b/src/bramleystair/soak/_faults.py
@@ -0,0 +1,98 @@
+"""Random faults in overlapping series."""
+
+import random as random_module
+import signal
+import time
+
+import attrs
+
+from bramleystair.soak._fleet import BALANCERS, SERVERS, ProcessFleet
+from bramleystair.soak._proxy import Mode
+
+KINDS = (
+    "kill_balancer",
+    "stop_balancer",
+    "pause_balancer",
+    "kill_agent",
+    "stop_agent",
+    "pause_agent",
+    "kill_server",
+    "pause_store",
+    "proxy",
+    "configuration",
+    "reload",
+)
+# Planned work, during which no open flow may be reset.
+PLANNED = frozenset({"stop_balancer", "stop_agent", "configuration", "reload"})
+
+
+@attrs.frozen
+class Fault:
+    """What was done to a program, from `start_s` to `end_s`."""
+
+    kind: str
+    target: str
+    start_s: float
+    end_s: float
+
+
+def inject_fault(fleet: ProcessFleet, source: random_module.Random) -> Fault:
+    """Begin and end one fault; faults of other threads may overlap."""
+    kind = source.choice(KINDS)
+    balancer = f"balancer-{source.randrange(BALANCERS)}"
+    number = source.randrange(SERVERS)
+    duration_s = source.uniform(0.2, 2.0)
+    start_s = time.monotonic()
+    target = ""
+    match kind:
+        case "kill_balancer":
+            target = balancer
+            _restart(fleet, target, signal.SIGKILL, duration_s)
+        case "stop_balancer":
+            target = balancer
+            _restart(fleet, target, signal.SIGTERM, 0.2)
+        case "pause_balancer":
+            target = balancer
+            _pause(fleet, target, duration_s)
+        case "kill_agent":
+            target = f"agent-{number}"
+            _restart(fleet, target, signal.SIGKILL, 0.3)
+        case "stop_agent":
+            target = f"agent-{number}"
+            _restart(fleet, target, signal.SIGTERM, 0.1)
+        case "pause_agent":
+            target = f"agent-{number}"
+            _pause(fleet, target, duration_s)
+        case "kill_server":
+            target = f"server-{number}"
+            _restart(fleet, target, signal.SIGKILL, duration_s)
+        case "pause_store":
+            target = "store"
+            _pause(fleet, target, duration_s)
+        case "proxy":
+            target = source.choice(list(fleet.proxies))
+            proxy = fleet.proxies[target]
+            proxy.mode = source.choice([m for m in Mode if m is not Mode.PASS])
+            time.sleep(duration_s)
+            proxy.mode = Mode.PASS
+        case "configuration":
+            fleet.change_configuration()
+        case "reload":
+            target = balancer
+            fleet.programs[target].send(signal.SIGHUP)
+    return Fault(kind, target, start_s, time.monotonic())
+
+
+def _restart(fleet: ProcessFleet, name: str, number: int, down_s: float) -> None:
+    program = fleet.programs[name]
+    program.send(number)
+    program.process.wait(10)
+    time.sleep(down_s)
+    program.start()
+
+
+def _pause(fleet: ProcessFleet, name: str, duration_s: float) -> None:
+    program = fleet.programs[name]
+    program.send(signal.SIGSTOP)
+    time.sleep(duration_s)
+    program.send(signal.SIGCONT)
--- /dev/null
+++ b/src/bramleystair/soak/_fleet.py
@@ -0,0 +1,169 @@
+"""Processes of one soak run."""
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import attrs
+
+from bramleystair.platform._configuration import CONFIG_KIND
+from bramleystair.platform._main import SETTINGS_VARIABLE
+from bramleystair.platform._objects import PATH
+from bramleystair.platform.standins import _settings
+from bramleystair.soak._proxy import Proxy
+
+ROOT = Path(__file__).resolve().parents[3]
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 8.0
+BALANCERS, SERVERS, USERS = 3, 4, 30
+
+
+@attrs.define
+class Program:
+    """A program that is started again after it ended.
+
+    Parameters
+    ----------
+    arguments : list of str
+        Command after the interpreter.
+    output : Path
+        File that receives what all its processes write.
+    """
+
+    arguments: list[str]
+    environment: dict[str, str]
+    output: Path
+    process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start a process."""
+        with self.output.open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, *self.arguments],
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                env=os.environ | self.environment,
+            )
+
+    def send(self, number: int) -> None:
+        """Send a signal to the process that was started here."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def end(self) -> None:
+        """End the process at once."""
+        if self.process is None:
+            return
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        self.process.wait(STOP_TIMEOUT_S)
+
+
+class ProcessFleet:
+    """Store, nodes, servers and callers on loopback addresses.
+
+    Parameters
+    ----------
+    folder : Path
+        Receives settings files and outputs.
+    seed : int
+        Seed of the callers.
+    """
+
+    def __init__(self, folder: Path, seed: int) -> None:
+        # Each run has loopback addresses of its own, so that runs do not meet.
+        net = 10 + os.getpid() % 200
+        self._net = f"127.{net}"
+        self.version = 0
+        self.proxies: dict[str, Proxy] = {}
+        self.programs: dict[str, Program] = {}
+        self._folder = folder
+        self._store = (f"{self._net}.2.1", _settings.STORE_PORT)
+        self._add_standin(
+            "store", "store", {"host": self._store[0], "port": self._store[1]}
+        )
+        balancers = [f"{self._net}.3.{n + 1}" for n in range(BALANCERS)]
+        for number, ip in enumerate(balancers):
+            self._add_node(f"balancer-{number}", ip, number, tuple(balancers), False)
+        for number in range(SERVERS):
+            ip = f"{self._net}.4.{number + 1}"
+            self._add_node(f"agent-{number}", ip, number, tuple(balancers), True)
+            options = _settings.build_server_options(
+                f"s{number}", ip, f"zone-{number % 2}"
+            )
+            self._add_standin(f"server-{number}", "server", options)
+        options = _settings.build_caller_options(
+            f"{self._net}.5.1", balancers, USERS, seed
+        )
+        self._add_standin("callers", "callers", options)
+
+    def start(self) -> None:
+        """Start everything, the callers last."""
+        self.programs["store"].start()
+        self._wait_for_store()
+        self.change_configuration()
+        for name, program in self.programs.items():
+            if name not in ("store", "callers"):
+                program.start()
+        time.sleep(2.0)
+        self.programs["callers"].start()
+
+    def stop(self) -> None:
+        """End all processes that were started here."""
+        for program in self.programs.values():
+            program.end()
+        for proxy in self.proxies.values():
+            proxy.close()
+
+    def change_configuration(self) -> None:
+        """Write the next version as the operator does."""
+        self.version += 1
+        spec = _settings.build_configuration(self.version)
+        method = "POST" if self.version == 1 else "PUT"
+        name = "" if self.version == 1 else "/main"
+        connection = http.client.HTTPConnection(*self._store, timeout=5)
+        body = json.dumps({"meta": {"Name": "main"}, "spec": spec})
+        connection.request(method, f"{PATH}{CONFIG_KIND}{name}", body)
+        connection.getresponse().read()
+        connection.close()
+
+    def _wait_for_store(self) -> None:
+        end = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < end:
+            try:
+                connection = http.client.HTTPConnection(*self._store, timeout=1)
+                connection.request("GET", f"{PATH}{CONFIG_KIND}")
+                connection.getresponse().read()
+                return
+            except OSError:
+                time.sleep(0.1)
+        raise TimeoutError("the store did not start")
+
+    def _add_node(
+        self, name: str, ip: str, number: int, seeds: tuple[str, ...], is_agent: bool
+    ) -> None:
+        proxy = Proxy(f"{self._net}.2.2", self._store)
+        self.proxies[name] = proxy
+        path = self._folder / f"{name}.json"
+        document = _settings.build_settings(
+            name, ip, f"zone-{number % 2}", proxy.address, seeds, is_agent
+        )
+        path.write_text(json.dumps(document), encoding="utf-8")
+        role = "agent" if is_agent else "balancer"
+        self.programs[name] = Program(
+            [str(ROOT / "deploy" / "node.py"), role],
+            {SETTINGS_VARIABLE: str(path)},
+            self._folder / f"{name}.log",
+        )
+
+    def _add_standin(self, name: str, kind: str, options: dict) -> None:
+        self.programs[name] = Program(
+            ["-m", "bramleystair.platform.standins", kind, json.dumps(options)],
+            {"PYTHONPATH": str(ROOT / "src")},
+            self._folder / f"{name}.log",
+        )
--- /dev/null
+++ b/src/bramleystair/soak/_run.py
@@ -0,0 +1,164 @@
+"""One run of the soak, and the promises that it checks."""
+
+import collections
+import json
+import random as random_module
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+import attrs
+
+from bramleystair.platform.standins._settings import SERVICE
+from bramleystair.soak._faults import PLANNED, Fault, inject_fault
+from bramleystair.soak._fleet import ProcessFleet
+
+# Time after a fault within which the program that it hit may cost a flow.
+CALM_S = 5.0
+RECOVERY_S = 8.0
+# Requests of the last seconds that must be answered.
+FINAL_S = 4.0
+MIN_FINAL_SHARE = 0.95
+MAX_LOOSE_GAP_S = 1.5
+
+
+@attrs.define
+class SoakResult:
+    """Broken promises of one run.
+
+    Parameters
+    ----------
+    final_share : float
+        Share of answered requests after the faults.
+    """
+
+    seed: int
+    requests: int = 0
+    broken_flows: int = 0
+    doubled: int = 0
+    misdelivered: int = 0
+    false_not_run: int = 0
+    final_share: float = 1.0
+    details: list[str] = attrs.field(factory=list)
+
+    @property
+    def is_failed(self) -> bool:
+        """Whether a promise was broken."""
+        return bool(
+            self.broken_flows
+            or self.doubled
+            or self.misdelivered
+            or self.false_not_run
+            or self.final_share < MIN_FINAL_SHARE
+        )
+
+
+def run_seed(seed: int, seconds: float, folder: Path | None = None) -> SoakResult:
+    """Run the programs under faults drawn with `seed` for `seconds`.
+
+    Parameters
+    ----------
+    folder : Path, optional
+        Keeps settings and outputs; a temporary folder by default.
+    """
+    if folder is None:
+        with tempfile.TemporaryDirectory() as name:
+            return run_seed(seed, seconds, Path(name))
+    fleet = ProcessFleet(folder, seed)
+    try:
+        fleet.start()
+        faults = _run_faults(fleet, seed, seconds)
+        time.sleep(RECOVERY_S)
+    finally:
+        fleet.stop()
+    return check_run(seed, folder, faults)
+
+
+def _run_faults(fleet: ProcessFleet, seed: int, seconds: float) -> list[Fault]:
+    """Inject two series of faults, which overlap, one program at a time in each."""
+    faults: list[Fault] = []
+    end_s = time.monotonic() + seconds
+    locks = collections.defaultdict(threading.Lock)
+
+    def run_series(number: int) -> None:
+        source = random_module.Random(seed * 2 + number)
+        while time.monotonic() < end_s:
+            with locks["series", number]:
+                faults.append(inject_fault(fleet, source))
+            time.sleep(source.uniform(0, MAX_LOOSE_GAP_S))
+
+    threads = [threading.Thread(target=run_series, args=(n,)) for n in range(2)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return faults
+
+
+def check_run(seed: int, folder: Path, faults: list[Fault]) -> SoakResult:
+    """Return what callers and servers saw of broken promises."""
+    result = SoakResult(seed)
+    runs: dict[str, list[str]] = collections.defaultdict(list)
+    for path in folder.glob("server-*.log"):
+        for event in read_events(path):
+            runs[event["request"]].append(path.stem)
+    callers = read_events(folder / "callers.log")
+    opened = {event["flow"] for event in callers if event["event"] == "opened"}
+    result.requests = len(runs)
+    result.doubled = sum(len(where) > 1 for where in runs.values())
+    result.false_not_run = sum(
+        request.partition("-")[0] not in opened for request in runs
+    )
+    owners = {request.partition("-")[0]: where[-1] for request, where in runs.items()}
+    for event in callers:
+        if event["event"] == "response":
+            if event["answer"] != f"{event['request']} {SERVICE}":
+                result.misdelivered += 1
+        elif event["event"] == "reset" and event["was_open"]:
+            owner = owners.get(event["flow"])
+            if owner is not None and not is_excused(event["time"], owner, faults):
+                result.broken_flows += 1
+                result.details.append(f"{event['time']:.3f} {event['flow']} {owner}")
+    result.final_share = compute_final_share(callers)
+    return result
+
+
+def is_excused(time_s: float, owner: str, faults: list[Fault]) -> bool:
+    """Return whether an unplanned fault explains a reset of an open flow."""
+    agent = owner.replace("server", "agent")
+    for fault in faults:
+        if fault.kind == "kill_server" and fault.target == owner:
+            # Its flows are gone for good, and may be reset at their next packet.
+            if fault.start_s <= time_s:
+                return True
+            continue
+        is_near = fault.start_s <= time_s <= fault.end_s + CALM_S
+        is_concerned = fault.target == agent or fault.target.startswith("balancer")
+        if is_near and is_concerned and fault.kind not in PLANNED:
+            return True
+    return False
+
+
+def compute_final_share(events: list[dict]) -> float:
+    """Return the share of answered requests in the last seconds."""
+    if not events:
+        return 0.0
+    start_s = events[-1]["time"] - FINAL_S
+    last = [event for event in events if event["time"] >= start_s]
+    answered = sum(event["event"] == "response" for event in last)
+    failed = sum(event["event"] in ("reset", "expired", "not_opened") for event in last)
+    return answered / (answered + failed) if answered + failed else 0.0
+
+
+def read_events(path: Path) -> list[dict]:
+    """Return the events of a program, without its other lines."""
+    events = []
+    for line in path.read_text(encoding="utf-8", errors="replace").splitlines():
+        if line.startswith('{"time": ') and '"event"' in line:
+            try:
+                events.append(json.loads(line))
+            except ValueError:
+                # The last line of a process that was killed may be cut.
+                continue
+    return events
