Let the capacity measurement and its page import each other no longer

Cause: bench._capacity and bench._capacity_page imported each other. Change: the parts and the reading of slopes are in bench._slope_data.

--- a/src/bramleystair/bench/_capacity.py
+++ b/src/bramleystair/bench/_capacity.py
@@ -1,6 +1,5 @@
 """Measurement of the capacity page's slopes."""
 
-import json
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
@@ -11,9 +10,9 @@
 from bramleystair.bench._operator_slopes import measure_operator
 from bramleystair.bench._processes import measure_processes
 from bramleystair.bench._report import write_data
+from bramleystair.bench._slope_data import PARTS
 from bramleystair.bench._state_slopes import measure_state
 
-PARTS = ("processes", "state", "operator", "messages")
 WORKERS = 4
 MESSAGE_MEASUREMENTS = (
     messages.measure_rejoin,
@@ -73,14 +72,3 @@
 
 def _call(measure) -> list[Slope]:
     return measure()
-
-
-def read_slopes(output: Path) -> dict[str, Slope]:
-    """Return the slopes of all parts by name."""
-    slopes = {}
-    for part in PARTS:
-        data = json.loads((output / f"{part}.json").read_text())
-        for values in data["slopes"]:
-            slope = Slope(**values)
-            slopes[slope.name] = slope
-    return slopes
--- a/src/bramleystair/bench/_capacity_page.py
+++ b/src/bramleystair/bench/_capacity_page.py
@@ -7,12 +7,12 @@
 import attrs
 import matplotlib as mpl
 
-from bramleystair.bench._capacity import PARTS, read_slopes
 from bramleystair.bench._fits import Slope
 from bramleystair.bench._message_slopes import BURST_ZONES, CUT_S
 from bramleystair.bench._planned import PLANNED, Planned
 from bramleystair.bench._processes import RATE_NODES
 from bramleystair.bench._report import fill_template, format_table
+from bramleystair.bench._slope_data import PARTS, read_slopes
 
 # The pages are written on machines without a display.
 mpl.use("agg")
