Handle ends that the other direction has closed in the soak's proxy

Cause: a relay thread of the soak ended with a bad descriptor. Change: the timeout is set where failures of the connection are handled.

--- a/src/bramleystair/soak/_proxy.py
+++ b/src/bramleystair/soak/_proxy.py
@@ -76,11 +76,12 @@
     def _relay(
         self, source: socket.socket, sink: socket.socket, is_answer: bool
     ) -> None:
-        source.settimeout(POLL_S)
         while not self._is_closed:
             if self.mode is Mode.RESET:
                 break
             try:
+                # The other direction may have closed both ends meanwhile.
+                source.settimeout(POLL_S)
                 data = source.recv(CHUNK_BYTES)
             except TimeoutError:
                 continue
