--- a/features/steering.feature
+++ b/features/steering.feature
@@ -174,3 +174,8 @@
     Given a balancer with 3 members
     When member 1 reports that version 12 is applied
     Then the balancer knows of version 12 and applies version 9
+
+  Scenario: Objects of other writers name no member
+    # Guards against a member at an address that nobody published.
+    Then a member's object is the same after encoding and decoding
+    And 300 damaged objects are each the same member, another one or refused
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -27,7 +27,9 @@
     Subscribe,
     Target,
     TryPacket,
+    decode_entry,
     decode_message,
+    encode_entry,
     encode_message,
 )
 from bramleystair.steering._types import compute_service_id
@@ -473,3 +475,31 @@
 def check_versions(context, newest, version):
     assert context.balancer.newest_version == newest
     assert context.balancer.rules.version == version
+
+
+ENTRY = MemberEntry(("10.0.0.9", 8172), "z", "web", ServerState.READY, 5, "i-1", 1000)
+
+
+@then("a member's object is the same after encoding and decoding")
+def check_entry(context):
+    assert decode_entry(encode_entry(ENTRY)).unwrap() == ENTRY
+
+
+@then("{count:d} damaged objects are each the same member, another one or refused")
+def check_damaged_entries(context, count):
+    source = random.Random(6)
+    refused = 0
+    for _ in range(count):
+        value = encode_entry(ENTRY)
+        field = source.choice(list(value))
+        if source.random() < 0.3:
+            del value[field]
+        else:
+            value[field] = source.choice((None, 1.5, True, [], {}, "x", 7))
+        result = decode_entry(value)
+        refused += result.is_err()
+        if result.is_ok():
+            assert type(result.unwrap().slots) is int
+            assert type(result.unwrap().address[1]) is int
+    assert refused > count / 2
+    assert decode_entry([1]).is_err()
