Apply changed settings while a node runs

Cause: nodes read their settings at the start only.

Change: SettingsMonitor reads the settings on SIGHUP and every 5 s. Unreadable settings are logged and counted, and those in force stay.

Conclusion: done for what can change without rebinding sockets.

--- a/src/bramleystair/mirror/_types.py
+++ b/src/bramleystair/mirror/_types.py
@@ -85,6 +85,9 @@
 class ObjectStore(Protocol):
     """Calls of the store; each future is completed on the loop's thread."""
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Make further calls at another address."""
+
     def list_items(self, kind: str, after: str) -> Future:
         """Return a page, as Listing or StoreFailure, after the name `after`."""
 
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -12,13 +12,13 @@
     HttpReply,
     HttpRequest,
     HttpResponse,
-    HttpServer,
 )
 from bramleystair.logs import get_log
 from bramleystair.loop import EventLoop
 from bramleystair.mirror import ObjectStore, Publisher
 from bramleystair.nodes._datagrams import DatagramSocket
 from bramleystair.nodes._node import NodeBase, subscribe_once
+from bramleystair.nodes._reload import SettingsChange
 from bramleystair.nodes._settings import MEMBER_KIND, NodeSettings, PacketCodec
 from bramleystair.steering import (
     Action,
@@ -72,6 +72,7 @@
         random: random_module.Random,
     ) -> None:
         super().__init__(loop, settings, codec)
+        self._store = store
         self._read_report = read_report
         self._steering = AgentSteering(
             settings.packet_address,
@@ -85,7 +86,7 @@
         self._outbound = DatagramSocket(
             loop, settings.outbound_address, self._take_server_packet, self.metrics
         )
-        self._reports = HttpServer(loop, settings.report_address, self._answer_report)
+        self._serve(settings.report_address, self._answer_report)
         self._health = HttpClient(loop, settings.server_address)
         self._publisher = Publisher(
             store, MEMBER_KIND, settings.packet_address[0], loop.timers, random
@@ -109,6 +110,18 @@
         """Return whether the agent serves."""
         return True
 
+    def close(self) -> None:
+        """Close all sockets."""
+        super().close()
+        self._outbound.close()
+        self._health.close()
+
+    def _use_settings(self, change: SettingsChange) -> None:
+        settings = change.settings
+        self._steering.set_times(settings.heartbeat_s, settings.flow_lifetime_s)
+        if "store_address" in change.applied:
+            self._store.move(settings.store_address)
+
     def _compute_wait(self, now: float) -> float:
         return self._steering.compute_wait(now)
 
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -7,12 +7,12 @@
 from result import Result
 
 from bramleystair.errors import StepError
-from bramleystair.http import HttpServer
 from bramleystair.logs import get_log
 from bramleystair.loop import EventLoop
 from bramleystair.mirror import Mirror, ObjectStore, StoredItem
 from bramleystair.nodes._datagrams import DatagramSocket
 from bramleystair.nodes._node import NodeBase, subscribe_once
+from bramleystair.nodes._reload import SettingsChange
 from bramleystair.nodes._settings import MEMBER_KIND, NodeSettings, PacketCodec
 from bramleystair.nodes._snapshots import SnapshotClient, SnapshotServer
 from bramleystair.steering import (
@@ -68,6 +68,7 @@
         random: random_module.Random,
     ) -> None:
         super().__init__(loop, settings, codec)
+        self._store = store
         self._read_rules = read_rules
         self._behind_since_s: float | None = None
         self._steering = BalancerSteering(
@@ -93,7 +94,7 @@
             "evacuations": self._evacuations,
             "members": self._members,
         }
-        HttpServer(loop, settings.message_address, SnapshotServer(self._mirrors).answer)
+        self._serve(settings.message_address, SnapshotServer(self._mirrors).answer)
         self._snapshots = SnapshotClient(loop, settings.peers, self._mirrors)
 
     def start(self) -> None:
@@ -124,6 +125,21 @@
             and not self._steering.is_isolated(self._loop.clock.now())
         )
 
+    def close(self) -> None:
+        """Close all sockets."""
+        super().close()
+        self._messages.close()
+
+    def _use_settings(self, change: SettingsChange) -> None:
+        settings = change.settings
+        self._steering.set_owner_lifetime(settings.flow_lifetime_s)
+        self._snapshots.peers = settings.peers
+        if "store_address" not in change.applied:
+            return
+        self._store.move(settings.store_address)
+        for mirror in self._mirrors.values():
+            mirror.restart()
+
     def _compute_wait(self, now: float) -> float:
         return self._steering.compute_wait(now)
 
--- a/src/bramleystair/nodes/_node.py
+++ b/src/bramleystair/nodes/_node.py
@@ -4,11 +4,11 @@
 
 from bramleystair.actions import Count, Observe
 from bramleystair.http import HttpReply, HttpRequest, HttpServer
-from bramleystair.logs import get_log
 from bramleystair.loop import EventLoop
 from bramleystair.metrics import Metrics
 from bramleystair.nodes._datagrams import DatagramSocket
 from bramleystair.nodes._journal import DecisionJournal
+from bramleystair.nodes._reload import SettingsChange, compare_settings
 from bramleystair.nodes._settings import NodeSettings, PacketCodec
 from bramleystair.steering import (
     Action,
@@ -23,8 +23,6 @@
 )
 from bramleystair.timers import Subscription
 
-log = get_log("node")
-
 # Bounds the accuracy of timers and the wake-ups of an idle process.
 MIN_TIMER_S = 0.005
 
@@ -57,20 +55,31 @@
             loop, settings.packet_address, self._take_packet, self.metrics
         )
         self._caller_port = settings.packet_address[1]
-        self._ready_server = HttpServer(
-            loop, settings.ready_address, self._answer_ready
-        )
+        self._servers = [HttpServer(loop, settings.ready_address, self._answer_ready)]
         if settings.metrics_address is not None:
-            HttpServer(loop, settings.metrics_address, self._answer_metrics)
+            self._serve(settings.metrics_address, self._answer_metrics)
 
-    def reload(self) -> None:
-        """Note a change of the settings; addresses hold until the next start."""
-        log.info("reload", extra={"node": self._settings.name})
+    def apply_settings(self, settings: NodeSettings) -> SettingsChange:
+        """Take over changed settings and return what that changed."""
+        change = compare_settings(self._settings, settings)
+        self._settings = change.settings
+        self._use_settings(change)
+        return change
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self._packets.close()
+        for server in self._servers:
+            server.close()
 
     def is_ready(self) -> bool:
         """Return whether the node may receive packets."""
         raise NotImplementedError
 
+    def _use_settings(self, change: SettingsChange) -> None:
+        """Tell the parts that keep copies of settings."""
+        raise NotImplementedError
+
     def _compute_wait(self, now: float) -> float:
         raise NotImplementedError
 
@@ -110,6 +119,11 @@
     def _deliver_to_server(self, data: bytes) -> None:
         raise NotImplementedError
 
+    def _serve(
+        self, address: tuple[str, int], respond: Callable[[HttpRequest], HttpReply]
+    ) -> None:
+        self._servers.append(HttpServer(self._loop, address, respond))
+
     def _get_caller_address(self, flow: bytes) -> tuple[str, int]:
         host = f"{flow[0]}.{flow[1]}.{flow[2]}.{flow[3]}"
         return host, self._caller_port
--- a/src/bramleystair/nodes/_snapshots.py
+++ b/src/bramleystair/nodes/_snapshots.py
@@ -64,19 +64,19 @@
         mirrors: Mapping[str, Mirror],
     ) -> None:
         self._loop = loop
-        self._peers = peers
+        self.peers = peers
         self._mirrors = mirrors
         self._next = 0
 
     def start(self) -> None:
         """Ask peers unless the store answers first."""
-        if self._peers:
+        if self.peers:
             self._loop.timers.subscribe_once(FIRST_DELAY_S, lambda _: self._ask())
 
     def _ask(self) -> None:
-        if all(mirror.is_complete for mirror in self._mirrors.values()):
+        if not self.peers or all(m.is_complete for m in self._mirrors.values()):
             return
-        peer = self._peers[self._next % len(self._peers)]
+        peer = self.peers[self._next % len(self.peers)]
         self._next += 1
         client = HttpClient(self._loop, peer)
         call = client.call("GET", PATH, timeout_s=TIMEOUT_S)
--- a/src/bramleystair/nodes/_start.py
+++ b/src/bramleystair/nodes/_start.py
@@ -7,8 +7,14 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from result import Result
+
+from bramleystair.errors import StepError
 from bramleystair.logs import get_log, set_up_logs
 from bramleystair.loop import EventLoop
+from bramleystair.metrics import Metrics
+from bramleystair.nodes._reload import SettingsChange, SettingsMonitor
+from bramleystair.nodes._settings import NodeSettings
 
 log = get_log("node")
 
@@ -24,8 +30,13 @@
     def stop(self) -> None:
         """Leave service, then stop the loop."""
 
-    def reload(self) -> None:
-        """Apply changed settings."""
+    metrics: Metrics
+
+    def apply_settings(self, settings: NodeSettings) -> SettingsChange:
+        """Take over changed settings and return what that changed."""
+
+    def close(self) -> None:
+        """Close all sockets."""
 
 
 class _DroppingStream(io.TextIOBase):
@@ -51,16 +62,34 @@
     name: str,
     loop: EventLoop,
     build: Callable[[], Node],
+    read_settings: Callable[[], Result[NodeSettings, StepError]],
 ) -> int:
-    """Run a node until SIGTERM and return the exit status."""
+    """Run a node until SIGTERM and return the exit status.
+
+    Parameters
+    ----------
+    name : str
+        Name of the node in its logs.
+    loop : EventLoop
+        Loop on which the node runs.
+    build : callable
+        Returns the node.
+    read_settings : callable
+        Returns the settings as they are now, or an error.
+    """
     node = build()
     loop.subscribe_signal(signal.SIGTERM, node.stop)
     loop.subscribe_signal(signal.SIGINT, node.stop)
-    loop.subscribe_signal(signal.SIGHUP, node.reload)
+    monitor = SettingsMonitor(
+        loop.timers, read_settings, node.apply_settings, node.metrics
+    )
+    loop.subscribe_signal(signal.SIGHUP, monitor.reload)
     node.start()
+    monitor.start()
     # The first calls are on their way while the logs are set up.
     set_up_logs(name, stream=_DroppingStream(STDOUT))
     log.info("started", extra={"node": name})
     loop.run()
+    node.close()
     log.info("stopped", extra={"node": name})
     return 0
--- a/src/bramleystair/platform/_main.py
+++ b/src/bramleystair/platform/_main.py
@@ -21,14 +21,20 @@
         print("usage: node.py balancer|agent", file=sys.stderr)
         return 2
     metrics_port = int(os.environ.get(METRICS_VARIABLE, "0"))
-    result = read_settings(os.environ.get(SETTINGS_VARIABLE, ""), metrics_port)
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    result = read_settings(path, metrics_port)
     if result.is_err():
         print(result.unwrap_err(), file=sys.stderr)
         return 1
     settings = result.unwrap()
     loop = EventLoop(MonotonicClock())
     build = _build_balancer if arguments[0] == "balancer" else _build_agent
-    return run_node(settings.name, loop, lambda: build(loop, settings))
+    return run_node(
+        settings.name,
+        loop,
+        lambda: build(loop, settings),
+        lambda: read_settings(path, metrics_port),
+    )
 
 
 # Each role loads only what it uses: after a power loss, callers wait for the start.
--- a/src/bramleystair/platform/_objects.py
+++ b/src/bramleystair/platform/_objects.py
@@ -43,8 +43,14 @@
     """
 
     def __init__(self, loop: EventLoop, address: tuple[str, int]) -> None:
+        self._loop = loop
         self._client = HttpClient(loop, address)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Make further calls at another address."""
+        self._client.close()
+        self._client = HttpClient(self._loop, address)
+
     def list_items(self, kind: str, after: str) -> Future:
         """Return a page, as Listing or StoreFailure, after the name `after`."""
         query = f"?after={quote(after)}" if after else ""
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -157,6 +157,12 @@
             report.started_ms,
         )
 
+    def set_times(self, heartbeat_s: float, flow_lifetime_s: float) -> None:
+        """Change the interval of reports and the lifetime of idle flows."""
+        self._settings = attrs.evolve(
+            self._settings, heartbeat_s=heartbeat_s, flow_lifetime_s=flow_lifetime_s
+        )
+
     def compute_wait(self, now: float) -> float:
         """Return the seconds until `run_timers` has something to do."""
         due_s = self._next_report_s
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -109,6 +109,10 @@
         self._purged_s = 0.0
         self.newest_version = 0
 
+    def set_owner_lifetime(self, seconds: float) -> None:
+        """Change the time for which the owner of an idle flow is remembered."""
+        self._settings = attrs.evolve(self._settings, owner_lifetime_s=seconds)
+
     @property
     def rules(self) -> RoutingRules | None:
         """Configuration in force, or None before the first one."""
