Split the flow controller by concern

Cause: flows/_controller.py had 831 lines, in which lookups, placements, redirects and delivery shared one set of attributes, so that no part could be read by itself.

Change: FlowContext holds the shared state. FlowDelivery passes packets on, FlowPlacing places new flows, OwnerQueries looks owners up and RedirectRegistry stores redirects; the controller dispatches events, follows the view and runs the timers (400 lines). The unused incarnation parameter is removed. The replay test that disables lookups patches OwnerQueries.start, which is where the patched method went.

--- a/features/steps/flows_fleet.py
+++ b/features/steps/flows_fleet.py
@@ -97,7 +97,7 @@
             server, member.zone, "127.0.0.1", 9000, number, services=("feed",)
         )
         self.agents[server] = FlowController(
-            server, member.zone, number, self.settings, random.Random(number)
+            server, member.zone, self.settings, random.Random(number)
         )
         self.held.pop(server, None)
 
--- a/features/steps/flows_steps.py
+++ b/features/steps/flows_steps.py
@@ -65,7 +65,7 @@
 
 
 def build_agent(server="b0", view=None, flow_settings=WARM, now=0.0):
-    agent = FlowController(server, "z1", 1, flow_settings, random.Random(1))
+    agent = FlowController(server, "z1", flow_settings, random.Random(1))
     agent.handle(ViewChanged(view or build_view(build_members(4, ("z1",)))), now)
     # Without ticks the agent would take itself for paused.
     tick_until(agent, now, 0.0, step=0.5)
--- a/features/steps/replay_steps.py
+++ b/features/steps/replay_steps.py
@@ -6,7 +6,8 @@
 import attrs
 from behave import then, when
 
-from bramleystair.flows import Admission, FlowController
+from bramleystair.flows import Admission
+from bramleystair.flows._queries import OwnerQueries
 from bramleystair.replay import Bound, Event, read_trace, run_trace, write_trace
 from bramleystair.replay._nodes import AgentNode
 from bramleystair.replay._soak import PAIRS, generate_histories
@@ -29,9 +30,9 @@
     return "" if member is not None else "wrong_service"
 
 
-def reset_unknown(controller, flow, waiting):
-    del controller._waiting[flow]
-    controller._reset_unknown(flow, waiting)
+def reset_unknown(queries, flow, waiting):
+    del queries._waiting[flow]
+    queries._reset_unknown(flow, waiting)
 
 
 def note_drain(node):
@@ -40,7 +41,7 @@
 
 PATCHES = {
     "zone marks are ignored": [(View, "is_in_service", lambda view, zone: True)],
-    "members are never queried": [(FlowController, "_query_members", reset_unknown)],
+    "members are never queried": [(OwnerQueries, "start", reset_unknown)],
     "a drain is not announced": [(AgentNode, "drain", note_drain)],
     "cold agents admit every flow": [(Admission, "check", admit)],
     "agents start every request": [(RequestAdmission, "check", lambda *values: "")],
--- a/src/bramleystair/agent/_daemon.py
+++ b/src/bramleystair/agent/_daemon.py
@@ -124,7 +124,7 @@
             self.metrics,
         )
         self._controller = FlowController(
-            settings.server, settings.zone, incarnation, settings.flows, source
+            settings.server, settings.zone, settings.flows, source
         )
         self._fabric = FabricSender(
             settings.host,
--- a/src/bramleystair/bench/_policy.py
+++ b/src/bramleystair/bench/_policy.py
@@ -150,7 +150,6 @@
         self,
         server: str,
         zone: str,
-        incarnation: int,
         settings: FlowSettings,
         random: random.Random,
     ) -> None:
--- a/src/bramleystair/bench/_state_slopes.py
+++ b/src/bramleystair/bench/_state_slopes.py
@@ -191,7 +191,7 @@
 
 def _build_controller(view: View, placed: int) -> tuple[FlowController, list[bytes]]:
     settings = FlowSettings(warm_up_s=0.0, initial_fraction=1.0)
-    controller = FlowController("s0", "z0", 1, settings, Random(1))
+    controller = FlowController("s0", "z0", settings, Random(1))
     controller.handle(ViewChanged(view), 1.0)
     service_id = view.tables["service-0"].service_id
     flows = []
--- /dev/null
+++ b/src/bramleystair/flows/_context.py
@@ -0,0 +1,57 @@
+"""State that the parts of an agent's flow decisions share."""
+
+import attrs
+
+from bramleystair.flows._admission import Admission
+from bramleystair.flows._cold_start import ColdStart
+from bramleystair.flows._entries import WaitingFlow
+from bramleystair.flows._flow_table import FlowTable
+from bramleystair.flows._outbox import Outbox
+from bramleystair.flows._redirects import Redirects
+from bramleystair.flows._registration import Registrar
+from bramleystair.flows._services import Service, Services
+from bramleystair.flows._settings import FlowSettings
+
+
+@attrs.define(eq=False)
+class FlowContext:
+    """Flows, redirects and members as one agent knows them.
+
+    Parameters
+    ----------
+    server : str
+        Name of the backend server.
+    waiting : dict of bytes to WaitingFlow
+        Flows whose owner is being looked up or chosen.
+    now : float
+        Time of the present event in seconds.
+    down : frozenset of str
+        Servers reported down.
+    settled_s : float or None
+        Time from which other members are known; None before the first view.
+    """
+
+    server: str
+    settings: FlowSettings
+    services: Services
+    cold_start: ColdStart
+    admission: Admission
+    outbox: Outbox
+    flows: FlowTable
+    redirects: Redirects
+    registrar: Registrar
+    waiting: dict[bytes, WaitingFlow] = attrs.field(factory=dict)
+    now: float = 0.0
+    down: frozenset[str] = frozenset()
+    settled_s: float | None = None
+
+    def check_admission(self, service: Service) -> str:
+        """Return why this server may not take a new flow, or an empty string."""
+        flows = self.flows.count(service.service_id)
+        return self.admission.check(service.row, service.is_zone_out, flows, self.now)
+
+    def compute_limit(self, service: Service) -> int:
+        """Return the present limit of flows of a service."""
+        if self.admission.is_draining or service.is_zone_out:
+            return 0
+        return self.cold_start.compute_limit(service.row.max_flows, self.now)
--- /dev/null
+++ b/src/bramleystair/flows/_placing.py
@@ -0,0 +1,207 @@
+"""Placement of a new flow: the dialogue between its home and the members."""
+
+from bramleystair.flows import _events as events
+from bramleystair.flows._context import FlowContext
+from bramleystair.flows._delivery import FlowDelivery
+from bramleystair.flows._entries import WaitingFlow
+from bramleystair.flows._placement import Load, Placement
+from bramleystair.flows._services import Service
+from bramleystair.packets import PacketHeaders, read_headers
+from bramleystair.wire import Forward, PlaceReply
+
+
+class FlowPlacing:
+    """Place new flows at members, and answer the placements of others.
+
+    Parameters
+    ----------
+    context : FlowContext
+        State shared with the other parts.
+    delivery : FlowDelivery
+        Ways of packets.
+    placement : Placement
+        Ranks the members.
+    """
+
+    def __init__(
+        self, context: FlowContext, delivery: FlowDelivery, placement: Placement
+    ) -> None:
+        self._context = context
+        self._server = context.server
+        self._settings = context.settings
+        self._services = context.services
+        self._outbox = context.outbox
+        self._flows = context.flows
+        self._redirects = context.redirects
+        self._waiting = context.waiting
+        self._admission = context.admission
+        self._delivery = delivery
+        self._placement = placement
+        self._decisions: dict[bytes, tuple[float, str]] = {}
+
+    def place(self, flow: bytes, waiting: WaitingFlow) -> None:
+        """Choose the member that takes a new flow."""
+        service = self._services.get(waiting.service_id)
+        own = self._find_own_load(service)
+        waiting.started_s = self._context.now
+        waiting.deadline_s = self._context.now + self._settings.place_timeout_s
+        waiting.targets = self._placement.rank(service, own, self._context.now)
+        self.try_target(flow, waiting)
+
+    def _find_own_load(self, service: Service) -> Load | None:
+        if service.row is None or service.row.weight <= 0:
+            return None
+        if self._admission.is_draining or service.is_zone_out:
+            return None
+        flows = self._flows.count(service.service_id)
+        limit = self._context.compute_limit(service)
+        return Load(self._server, service.row.weight, flows, limit)
+
+    def try_target(self, flow: bytes, waiting: WaitingFlow) -> None:
+        """Ask the next member to take the flow."""
+        while waiting.targets and waiting.targets[0] == self._server:
+            reason = self._context.check_admission(
+                self._services.get(waiting.service_id)
+            )
+            if not reason:
+                self._take_waiting(flow, waiting)
+                return
+            self._outbox.count("flow_refused", reason)
+            waiting.targets.pop(0)
+        if not waiting.targets:
+            del self._waiting[flow]
+            self._reject(flow, waiting.packets[0], "no_candidate")
+            return
+        self._send(flow, waiting)
+
+    def _send(self, flow: bytes, waiting: WaitingFlow) -> None:
+        waiting.retry_s = self._context.now + self._settings.place_retry_s
+        table = self._services.get(waiting.service_id).table
+        self._outbox.send(
+            waiting.targets[0],
+            Forward(
+                waiting.service_id, table.version, flow, 0, True, waiting.packets[0]
+            ),
+        )
+
+    def _take_waiting(self, flow: bytes, waiting: WaitingFlow) -> None:
+        del self._waiting[flow]
+        entry = self._flows.get(waiting.service_id, flow)
+        if entry is None:
+            service = self._services.get(waiting.service_id)
+            entry = self._delivery.create_entry(service, flow, self._server)
+        for packet in waiting.packets:
+            self._delivery.deliver(entry, read_headers(packet).unwrap(), packet)
+
+    def accept(self, sender: str, message: Forward, headers: PacketHeaders) -> None:
+        """Take or refuse a flow that another member places here."""
+        flow = message.flow
+        until_s, reason = self._decisions.get(flow, (0.0, ""))
+        if self._context.now < until_s:
+            self.reply(sender, message, reason)
+            return
+        waiting = self._waiting.get(flow)
+        owner = self._redirects.get(message.service_id, flow)
+        if owner == sender or owner in self._context.down:
+            # The sender was left the flow when both looked it up.
+            owner = ""
+        if owner or (waiting is not None and waiting.is_placing):
+            # This agent places the flow, or has placed it, under another view.
+            self._record_decision(flow, "")
+            self.reply(sender, message, "")
+            self._join(owner, waiting, message)
+            return
+        service = self._services.get(message.service_id)
+        reason = self._context.check_admission(service)
+        self.reply(sender, message, reason)
+        if reason:
+            self._outbox.count("flow_refused", reason)
+            self._record_decision(flow, reason)
+            return
+        entry = self._delivery.create_entry(service, flow, sender)
+        self._delivery.deliver(entry, headers, message.packet)
+        if waiting is not None:
+            self._take_waiting(flow, waiting)
+
+    def _join(self, owner: str, waiting: WaitingFlow | None, message: Forward) -> None:
+        if owner:
+            self._delivery.pass_on(owner, message)
+        elif message.packet not in waiting.packets:
+            self._delivery.queue_packet(waiting, message.packet)
+
+    def _record_decision(self, flow: bytes, reason: str) -> None:
+        # A repeated placement gets the same answer, whatever has changed since.
+        self._decisions.pop(flow, None)
+        if len(self._decisions) < self._settings.queue_flows:
+            until_s = self._context.now + self._settings.place_timeout_s
+            self._decisions[flow] = (until_s, reason)
+
+    def reply(self, sender: str, message: Forward, reason: str) -> None:
+        """Answer a placement; an empty reason accepts it."""
+        self._outbox.send(
+            sender,
+            PlaceReply(message.service_id, message.flow, not reason, reason),
+        )
+
+    def handle_reply(self, sender: str, message: PlaceReply) -> None:
+        """Take the answer to a placement."""
+        flow = message.flow
+        waiting = self._waiting.get(flow)
+        if waiting is not None and waiting.targets[:1] == [sender]:
+            self._end(flow, waiting, sender, message.accepted)
+            return
+        if message.accepted:
+            self._take_late_acceptance(sender, message.service_id, flow)
+
+    def _take_late_acceptance(self, sender: str, service_id: int, flow: bytes) -> None:
+        is_owned = self._flows.get(service_id, flow) is not None
+        owner = self._redirects.get(service_id, flow)
+        waiting = self._waiting.get(flow)
+        is_placing = waiting is not None and waiting.is_placing
+        if is_owned or is_placing or owner not in ("", sender):
+            # The flow was placed elsewhere before this answer.
+            self._delivery.abandon(sender, service_id, flow)
+        elif waiting is not None:
+            self._delivery.hand_over(flow, waiting, sender)
+        elif not owner:
+            self._redirects.put(service_id, flow, sender)
+
+    def _end(
+        self, flow: bytes, waiting: WaitingFlow, target: str, accepted: bool
+    ) -> None:
+        if not accepted:
+            waiting.targets.pop(0)
+            self.try_target(flow, waiting)
+            return
+        waiting.packets.pop(0)
+        self._placement.record_placed(waiting.service_id, target)
+        self._delivery.hand_over(flow, waiting, target)
+
+    def _reject(self, flow: bytes, packet: bytes, reason: str) -> None:
+        self._outbox.count("flow_rejected", reason)
+        self._outbox.add(events.ResetCaller(flow, packet))
+
+    def run(self, flow: bytes, waiting: WaitingFlow) -> None:
+        """Repeat or end a placement that is due."""
+        if self._context.now >= waiting.deadline_s:
+            del self._waiting[flow]
+            self._delivery.abandon(waiting.targets[0], waiting.service_id, flow)
+            self._reject(flow, waiting.packets[0], "place_timeout")
+            return
+        doubt_end_s = waiting.started_s + self._settings.doubt_s
+        if (
+            waiting.targets[0] in self._context.down
+            and self._context.now >= doubt_end_s
+        ):
+            # The report may be wrong, so an answer is awaited for a while.
+            waiting.targets.pop(0)
+            self.try_target(flow, waiting)
+        elif self._context.now >= waiting.retry_s:
+            self._send(flow, waiting)
+
+    def expire_decisions(self) -> None:
+        """Forget answers to placements that are no longer repeated."""
+        for flow, (until_s, _) in list(self._decisions.items()):
+            if self._context.now < until_s:
+                return
+            del self._decisions[flow]
--- a/src/bramleystair/replay/_nodes.py
+++ b/src/bramleystair/replay/_nodes.py
@@ -250,7 +250,7 @@
         self.is_draining = False
         self.drained_s = 0.0
         self.controller = host.parts.create_controller(
-            name, zone, incarnation, flow_settings, host.create_source(name + " flows")
+            name, zone, flow_settings, host.create_source(name + " flows")
         )
         self.ledger = self._build_ledger()
         self.replica = AgentReplica(
