Keep half-open flows with one owner through cuts and zone marks

Ruled out: the order of messages alone; a longer wait before every reset, which would delay the resets of flows whose zone is really lost.

Change: agents compare the acknowledgement of the caller of a half-open flow with their server's number; named owners are asked until the end of a lookup; an answer from a member reported down shows that the view is out of date and delays the reset until it changes; redirects to owners in a zone that is out are not used. The replayed backend servers number connections independently, as TCP requires, and callers acknowledge what was sent; with one number for all servers the fault could not be told from its absence.

--- a/features/flows.feature
+++ b/features/flows.feature
@@ -79,6 +79,16 @@
     When a zone with a half-open and an established flow is marked out
     Then both are closed, and only the established one's caller is reset
 
+  # Guards against two owners of one flow: while a zone was cut off, another member took
+  # the caller's repeated first packet, and its handshake was completed there.
+  Scenario: A half-open flow whose caller answers another backend server is looked up
+    When a half-open flow's caller acknowledges a number that its server did not send
+    Then the segment is not delivered, the server is reset and the members are asked
+
+  Scenario: A half-open flow whose caller answers its backend server is established
+    When a half-open flow's caller acknowledges the number that its server sent
+    Then the segment is delivered and the flow is kept
+
   Scenario: A lost answer does not place a flow twice
     When the home's placement at another member is repeated three times
     Then that member owns the flow once and gave the same answer each time
@@ -91,6 +101,28 @@
     When the owner of a redirect is reported down and a segment arrives
     Then the owner is asked, and the segment is passed on after its answer
 
+  # Guards against a reset within a second while a paused owner, which another member
+  # names, is only reported down.
+  Scenario: An owner that another member names is asked although it is reported down
+    When a member names an owner that is reported down and silent
+    Then the caller is not reset for 2.5 s, and the segment follows its late answer
+
+  # Guards against resets just after a cut has healed: the agent's view still leaves out
+  # members that own the flow.
+  Scenario: An answer from a member reported down shows that the view is out of date
+    When members that are reported down answer that they do not own a flow
+    Then the caller is not reset before the view changes, and new members are asked
+
+  # Guards against silence for as long as the caller waits: packets for a server in a zone
+  # that is out are dropped.
+  Scenario: A flow is not left with an owner whose zone goes out during the lookup
+    When a member claims a half-open flow and its zone is marked out before other answers
+    Then the segment is not passed on and the caller is reset
+
+  Scenario: A late redirect to an owner in a zone that is out is not used
+    When an owner in a zone that is out registers a flow and a segment arrives
+    Then the segment is not passed on and the other members are asked
+
   Scenario: A placement's target that is reported down may still answer
     When the target of a placement is reported down before its answer
     Then the flow is placed at that target only
--- a/features/replay.feature
+++ b/features/replay.feature
@@ -65,17 +65,17 @@
       | zone-out-in-out-platform-down-mia-duong      |
       | zone-out-in-out-platform-down-tres-lunas     |
       | zone-out-in-tres-lunas                       |
+      | zone-cut-agent-paused                        |
+      | zone-cut-server-death                        |
+      | zone-cut-table-edit                          |
+      | zone-cut-zone-out-in                         |
+      | zone-out-in-out-uneven-network               |
 
     @known_red
     Examples: traces that show a known fault
       | trace                                        |
       | misreported-loads-mia-duong                  |
       | misreported-loads-tres-lunas                 |
-      | zone-cut-agent-paused                        |
-      | zone-cut-server-death                        |
-      | zone-cut-table-edit                          |
-      | zone-cut-zone-out-in                         |
-      | zone-out-in-out-uneven-network               |
 
   Scenario: Every recorded trace is replayed
     Then each file in "traces" has a row in this feature
--- a/features/steps/flows_steps.py
+++ b/features/steps/flows_steps.py
@@ -411,6 +411,42 @@
     assert len(select(actions, ResetServer)) == 2
 
 
+def finish_handshake(context, acknowledgement):
+    context.agent = agent = build_agent(now=-20.0)
+    context.flow = flow = build_flow(1)
+    forward(agent, 0.0, flow, place=True, sender="b1")
+    answer = build_segment(reverse_flow(flow), 700, 101, SYN | ACK)
+    agent.handle(OutboundSeen(flow, answer), 0.1)
+    packet = build_segment(flow, 101, acknowledgement, ACK | PUSH)
+    message = attrs.evolve(build_forward(flow), packet=packet)
+    context.actions = tell(agent, "balancer", message, 0.2)
+
+
+@when("a half-open flow's caller acknowledges a number that its server did not send")
+def answer_other(context):
+    finish_handshake(context, 900_000_301)
+
+
+@when("a half-open flow's caller acknowledges the number that its server sent")
+def answer_own(context):
+    finish_handshake(context, 701)
+
+
+@then("the segment is not delivered, the server is reset and the members are asked")
+def check_looked_up(context):
+    assert not select(context.actions, Deliver)
+    assert [a.flow for a in select(context.actions, ResetServer)] == [context.flow]
+    assert not select(context.actions, ResetCaller)
+    assert len(select(context.actions, FlowQuery)) == 3
+    assert context.agent.list_flows() == ()
+
+
+@then("the segment is delivered and the flow is kept")
+def check_established(context):
+    assert len(select(context.actions, Deliver)) == 1
+    assert context.agent.list_flows() == (context.flow,)
+
+
 @when("the home's placement at another member is repeated three times")
 def repeat_placement(context):
     members = build_members(2, ("z1",))
@@ -485,6 +521,97 @@
     assert list_forwards(context.after) == ["b2"]
 
 
+@when("a member names an owner that is reported down and silent")
+def name_silent_owner(context):
+    agent, flow, view = build_home("b2")
+    service_id = build_forward(flow).service_id
+    agent.handle(ViewChanged(view), 0.0)
+    forward(agent, 20.0, flow, ACK)
+    tell(agent, "b1", FlowQueryReply(service_id, flow, "b2"), 20.0)
+    context.before = tick_until(agent, 20.0, 22.5)
+    reply = FlowQueryReply(service_id, flow, "b2", True)
+    context.after = tell(agent, "b2", reply, 22.5)
+
+
+@then(
+    "the caller is not reset for {seconds:g} s, and the segment follows its late answer"
+)
+def check_silent_owner(context, seconds):
+    assert not select(context.before, ResetCaller)
+    assert list_forwards(context.after) == ["b2"]
+
+
+def build_home_with_zone(is_out):
+    """Return an agent, a flow of which it is the home, and the view with zone z2 out.
+
+    Of the other members, b1 is in the agent's zone and b2 in z2.
+    """
+    members = build_members(3, ("z1", "z1", "z2"))
+    names = ("b0", "b1", "b2")
+    out = build_view(members, zones=("z2",), agents=names)
+    agents = out.agents | {"b2": attrs.evolve(out.agents["b2"], zone="z2")}
+    out = attrs.evolve(out, agents=agents)
+    back = attrs.evolve(build_view(members, agents=names), agents=agents)
+    agent = build_agent("b0", out if is_out else back, now=-20.0)
+    flow = find_flow("b0", out.list_candidates(out.tables["feed"].service_id))
+    return agent, flow, out, back
+
+
+@when("members that are reported down answer that they do not own a flow")
+def answer_from_down(context):
+    agent, flow, out, back = build_home_with_zone(is_out=True)
+    service_id = build_forward(flow).service_id
+    down = attrs.evolve(out, down=frozenset({("b1", 1)}))
+    agent.handle(ViewChanged(down), 0.0)
+    forward(agent, 20.0, flow, ACK)
+    context.before = tell(agent, "b1", FlowQueryReply(service_id, flow), 20.0)
+    context.before += tick_until(agent, 20.0, 22.0)
+    context.changed = agent.handle(ViewChanged(back), 22.0)
+    reply = FlowQueryReply(service_id, flow, "b2", True)
+    context.after = tell(agent, "b2", reply, 22.1)
+
+
+@then("the caller is not reset before the view changes, and new members are asked")
+def check_answer_from_down(context):
+    assert not select(context.before, ResetCaller)
+    asked = [s.peer for s in context.changed if isinstance(s, Send)]
+    assert "b2" in asked, context.changed
+    assert list_forwards(context.after) == ["b2"]
+
+
+@when(
+    "a member claims a half-open flow and its zone is marked out before other answers"
+)
+def claim_before_mark(context):
+    agent, flow, out, _ = build_home_with_zone(is_out=False)
+    service_id = build_forward(flow).service_id
+    forward(agent, 20.0, flow, ACK)
+    tell(agent, "b2", FlowQueryReply(service_id, flow, "b2"), 20.0)
+    agent.handle(ViewChanged(out), 20.1)
+    context.actions = tell(agent, "b1", FlowQueryReply(service_id, flow), 20.1)
+    context.actions += tick_until(agent, 20.1, 24.0)
+
+
+@then("the segment is not passed on and the caller is reset")
+def check_claim(context):
+    assert not list_forwards(context.actions)
+    assert len(select(context.actions, ResetCaller)) == 1
+
+
+@when("an owner in a zone that is out registers a flow and a segment arrives")
+def register_late(context):
+    agent, flow, _, _ = build_home_with_zone(is_out=True)
+    service_id = build_forward(flow).service_id
+    tell(agent, "b2", RedirectPut(service_id, (flow,), "b2"), 20.0)
+    context.actions = forward(agent, 20.0, flow, ACK)
+
+
+@then("the segment is not passed on and the other members are asked")
+def check_late(context):
+    assert not list_forwards(context.actions)
+    assert [s.peer for s in context.actions if isinstance(s, Send)] == ["b1"]
+
+
 @when("the target of a placement is reported down before its answer")
 def report_target(context):
     agent, flow, _ = build_home()
--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -192,15 +192,12 @@
             self._outbox.count("packet_dropped", "malformed")
             return
         entry = self._flows.entries.get(message.flow)
-        if entry is not None and entry.service_id == message.service_id:
-            if not (headers.is_first or message.place):
-                self._delivery.deliver(entry, headers, message.packet)
-                return
-            if entry.ended_s is None or not headers.is_first:
-                self._handle_repeated(sender, entry, message, headers)
-                return
-            # The caller uses its port again for a new flow.
-            self._flows.end(message.flow)
+        if (
+            entry is not None
+            and entry.service_id == message.service_id
+            and self._handle_known(sender, entry, message, headers)
+        ):
+            return
         service = self._services.get(message.service_id)
         if (
             service is None
@@ -213,6 +210,10 @@
             self._placing.accept(sender, message, headers)
             return
         owner = self._redirects.get(message.service_id, message.flow)
+        if owner in self._outbox.blocked:
+            # Registered after the zone's mark; packets to the owner would be dropped.
+            self._redirects.remove(message.flow)
+            owner = ""
         if owner and owner not in self._context.down:
             self._delivery.pass_on(owner, message)
             return
@@ -222,6 +223,23 @@
             return
         self._hold_unknown(sender, service, message, headers)
 
+    def _handle_known(
+        self, sender: str, entry: FlowEntry, message: Forward, headers: PacketHeaders
+    ) -> bool:
+        """Return whether the packet belongs to the flow of `entry`."""
+        if not (headers.is_first or message.place):
+            if self._flows.is_other_handshake(entry, headers):
+                self._delivery.give_up_unused(message.service_id, message.flow)
+                return False
+            self._delivery.deliver(entry, headers, message.packet)
+            return True
+        if entry.ended_s is None or not headers.is_first:
+            self._handle_repeated(sender, entry, message, headers)
+            return True
+        # The caller uses its port again for a new flow.
+        self._flows.end(message.flow)
+        return False
+
     def _handle_repeated(
         self, sender: str, entry: FlowEntry, message: Forward, headers: PacketHeaders
     ) -> None:
--- a/src/bramleystair/flows/_entries.py
+++ b/src/bramleystair/flows/_entries.py
@@ -63,6 +63,9 @@
         Owners that other members named; each is queried once more.
     former_owner : str
         Owner in the redirect held here, when it is reported down.
+    is_view_old : bool
+        Whether a member reported down has answered since the last change of the view,
+        which may then leave out other members as well.
     targets : list of str
         Members to try during a placement; the first one has been asked.
     """
@@ -78,6 +81,7 @@
     claims: list[str] = attrs.field(factory=list)
     hints: list[str] = attrs.field(factory=list)
     former_owner: str = ""
+    is_view_old: bool = False
     targets: list[str] = attrs.field(factory=list)
 
     @property
--- a/src/bramleystair/flows/_flow_table.py
+++ b/src/bramleystair/flows/_flow_table.py
@@ -25,6 +25,10 @@
 )
 from bramleystair.wire import RedirectDrop
 
+# A server may have sent up to a first window before the caller's segment arrives; the
+# number of another server is as close to its own once in 65,536 times.
+FIRST_WINDOW_BYTES = 65_535
+
 
 class FlowTable:
     """Hold flow entries and count the open ones per service.
@@ -121,6 +125,17 @@
             )
         self._outbox.add(events.ResetServer(flow, packet))
 
+    def is_other_handshake(self, entry: FlowEntry, headers: PacketHeaders) -> bool:
+        """Return whether the caller completed the handshake with another server.
+
+        The caller may have repeated its first packet, and another member may have taken
+        it. Its acknowledgement then counts from the other server's number.
+        """
+        if entry.is_established or not entry.server_next or headers.is_reset:
+            return False
+        unacknowledged = (entry.server_next - headers.acknowledgement) % 2**32
+        return unacknowledged > FIRST_WINDOW_BYTES
+
     def save(self) -> tuple[SavedFlow, ...]:
         """Return the open flows."""
         return tuple(
--- a/src/bramleystair/flows/_queries.py
+++ b/src/bramleystair/flows/_queries.py
@@ -59,9 +59,11 @@
             self._end(flow, waiting)
 
     def _has_all_answers(self, service: Service, waiting: WaitingFlow) -> bool:
+        if waiting.members or (waiting.is_view_old and not waiting.is_opening):
+            return False
         # Just after its start, the agent may not know where the other members are.
         is_new = self._context.now < (self._context.settled_s or 0.0)
-        return not waiting.members and (service.is_complete or not is_new)
+        return service.is_complete or not is_new
 
     def _ask(self, flow: bytes, waiting: WaitingFlow, server: str) -> None:
         waiting.asked.add(server)
@@ -112,6 +114,7 @@
             self._delivery.hand_over(flow, waiting, sender)
             return
         waiting.members.discard(sender)
+        waiting.is_view_old |= sender in self._context.down
         if message.owner == sender:
             waiting.claims.append(sender)
         elif message.owner not in ("", self._server, *waiting.hints):
@@ -132,7 +135,8 @@
     def _end(self, flow: bytes, waiting: WaitingFlow) -> None:
         silent = waiting.members - self._context.down
         unconfirmed = [hint for hint in waiting.hints if hint in silent]
-        owners = [*waiting.claims, *unconfirmed]
+        claims = [*waiting.claims, *unconfirmed]
+        owners = [owner for owner in claims if owner not in self._outbox.blocked]
         if owners:
             self._delivery.hand_over(flow, waiting, owners[0])
             return
@@ -153,6 +157,7 @@
 
     def review(self, flow: bytes, waiting: WaitingFlow, service: Service) -> None:
         """Follow a change of the members during a lookup."""
+        waiting.is_view_old = False
         _, inquirer = self._inquiries.get(flow, (0.0, ""))
         waiting.members &= {*service.peers, *waiting.hints, inquirer}
         for server in service.peers:
@@ -163,7 +168,9 @@
         """Repeat or end a lookup that is due."""
         service = self._services.get(waiting.service_id)
         down = {server for server in service.peers if server not in service.live}
-        is_doubtful = waiting.members <= down - {waiting.former_owner}
+        # Owners that are named somewhere may be paused, or the report may be wrong.
+        named = {waiting.former_owner, *waiting.hints}
+        is_doubtful = waiting.members <= down - named
         if not waiting.members:
             is_doubtful = self._has_all_answers(service, waiting)
         if (
--- a/src/bramleystair/replay/_flow_callers.py
+++ b/src/bramleystair/replay/_flow_callers.py
@@ -2,6 +2,7 @@
 
 import random
 import struct
+import zlib
 
 import attrs
 
@@ -40,6 +41,8 @@
         ``opening``, ``open``, ``closing``, ``closed``, ``refused`` or ``reset``.
     server : str
         Backend server that answered first.
+    server_number : int
+        Initial sequence number of that server's connection.
     excuse : str
         Why the flow may end: its backend server failed, its zone is out, it is cut off.
     waits_since_s : float or None
@@ -51,6 +54,7 @@
     zone: str
     state: str = "opening"
     server: str = ""
+    server_number: int = 0
     excuse: str = ""
     waits_since_s: float | None = None
     sent_s: float = 0.0
@@ -156,13 +160,14 @@
         caller.sent_s = world.carrier.now
         if caller.waits_since_s is None:
             caller.waits_since_s = world.carrier.now
+        next_number = caller.server_number + 1
         match caller.state:
             case "opening":
                 packet = build_segment(caller.flow, 100, 0, SYN)
             case "closing":
-                packet = build_segment(caller.flow, 101, 201, FIN | ACK)
+                packet = build_segment(caller.flow, 101, next_number, FIN | ACK)
             case _:
-                packet = build_segment(caller.flow, 101, 201, ACK | PUSH)
+                packet = build_segment(caller.flow, 101, next_number, ACK | PUSH)
         world.enter_packet(caller.zone, packet)
 
     def _push(self, caller: FlowCaller) -> None:
@@ -170,10 +175,11 @@
         node = self._world.agents.get(caller.server)
         if node is None or (caller.server, caller.flow) not in self._connections:
             return
-        packet = build_segment(reverse_flow(caller.flow), 201, 101, ACK | PUSH)
+        number = caller.server_number + 1
+        packet = build_segment(reverse_flow(caller.flow), number, 101, ACK | PUSH)
         node.call(node.handle_flow, OutboundSeen(caller.flow, packet))
         if not self._world.is_cut_off(caller.zone, caller.server):
-            answer = build_segment(caller.flow, 101, 202, ACK)
+            answer = build_segment(caller.flow, 101, number, ACK)
             self._world.enter_packet(caller.zone, answer)
 
     def _deliver(self, node, service_id: int, flow: bytes, packet: bytes) -> None:
@@ -208,7 +214,8 @@
 
     def _answer(self, node, caller: FlowCaller, flags: int) -> None:
         kind = ACK | flags & (FIN | SYN)
-        packet = build_segment(reverse_flow(caller.flow), 200, 101, kind)
+        number = _choose_number(node.name, caller.flow)
+        packet = build_segment(reverse_flow(caller.flow), number, 101, kind)
         delay_s = self._world.carrier.draw_delay()
         node.call(node.handle_flow, OutboundSeen(caller.flow, packet))
         self._world.carrier.schedule(delay_s, self._take_answer, node, caller, kind)
@@ -219,12 +226,13 @@
             return
         if caller.state == "opening" and kind & SYN:
             caller.state, caller.server = "open", node.name
+            caller.server_number = _choose_number(node.name, caller.flow)
             # The backend server may have gone while its answer was on the way.
             caller.excuse = world.find_departure(node)
             world.measures.add("opened_flows")
         if caller.state == "closing" and kind & FIN:
             caller.state = "closed"
-            last = build_segment(caller.flow, 102, 202, ACK)
+            last = build_segment(caller.flow, 102, caller.server_number + 2, ACK)
             world.enter_packet(caller.zone, last)
         if node.name == caller.server:
             caller.waits_since_s = None
@@ -294,6 +302,11 @@
     return Forward(route.service_id, route.table_version, route.flow, 0, False, packet)
 
 
+def _choose_number(server: str, flow: bytes) -> int:
+    """Return the initial sequence number of a connection, which differs by server."""
+    return zlib.crc32(server.encode() + flow) >> 1
+
+
 def _build_flow(number: int, table: Table) -> bytes:
     destination = bytes(int(part) for part in table.address.split("."))
     source = struct.pack("!I", 0x0A100000 + number)
