Confirm the members before a flow without an owner is reset

The owner had published itself 0.2 s before; the new balancer was in the pause of 1 s that gathers changes, so it asked all members that it knew and took their answers for complete.

Ruled out: lost questions, since all members known had answered; a shorter pause, which costs every balancer a call for each change and only narrows the gap.

Change: when all members have said no, the balancer has its copy of the members confirmed first: at once if a watch is waiting, else by the next watch, for which the pause is cut short to 0.25 s. Members that were added meanwhile are asked. Without a confirmation, as long as the store is away, the flow is reset after 2 s. Such lookups do not count towards the limit of lookups at once.

Figures: seven new scenarios in steering.feature and mirror.feature, which failed before.

--- a/features/mirror.feature
+++ b/features/mirror.feature
@@ -34,6 +34,36 @@
     And the store's clock advances by 2 s
     Then the mirror holds a, b and c
 
+  Scenario: A copy whose watch is waiting is confirmed at once
+    Given a store with members a and b
+    And a mirror of the members that has started
+    When the store's clock advances by 1 s
+    And the copy is to be confirmed
+    Then it is confirmed with a and b
+
+  Scenario: A copy in the pause after a change is confirmed early and with later changes
+    # Guards against decisions on a copy that lacks what changed during the pause.
+    Given a store with members a and b
+    And a mirror of the members that pauses for 1 s after each change
+    When c is added to the store
+    And d is added to the store
+    And the copy is to be confirmed
+    Then it is not confirmed yet
+    When 0.35 s pass at the mirror
+    Then it is confirmed with a, b, c and d
+
+  Scenario: A copy is not confirmed while the store is down
+    Given a store with members a and b
+    And a mirror of the members that has started
+    When the store is down
+    And the store's clock advances by 1 s
+    And the copy is to be confirmed
+    And the store's clock advances by 1 s
+    Then it is not confirmed yet
+    When the store is up again with c added
+    And the store's clock advances by 3 s
+    Then it is confirmed with a, b and c
+
   Scenario: A node's object is written when it changes only
     Given an empty store and a publisher
     When it publishes ready
--- a/features/steering.feature
+++ b/features/steering.feature
@@ -101,6 +101,38 @@
     And all members say that they do not hold it
     Then the caller is reset by the balancer
 
+  Scenario: A balancer that has not heard of the owner yet does not reset its flow
+    # Guards against a reset by a balancer that has just started or whose copy of the
+    # members lags, while another balancer has opened the flow at a new member.
+    Given a balancer with 3 members whose list of members is behind
+    When a packet of an unknown flow reaches the balancer
+    And all members say that they do not hold it
+    Then the caller is not reset by the balancer
+    When a fourth member is added and the list is confirmed
+    Then only the fourth member is asked
+    When member 3 says that it owns the flow
+    Then the packet goes to member 3
+
+  Scenario: A flow without an owner is reset once the members are confirmed
+    Given a balancer with 3 members whose list of members is behind
+    When a packet of an unknown flow reaches the balancer
+    And all members say that they do not hold it
+    And the list is confirmed
+    Then the caller is reset by the balancer
+
+  Scenario: A flow without an owner is reset in the end while the store is away
+    # Guards against callers that wait for as long as an outage of the store lasts.
+    Given a balancer with 3 members whose list of members is behind
+    When a packet of an unknown flow reaches the balancer
+    And all members say that they do not hold it
+    And 3 s pass at the balancer
+    Then the caller is reset by the balancer
+
+  Scenario: Flows that wait for the members' confirmation do not hold up lookups
+    Given a balancer with 3 members whose list of members is behind
+    When packets of 500 unknown flows reach the balancer
+    Then all 500 flows are looked up, and reset once the list is confirmed
+
   Scenario: A flow is not reset while a member has not answered
     # Guards against a reset while the owner's agent restarts or is frozen.
     Given a balancer with 3 members
--- a/features/steps/mirror_steps.py
+++ b/features/steps/mirror_steps.py
@@ -149,6 +149,36 @@
     context.mirror.start()
 
 
+@given("a mirror of the members that pauses for 1 s after each change")
+def start_pausing_mirror(context):
+    start_mirror(context)
+    context.mirror._gather_s = 1.0
+
+
+@when("the copy is to be confirmed")
+def ask_confirmation(context):
+    context.confirmed = []
+    context.mirror.confirm(lambda: context.confirmed.append(sorted(context.copy)))
+
+
+@then("it is not confirmed yet")
+def check_unconfirmed(context):
+    assert not context.confirmed
+
+
+@then("it is confirmed with {names}")
+def check_confirmed(context, names):
+    expected = sorted(names.replace(" and ", ", ").split(", "))
+    assert context.confirmed == [expected], context.confirmed
+
+
+@when("{seconds:f} s pass at the mirror")
+def pass_part(context, seconds):
+    for _ in range(round(seconds * 100)):
+        context.clock.advance(0.01)
+        context.timers.run_due()
+
+
 @given("an empty store and a publisher")
 def create_publisher(context):
     create_store(context)
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -4,6 +4,7 @@
 from behave import given, then, when
 
 from bramleystair.steering import (
+    ConfirmMembers,
     DeliverToServer,
     FindOwner,
     FindReply,
@@ -220,9 +221,54 @@
     context.all_actions = []
 
 
+@given("a balancer with {count:d} members whose list of members is behind")
+def create_behind(context, count):
+    create_balancer(context, count)
+    context.is_behind = True
+
+
 def record(context, actions):
     context.actions = actions
     context.all_actions += actions
+    is_asked = any(isinstance(action, ConfirmMembers) for action in actions)
+    if is_asked and not getattr(context, "is_behind", False):
+        # A node whose watch of the members is waiting confirms them at once.
+        confirm(context)
+
+
+def confirm(context):
+    record(context, context.balancer.confirm_members(context.now))
+
+
+@when("the list is confirmed")
+def confirm_list(context):
+    confirm(context)
+
+
+@when("a fourth member is added and the list is confirmed")
+def add_fourth(context):
+    entries = [
+        MemberEntry(get_member(n), f"zone-{n}", "web", ServerState.READY, 2)
+        for n in range(4)
+    ]
+    context.balancer.set_members(entries, context.now)
+    context.all_actions = []
+    confirm(context)
+
+
+@then("only the fourth member is asked")
+def check_fourth(context):
+    asked = [action.address for action in list_messages(context, FindOwner)]
+    assert asked == [get_member(3)], asked
+
+
+@then("all {count:d} flows are looked up, and reset once the list is confirmed")
+def check_not_held_up(context, count):
+    deny_each(context)
+    assert not list_resets(context)
+    assert len(list_asked(context.all_actions)) == count
+    confirm(context)
+    assert len({a.flow for a in list_resets(context)}) == count
 
 
 @when("a packet of an unknown flow reaches the balancer")
@@ -339,8 +385,7 @@
     assert len(list_asked(context.all_actions)) == limit
 
 
-@then("all {count:d} callers are reset once the members have said no to each")
-def answer_all(context, count):
+def deny_each(context):
     asked = list(list_asked(context.all_actions).items())
     while asked:
         flow, token = asked.pop(0)
@@ -351,6 +396,11 @@
             )
             record(context, actions)
             asked += [item for item in list_asked(actions).items() if item[0] != flow]
+
+
+@then("all {count:d} callers are reset once the members have said no to each")
+def answer_all(context, count):
+    deny_each(context)
     resets = {a.flow for a in context.all_actions if isinstance(a, ResetCaller)}
     assert len(resets) == count, len(resets)
 
--- a/src/bramleystair/mirror/_mirror.py
+++ b/src/bramleystair/mirror/_mirror.py
@@ -14,10 +14,16 @@
     StoredItem,
     StoreFailure,
 )
-from bramleystair.timers import TimerService
+from bramleystair.timers import Subscription, TimerService
 
 log = get_log("mirror")
 
+# A change takes some milliseconds to end a watch; this covers a loaded store.
+CONFIRM_S = 0.05
+# A pause after a change is cut short to this when the copy is to be confirmed, so that
+# confirmations in series do not cost a call for each change.
+SHORT_GATHER_S = 0.25
+
 
 class Mirror:
     """Keep a copy of the objects of one kind.
@@ -62,6 +68,12 @@
         self._page_revision = 0
         self._revision = 0
         self._generation = 0
+        # Start of the watch in progress, and end of the last one that brought changes.
+        self._watch_s: float | None = None
+        self._changed_s = 0.0
+        self._pause: Subscription | None = None
+        # Callbacks with the time of their request.
+        self._on_confirmed: list[tuple[float, Callable[[], None]]] = []
         self.is_complete = False
         self.is_connected = False
 
@@ -93,7 +105,47 @@
         log.info("%s: listing again", self._kind)
         self.start()
 
+    def confirm(self, on_confirmed: Callable[[], None]) -> None:
+        """Call `on_confirmed` once the copy holds all changes made until now.
+
+        That is at once if a watch has been waiting for a while, else after the next
+        watch, whose answer holds all changes made before it. While the store is out of
+        reach, it is not called.
+        """
+        if self._is_current():
+            on_confirmed()
+            return
+        self._on_confirmed.append((self._timers.clock.now(), on_confirmed))
+        if self._watch_s is not None:
+            self._check_later()
+        elif self._pause is not None:
+            elapsed_s = self._timers.clock.now() - self._changed_s
+            self._watch_later(SHORT_GATHER_S - elapsed_s)
+
+    def _is_current(self) -> bool:
+        if self._watch_s is None:
+            return False
+        return self._timers.clock.now() - self._watch_s >= CONFIRM_S
+
+    def _check_later(self) -> None:
+        delay_s = self._watch_s + CONFIRM_S - self._timers.clock.now()
+        self._timers.subscribe_once(delay_s, lambda _: self._check_confirmed())
+
+    def _check_confirmed(self) -> None:
+        if self._is_current():
+            self._report_confirmed(self._timers.clock.now())
+
+    def _report_confirmed(self, until_s: float) -> None:
+        """Answer the requests made until `until_s`."""
+        requests, self._on_confirmed = self._on_confirmed, []
+        for requested_s, callback in requests:
+            if requested_s <= until_s:
+                callback()
+            else:
+                self._on_confirmed.append((requested_s, callback))
+
     def _list(self, after: str) -> None:
+        self._watch_s = None
         if not after:
             self._pages = {}
         generation = self._generation
@@ -128,10 +180,16 @@
 
     def _watch(self) -> None:
         generation = self._generation
+        self._pause = None
+        self._watch_s = self._timers.clock.now()
+        if self._on_confirmed:
+            self._check_later()
         future = self._store.watch(self._kind, self._revision)
         future.add_done_callback(lambda done: self._take_changes(done, generation))
 
     def _watch_later(self, delay_s: float) -> None:
+        if self._pause is not None:
+            self._pause.cancel()
         if delay_s <= 0:
             self._watch()
             return
@@ -141,11 +199,12 @@
             if generation == self._generation:
                 self._watch()
 
-        self._timers.subscribe_once(delay_s, run)
+        self._pause = self._timers.subscribe_once(delay_s, run)
 
     def _take_changes(self, future: Future, generation: int) -> None:
         if generation != self._generation:
             return
+        sent_s, self._watch_s = self._watch_s, None
         match future.result():
             case StoreFailure(kind=FailureKind.HISTORY_LOST):
                 log.warning("%s: history lost at %d", self._kind, self._revision)
@@ -155,12 +214,22 @@
             case Changes(events, revision):
                 self._record_success()
                 self._revision = max(self._revision, revision)
+                if not events:
+                    self._watch()
+                    return
                 self._apply(events)
-                self._watch_later(self._gather_s if events else 0.0)
+                self._report_confirmed(sent_s)
+                self._gather()
+
+    def _gather(self) -> None:
+        """Pause, so that the next watch brings several changes in one call."""
+        self._changed_s = self._timers.clock.now()
+        delay_s = self._gather_s
+        if self._on_confirmed:
+            delay_s = min(delay_s, SHORT_GATHER_S)
+        self._watch_later(delay_s)
 
     def _apply(self, events: tuple[tuple[StoredItem, bool], ...]) -> None:
-        if not events:
-            return
         items = dict(self._items)
         for item, is_deleted in events:
             known = items.get(item.name)
--- a/src/bramleystair/model/_fleet.py
+++ b/src/bramleystair/model/_fleet.py
@@ -14,6 +14,7 @@
 from bramleystair.model._servers import Server, ServerSettings
 from bramleystair.steering import (
     Action,
+    ConfirmMembers,
     Decision,
     DeliverToCaller,
     DeliverToServer,
@@ -328,6 +329,10 @@
                     self.events.call_after(0, lambda s=server, d=data: s.take(d))
                 case DeliverToCaller(_, data):
                     self._send_to_caller(data)
+                case ConfirmMembers():
+                    # Members of the model are known to all balancers at once.
+                    balancer = self._balancers[node]
+                    self._carry_out(node, balancer.confirm_members(self.events.now))
                 case ResetCaller(flow, sequence):
                     if sequence and any(s.holds(flow) for s in self.servers):
                         self.report.broken_flows += 1
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -17,6 +17,7 @@
 from bramleystair.nodes._snapshots import SnapshotClient, SnapshotServer
 from bramleystair.steering import (
     Action,
+    ConfirmMembers,
     ReturnPacket,
     RoutingRules,
     decode_entry,
@@ -71,6 +72,7 @@
         self._store = store
         self._read_rules = read_rules
         self._behind_since_s: float | None = None
+        self._is_confirming = False
         self._steering = BalancerSteering(
             BalancerSteeringSettings(owner_lifetime_s=settings.flow_lifetime_s),
             random,
@@ -158,6 +160,19 @@
             self._behind_since_s = now
             self._rules.restart()
 
+    def _carry_out(self, action: Action) -> None:
+        if not isinstance(action, ConfirmMembers):
+            super()._carry_out(action)
+            return
+        if not self._is_confirming:
+            self._is_confirming = True
+            self._members.confirm(self._confirm_members)
+
+    def _confirm_members(self) -> None:
+        self._is_confirming = False
+        now = self._loop.clock.now()
+        self._handle(self._steering.confirm_members(now))
+
     def _get_message_socket(self) -> DatagramSocket:
         return self._messages
 
--- a/src/bramleystair/steering/__init__.py
+++ b/src/bramleystair/steering/__init__.py
@@ -8,6 +8,7 @@
 from bramleystair.steering._entries import decode_entry, encode_entry
 from bramleystair.steering._events import (
     Action,
+    ConfirmMembers,
     Decision,
     DeliverToCaller,
     DeliverToServer,
@@ -44,6 +45,7 @@
 
 __all__ = [
     "Action",
+    "ConfirmMembers",
     "Decision",
     "DeliverToCaller",
     "DeliverToServer",
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -123,6 +123,11 @@
         """Number of flows whose owner is remembered."""
         return len(self._owners)
 
+    def confirm_members(self, now: float) -> list[Action]:
+        """End the lookups that waited for the members to be known completely."""
+        self._lookups.confirm_members(now)
+        return self._outbox.take()
+
     def compute_wait(self, now: float) -> float:
         """Return the seconds until `run_timers` has something to do."""
         due = [self._subscribe_s, self._lookups.due_s]
--- a/src/bramleystair/steering/_balancer_settings.py
+++ b/src/bramleystair/steering/_balancer_settings.py
@@ -35,6 +35,9 @@
         repeat them.
     lookup_pause_s : float
         Time after a lookup without all answers before the flow is looked up again.
+    confirm_timeout_s : float
+        Wait for the confirmation that there is no other member which may own a flow,
+        while the store is away; callers repeat a packet several times meanwhile.
     subscribe_period_s : float
         Interval between subscriptions to load reports, at least.
     subscribe_gap_s : float
@@ -69,6 +72,7 @@
     max_lookups: int = 8
     max_pending: int = 1024
     lookup_pause_s: float = 0.8
+    confirm_timeout_s: float = 2.0
     subscribe_period_s: float = 0.5
     subscribe_gap_s: float = 0.02
     stale_after_s: float = 1.5
--- a/src/bramleystair/steering/_events.py
+++ b/src/bramleystair/steering/_events.py
@@ -46,6 +46,15 @@
     sequence: int
 
 
+@attrs.define
+class ConfirmMembers:
+    """Ask whether the members known are all that there are.
+
+    The answer is `BalancerSteering.confirm_members`, once every member published until
+    now was set.
+    """
+
+
 @attrs.define
 class Decision:
     """A decision to be logged.
@@ -73,6 +82,7 @@
     | DeliverToServer
     | DeliverToCaller
     | ResetCaller
+    | ConfirmMembers
     | Decision
     | Count
     | Observe
--- a/src/bramleystair/steering/_lookups.py
+++ b/src/bramleystair/steering/_lookups.py
@@ -6,6 +6,7 @@
 import attrs
 
 from bramleystair.steering._balancer_settings import BalancerSteeringSettings
+from bramleystair.steering._events import ConfirmMembers
 from bramleystair.steering._members import Members
 from bramleystair.steering._messages import (
     FindOwner,
@@ -31,8 +32,12 @@
         Members that have not answered.
     later : tuple of address
         Members to be asked when these hold no such flow.
+    asked : set of address
+        Members that were asked, or are known not to be the owner.
     unsure : set of address
         Members that let their servers decide by a packet.
+    is_confirmed : bool
+        Whether the members were known completely after the start.
     """
 
     segment: Segment
@@ -41,11 +46,13 @@
     packets: list[bytes]
     unanswered: set[Address]
     later: tuple[Address, ...] = ()
+    asked: set[Address] = attrs.field(factory=set)
     unsure: set[Address] = attrs.field(factory=set)
     tried: set[Address] = attrs.field(factory=set)
     silent: int = 0
     attempt: int = 0
     likely: Address | None = None
+    is_confirmed: bool = False
 
 
 class OwnerLookups:
@@ -83,6 +90,8 @@
         self._find_route = find_route
         self._on_found = on_found
         self._lookups: dict[bytes, _Lookup] = {}
+        # Lookups in which all members said no, until the members are confirmed.
+        self._unconfirmed: dict[bytes, _Lookup] = {}
         self._flows_by_token: dict[int, bytes] = {}
         # Latest packet of flows that wait for a lookup.
         self._pending: dict[bytes, Segment] = {}
@@ -101,6 +110,17 @@
             lookup = self._lookups.get(flow)
             if lookup is not None and lookup.token == token:
                 self._repeat(lookup, now)
+            elif flow in self._unconfirmed and self._unconfirmed[flow].token == token:
+                self._reset(self._unconfirmed.pop(flow))
+
+    def confirm_members(self, now: float) -> None:
+        """Ask members that were added during a lookup, and end the other lookups."""
+        unconfirmed, self._unconfirmed = self._unconfirmed, {}
+        for flow, lookup in unconfirmed.items():
+            lookup.is_confirmed = True
+            self._lookups[flow] = lookup
+            self._flows_by_token[lookup.token] = flow
+            self._proceed(lookup, now)
 
     def purge(self, now: float) -> None:
         """Forget the pauses that are over."""
@@ -115,7 +135,7 @@
     ) -> None:
         """Look the owner of a packet's flow up; `answered` is known not to be it."""
         flow = segment.flow
-        lookup = self._lookups.get(flow)
+        lookup = self._lookups.get(flow) or self._unconfirmed.get(flow)
         if lookup is not None:
             if len(lookup.packets) < self._settings.lookup_packets:
                 lookup.packets.append(segment.data)
@@ -135,6 +155,8 @@
         first, later = self._list_members(flow, answered)
         token = self._create_token(flow)
         lookup = _Lookup(segment, token, now, [segment.data], first, later)
+        if answered is not None:
+            lookup.asked.add(answered)
         self._lookups[flow] = lookup
         self._ask(lookup, now)
         self._proceed(lookup, now)
@@ -155,6 +177,7 @@
 
     def _ask(self, lookup: _Lookup, now: float) -> None:
         segment = lookup.segment
+        lookup.asked |= lookup.unanswered
         for address in lookup.unanswered:
             if address in lookup.unsure:
                 lookup.tried.add(address)
@@ -208,6 +231,8 @@
             lookup.unanswered = untried
         elif lookup.later:
             lookup.unanswered, lookup.later = set(lookup.later), ()
+        elif added := self._list_added(lookup):
+            lookup.unanswered = added
         else:
             self._fail(lookup, now)
             return
@@ -222,8 +247,21 @@
             self._outbox.count("lookup_ended", "unanswered")
             self._outbox.log("lookup", flow, "unanswered", silent=lookup.silent)
             return
-        self._outbox.count("lookup_ended", "no_owner")
-        self._outbox.reset(lookup.segment, "no_owner")
+        if lookup.is_confirmed:
+            self._reset(lookup)
+            return
+        self._unconfirmed[flow] = lookup
+        due_s = now + self._settings.confirm_timeout_s
+        bisect.insort(self._due, (due_s, lookup.token, flow))
+        self._outbox.add(ConfirmMembers())
+
+    def _list_added(self, lookup: _Lookup) -> set[Address]:
+        return {member.entry.address for member in self._members} - lookup.asked
+
+    def _reset(self, lookup: _Lookup) -> None:
+        reason = "no_owner" if lookup.is_confirmed else "no_owner_known"
+        self._outbox.count("lookup_ended", reason)
+        self._outbox.reset(lookup.segment, reason)
 
     def _is_gone(self, address: Address, now: float) -> bool:
         member = self._members.get(address)
