Repeat the second question of a lookup after its own delay

Cause: the timer of a lookup's first question stayed when the members had answered and a second one was asked, and repeated that within milliseconds, to every member.

Change: a lookup keeps the time of its next repetition, and other timers are ignored.

Figures: the scenario in steering.feature failed before (two packets to each member after 0.2 s instead of one).

--- a/features/steering.feature
+++ b/features/steering.feature
@@ -202,6 +202,17 @@
     When a packet of an unknown flow reaches the balancer
     Then all 52 members are asked
 
+  Scenario: The second question of a lookup is not repeated before its own delay
+    # Guards against packets that are sent to every member twice within milliseconds.
+    Given a balancer with 3 members
+    When a packet of an unknown flow reaches the balancer
+    And 0.1 s later all members say that they are unsure
+    Then the packet was tried at each member once
+    When 0.1 s go by at the balancer
+    Then the packet was tried at each member once
+    When 0.1 s go by at the balancer
+    Then the packet was tried at each member twice
+
   Scenario: A flow is not looked up again at once
     Given a balancer with 3 members
     When a packet of an unknown flow reaches the balancer
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -361,6 +361,33 @@
     record(context, actions)
 
 
+@when("{seconds:f} s later all members say that they are unsure")
+def answer_unsure(context, seconds):
+    token = list_messages(context, FindOwner)[0].message.token
+    pass_time(context, seconds)
+    for number in range(context.count):
+        reply = FindReply(token, Ownership.UNSURE)
+        send_reply(context, get_member(number), reply)
+
+
+@when("{seconds:f} s go by at the balancer")
+def pass_time(context, seconds):
+    for _ in range(round(seconds * 100)):
+        context.now += 0.01
+        record(context, context.balancer.run_timers(context.now))
+
+
+@then("the packet was tried at each member {times}")
+def check_tries(context, times):
+    tried = Counter(
+        a.address
+        for a in context.all_actions
+        if isinstance(a, SendMessage) and isinstance(a.message, TryPacket)
+    )
+    expected = {"once": 1, "twice": 2}[times]
+    assert set(tried.values()) == {expected} and len(tried) == context.count, tried
+
+
 @when("all members say that they do not hold it")
 def deny_all(context):
     deny(context, range(context.count))
--- a/src/bramleystair/steering/_lookups.py
+++ b/src/bramleystair/steering/_lookups.py
@@ -39,6 +39,8 @@
         Members that were asked, or are known not to be the owner.
     unsure : set of address
         Members that let their servers decide by a packet.
+    due_s : float
+        Time of the next repetition.
     is_confirmed : bool
         Whether the members were known completely after the start.
     confirm_until_s : float
@@ -57,6 +59,7 @@
     silent: int = 0
     attempt: int = 0
     likely: Address | None = None
+    due_s: float = 0.0
     is_confirmed: bool = False
     confirm_until_s: float = 0.0
 
@@ -116,9 +119,9 @@
     def run_timers(self, now: float) -> None:
         """Repeat or end the lookups that are due."""
         while self._due and self._due[0][0] <= now:
-            _, token, flow = self._due.pop(0)
+            due_s, token, flow = self._due.pop(0)
             lookup = self._lookups.get(flow)
-            if lookup is not None and lookup.token == token:
+            if lookup is not None and (lookup.due_s, lookup.token) == (due_s, token):
                 self._repeat(lookup, now)
                 continue
             lookup = self._unconfirmed.get(flow)
@@ -215,9 +218,8 @@
                 continue
             message = FindOwner(lookup.token, segment.flow, segment.acknowledgement)
             self._outbox.send(address, message)
-        delay_s = self._settings.lookup_delays_s[lookup.attempt]
-        due = (now + delay_s, lookup.token, segment.flow)
-        bisect.insort(self._due, due)
+        lookup.due_s = now + self._settings.lookup_delays_s[lookup.attempt]
+        bisect.insort(self._due, (lookup.due_s, lookup.token, segment.flow))
 
     def _repeat(self, lookup: _Lookup, now: float) -> None:
         lookup.attempt += 1
