Watch once after a listing that ends a pause

Cause, found by reading: a mirror that was told to list again during the pause after a change kept the pause's timer; a confirmation in that time started a second watch beside the one after the listing.

Change: listing again ends the pause.

--- a/features/mirror.feature
+++ b/features/mirror.feature
@@ -52,6 +52,16 @@
     When 0.35 s pass at the mirror
     Then it is confirmed with a, b, c and d
 
+  Scenario: A copy that is listed again in a pause is watched once
+    # Guards against two watches of one kind, each of which costs calls.
+    Given a store with members a and b
+    And a mirror of the members that pauses for 1 s after each change
+    When c is added to the store
+    And the mirror is restarted
+    And the copy is to be confirmed
+    And the store's clock advances by 2 s
+    Then the store has 1 waiting watch besides abandoned ones
+
   Scenario: A copy is not confirmed while the store is down
     Given a store with members a and b
     And a mirror of the members that has started
--- a/features/steps/mirror_steps.py
+++ b/features/steps/mirror_steps.py
@@ -43,8 +43,12 @@
     writes: int = 0
     fate: str = ""
     late_s: float = 0.0
+    listing: Future | None = None
 
     def list_items(self, kind, after):
+        if self.listing is not None:
+            listing, self.listing = self.listing, None
+            return listing
         if not self.is_up:
             return complete(fail())
         names = sorted(name for name in self.items if name > after)
@@ -155,6 +159,24 @@
     context.mirror._gather_s = 1.0
 
 
+@when("the mirror is restarted")
+def restart_mirror(context):
+    # The listing is answered later, so that the mirror is asked to confirm meanwhile.
+    store = context.store
+    store.listing = listing = Future()
+    context.mirror.restart()
+
+    def answer(_):
+        listing.set_result(store.list_items(KIND, "").result())
+
+    context.timers.subscribe_once(0.5, answer)
+
+
+@then("the store has {count:d} waiting watch besides abandoned ones")
+def check_watches(context, count):
+    assert len(context.store.waiting) == count, context.store.waiting
+
+
 @when("the copy is to be confirmed")
 def ask_confirmation(context):
     context.confirmed = []
--- a/src/bramleystair/mirror/_mirror.py
+++ b/src/bramleystair/mirror/_mirror.py
@@ -85,6 +85,9 @@
     def start(self) -> None:
         """Begin to list, then to watch."""
         self._generation += 1
+        if self._pause is not None:
+            self._pause.cancel()
+            self._pause = None
         self._list("")
 
     @property
