--- a/src/bramleystair/steering/_lookups.py
+++ b/src/bramleystair/steering/_lookups.py
@@ -65,7 +65,7 @@
 
 
 class OwnerLookups:
-    """Ask the members for the owners of flows, a few flows at a time.
+    """Ask the members for the owners of flows, at a bounded rate.
 
     Parameters
     ----------
