Share the constructor and the short-lived notes of the flow decisions' parts

Cause: the split of the flow controller left the same eight assignments in four constructors and in the controller, and two tables of notes that were filled, read and expired by equal code.

Change: FlowPart holds the shared references; RecentNotes keeps answers to placements and members that asked for a flow.

--- a/src/bramleystair/flows/_context.py
+++ b/src/bramleystair/flows/_context.py
@@ -55,3 +55,25 @@
         if self.admission.is_draining or service.is_zone_out:
             return 0
         return self.cold_start.compute_limit(service.row.max_flows, self.now)
+
+
+class FlowPart:
+    """A part of an agent's flow decisions.
+
+    Parameters
+    ----------
+    context : FlowContext
+        State shared with the other parts.
+    """
+
+    def __init__(self, context: FlowContext) -> None:
+        self._context = context
+        self._server = context.server
+        self._settings = context.settings
+        self._services = context.services
+        self._admission = context.admission
+        self._outbox = context.outbox
+        self._flows = context.flows
+        self._redirects = context.redirects
+        self._registrar = context.registrar
+        self._waiting = context.waiting
--- a/src/bramleystair/flows/_controller.py
+++ b/src/bramleystair/flows/_controller.py
@@ -9,7 +9,7 @@
 from bramleystair.flows import _events as events
 from bramleystair.flows._admission import Admission
 from bramleystair.flows._cold_start import ColdStart
-from bramleystair.flows._context import FlowContext
+from bramleystair.flows._context import FlowContext, FlowPart
 from bramleystair.flows._delivery import FlowDelivery
 from bramleystair.flows._entries import FlowEntry, WaitingFlow
 from bramleystair.flows._events import FlowAction, FlowEvent
@@ -49,7 +49,7 @@
 PAUSE_S = 10 * TICK_PERIOD_S
 
 
-class FlowController:
+class FlowController(FlowPart):
     """Own the flows of one backend server and the redirects registered here.
 
     Parameters
@@ -69,19 +69,11 @@
         settings: FlowSettings,
         random: random_module.Random,
     ) -> None:
-        self._server = server
+        context = _build_context(server, zone, settings)
+        super().__init__(context)
         self._zone = zone
-        self._settings = settings
-        self._outcomes = OutcomeMonitor()
-        self._context = context = _build_context(server, zone, settings)
-        self._services = context.services
         self._cold_start = context.cold_start
-        self._admission = context.admission
-        self._outbox = context.outbox
-        self._flows = context.flows
-        self._redirects = context.redirects
-        self._registrar = context.registrar
-        self._waiting = context.waiting
+        self._outcomes = OutcomeMonitor()
         self._placement = Placement(server, settings, random)
         self._delivery = FlowDelivery(context)
         self._placing = FlowPlacing(context, self._delivery, self._placement)
@@ -417,8 +409,8 @@
         while self._early and self._context.now >= self._early[0][0]:
             _, sender, message = self._early.popleft()
             self._refuse_service(sender, message)
-        self._placing.expire_decisions()
-        self._queries.expire_inquiries()
+        self._placing.forget_old(self._context.now)
+        self._queries.forget_old(self._context.now)
         for flow, _ in self._flows.sweep(self._context.now):
             self._registrar.enqueue(flow)
         self._registrar.run(
--- a/src/bramleystair/flows/_delivery.py
+++ b/src/bramleystair/flows/_delivery.py
@@ -1,31 +1,15 @@
 """Ways of a flow's packets: to the backend server, to the owner, or to wait."""
 
 from bramleystair.flows import _events as events
-from bramleystair.flows._context import FlowContext
+from bramleystair.flows._context import FlowPart
 from bramleystair.flows._entries import FlowEntry, WaitingFlow
 from bramleystair.flows._services import Service
 from bramleystair.packets import TCP, PacketHeaders
 from bramleystair.wire import Forward, RedirectDrop
 
 
-class FlowDelivery:
-    """Deliver, pass on and hand over packets.
-
-    Parameters
-    ----------
-    context : FlowContext
-        State shared with the other parts.
-    """
-
-    def __init__(self, context: FlowContext) -> None:
-        self._context = context
-        self._settings = context.settings
-        self._services = context.services
-        self._outbox = context.outbox
-        self._flows = context.flows
-        self._redirects = context.redirects
-        self._waiting = context.waiting
-        self._registrar = context.registrar
+class FlowDelivery(FlowPart):
+    """Deliver, pass on and hand over packets."""
 
     def deliver(self, entry: FlowEntry, headers: PacketHeaders, packet: bytes) -> None:
         """Give a packet of an owned flow to the backend server."""
--- a/src/bramleystair/flows/_placing.py
+++ b/src/bramleystair/flows/_placing.py
@@ -1,16 +1,17 @@
 """Placement of a new flow: the dialogue between its home and the members."""
 
 from bramleystair.flows import _events as events
-from bramleystair.flows._context import FlowContext
+from bramleystair.flows._context import FlowContext, FlowPart
 from bramleystair.flows._delivery import FlowDelivery
 from bramleystair.flows._entries import WaitingFlow
 from bramleystair.flows._placement import Load, Placement
+from bramleystair.flows._recent import RecentNotes
 from bramleystair.flows._services import Service
 from bramleystair.packets import PacketHeaders, read_headers
 from bramleystair.wire import Forward, PlaceReply
 
 
-class FlowPlacing:
+class FlowPlacing(FlowPart):
     """Place new flows at members, and answer the placements of others.
 
     Parameters
@@ -26,18 +27,13 @@
     def __init__(
         self, context: FlowContext, delivery: FlowDelivery, placement: Placement
     ) -> None:
-        self._context = context
-        self._server = context.server
-        self._settings = context.settings
-        self._services = context.services
-        self._outbox = context.outbox
-        self._flows = context.flows
-        self._redirects = context.redirects
-        self._waiting = context.waiting
-        self._admission = context.admission
+        super().__init__(context)
         self._delivery = delivery
         self._placement = placement
-        self._decisions: dict[bytes, tuple[float, str]] = {}
+        # A repeated placement gets the same answer, whatever has changed since.
+        self._decisions = RecentNotes(
+            self._settings.place_timeout_s, self._settings.queue_flows
+        )
 
     def place(self, flow: bytes, waiting: WaitingFlow) -> None:
         """Choose the member that takes a new flow."""
@@ -96,7 +92,7 @@
     def accept(self, sender: str, message: Forward, headers: PacketHeaders) -> None:
         """Take or refuse a flow that another member places here."""
         flow = message.flow
-        until_s, reason = self._decisions.get(flow, (0.0, ""))
+        until_s, reason = self._decisions.get(flow)
         if self._context.now < until_s:
             self.reply(sender, message, reason)
             return
@@ -107,7 +103,7 @@
             owner = ""
         if owner or (waiting is not None and waiting.is_placing):
             # This agent places the flow, or has placed it, under another view.
-            self._record_decision(flow, "")
+            self._decisions.put(flow, "", self._context.now)
             self.reply(sender, message, "")
             self._join(owner, waiting, message)
             return
@@ -116,7 +112,7 @@
         self.reply(sender, message, reason)
         if reason:
             self._outbox.count("flow_refused", reason)
-            self._record_decision(flow, reason)
+            self._decisions.put(flow, reason, self._context.now)
             return
         entry = self._delivery.create_entry(service, flow, sender)
         self._delivery.deliver(entry, headers, message.packet)
@@ -129,13 +125,6 @@
         elif message.packet not in waiting.packets:
             self._delivery.queue_packet(waiting, message.packet)
 
-    def _record_decision(self, flow: bytes, reason: str) -> None:
-        # A repeated placement gets the same answer, whatever has changed since.
-        self._decisions.pop(flow, None)
-        if len(self._decisions) < self._settings.queue_flows:
-            until_s = self._context.now + self._settings.place_timeout_s
-            self._decisions[flow] = (until_s, reason)
-
     def reply(self, sender: str, message: Forward, reason: str) -> None:
         """Answer a placement; an empty reason accepts it."""
         self._outbox.send(
@@ -199,9 +188,6 @@
         elif self._context.now >= waiting.retry_s:
             self._send(flow, waiting)
 
-    def expire_decisions(self) -> None:
+    def forget_old(self, now: float) -> None:
         """Forget answers to placements that are no longer repeated."""
-        for flow, (until_s, _) in list(self._decisions.items()):
-            if self._context.now < until_s:
-                return
-            del self._decisions[flow]
+        self._decisions.forget_old(now)
--- a/src/bramleystair/flows/_queries.py
+++ b/src/bramleystair/flows/_queries.py
@@ -1,16 +1,17 @@
 """Lookup of the owner of a flow among the members."""
 
 from bramleystair.flows import _events as events
-from bramleystair.flows._context import FlowContext
+from bramleystair.flows._context import FlowContext, FlowPart
 from bramleystair.flows._delivery import FlowDelivery
 from bramleystair.flows._entries import WaitingFlow
 from bramleystair.flows._placing import FlowPlacing
+from bramleystair.flows._recent import RecentNotes
 from bramleystair.flows._services import Service
 from bramleystair.packets import TCP, read_headers
 from bramleystair.wire import FlowQuery, FlowQueryReply
 
 
-class OwnerQueries:
+class OwnerQueries(FlowPart):
     """Ask the members for a flow's owner, and answer them.
 
     Parameters
@@ -26,17 +27,12 @@
     def __init__(
         self, context: FlowContext, delivery: FlowDelivery, placing: FlowPlacing
     ) -> None:
-        self._context = context
-        self._server = context.server
-        self._settings = context.settings
-        self._services = context.services
-        self._outbox = context.outbox
-        self._flows = context.flows
-        self._redirects = context.redirects
-        self._waiting = context.waiting
+        super().__init__(context)
         self._delivery = delivery
         self._placing = placing
-        self._inquiries: dict[bytes, tuple[float, str]] = {}
+        self._inquiries = RecentNotes(
+            self._settings.place_timeout_s, self._settings.queue_flows
+        )
 
     def was_asked(self, flow: bytes) -> bool:
         """Return whether a member has lately asked for the owner of `flow`."""
@@ -51,7 +47,7 @@
         waiting.retry_s = self._context.now + self._settings.query_retry_s
         service = self._services.get(waiting.service_id)
         # A member that asked for the flow may not be in this agent's view yet.
-        _, inquirer = self._inquiries.get(flow, (0.0, ""))
+        _, inquirer = self._inquiries.get(flow)
         for server in dict.fromkeys((*service.peers, inquirer)):
             if server:
                 self._ask(flow, waiting, server)
@@ -77,15 +73,9 @@
             is_owner, owner = entry.is_established, self._server
         else:
             is_owner, owner = False, self._find_owner(sender, service_id, flow)
-            self._record_inquiry(sender, flow)
+            self._inquiries.put(flow, sender, self._context.now)
         self._outbox.send(sender, FlowQueryReply(service_id, flow, owner, is_owner))
 
-    def _record_inquiry(self, sender: str, flow: bytes) -> None:
-        self._inquiries.pop(flow, None)
-        if len(self._inquiries) < self._settings.queue_flows:
-            until_s = self._context.now + self._settings.place_timeout_s
-            self._inquiries[flow] = (until_s, sender)
-
     def _find_owner(self, sender: str, service_id: int, flow: bytes) -> str:
         waiting = self._waiting.get(flow)
         if waiting is None or waiting.service_id != service_id:
@@ -158,7 +148,7 @@
     def review(self, flow: bytes, waiting: WaitingFlow, service: Service) -> None:
         """Follow a change of the members during a lookup."""
         waiting.is_view_old = False
-        _, inquirer = self._inquiries.get(flow, (0.0, ""))
+        _, inquirer = self._inquiries.get(flow)
         waiting.members &= {*service.peers, *waiting.hints, inquirer}
         for server in service.peers:
             if server not in waiting.asked:
@@ -188,9 +178,6 @@
         for server in sorted(waiting.members):
             self._outbox.send(server, FlowQuery(waiting.service_id, flow))
 
-    def expire_inquiries(self) -> None:
+    def forget_old(self, now: float) -> None:
         """Forget which members asked for flows."""
-        for flow, (until_s, _) in list(self._inquiries.items()):
-            if self._context.now < until_s:
-                return
-            del self._inquiries[flow]
+        self._inquiries.forget_old(now)
--- a/src/bramleystair/flows/_registry.py
+++ b/src/bramleystair/flows/_registry.py
@@ -2,12 +2,12 @@
 
 import attrs
 
-from bramleystair.flows._context import FlowContext
+from bramleystair.flows._context import FlowContext, FlowPart
 from bramleystair.flows._delivery import FlowDelivery
 from bramleystair.wire import RedirectPut
 
 
-class RedirectRegistry:
+class RedirectRegistry(FlowPart):
     """Store and drop the redirects that owners send here.
 
     Parameters
@@ -19,13 +19,7 @@
     """
 
     def __init__(self, context: FlowContext, delivery: FlowDelivery) -> None:
-        self._context = context
-        self._server = context.server
-        self._outbox = context.outbox
-        self._flows = context.flows
-        self._redirects = context.redirects
-        self._waiting = context.waiting
-        self._registrar = context.registrar
+        super().__init__(context)
         self._delivery = delivery
 
     def handle(self, sender: str, message: RedirectPut) -> None:
