Declare what a node has to provide, and end three copies in nodes, mirrors and lookups

Cause: NodeBase raised NotImplementedError in eight methods, one of which balancers never had; both nodes kept the store and moved it alike. A mirror built the same guarded timer twice. A lookup kept two times of which one was in use, and listed members that it only counted.

Change: NodeBase is abstract and holds the store and the socket for messages; delivery to the server belongs to the agent. Mirror._call_later serves the pause and the retries. A lookup has one due time. The reload test hands the node the action instead of calling a private method; its assertion is the same.

--- a/features/steps/reload_steps.py
+++ b/features/steps/reload_steps.py
@@ -15,7 +15,7 @@
 from bramleystair.nodes._balancer import BalancerNode
 from bramleystair.nodes._reload import SettingsMonitor
 from bramleystair.platform._packets import Codec
-from bramleystair.steering import Segment
+from bramleystair.steering import DeliverToServer, Segment
 from bramleystair.timers import ManualClock
 
 HOST = "127.0.0.1"
@@ -200,7 +200,7 @@
 def check_server(context):
     sent = []
     context.node._outbound.send = lambda data, address: sent.append(address)
-    context.node._deliver_to_server(b"x")
+    context.node._handle([DeliverToServer(b"x")])
     assert sent == [OTHER_SERVER]
 
 
--- a/src/bramleystair/mirror/_mirror.py
+++ b/src/bramleystair/mirror/_mirror.py
@@ -196,13 +196,7 @@
         if delay_s <= 0:
             self._watch()
             return
-        generation = self._generation
-
-        def run(_: float) -> None:
-            if generation == self._generation:
-                self._watch()
-
-        self._pause = self._timers.subscribe_once(delay_s, run)
+        self._pause = self._call_later(delay_s, self._watch)
 
     def _take_changes(self, future: Future, generation: int) -> None:
         if generation != self._generation:
@@ -255,11 +249,14 @@
         if self.is_connected or not self._backoff.failures:
             log.warning("%s: store is lost: %s", self._kind, failure)
         self.is_connected = False
+        self._call_later(self._backoff.compute_delay(), step)
+
+    def _call_later(self, delay_s: float, step: Callable[[], None]) -> Subscription:
+        """Call `step` after a delay, unless the mirror was started anew meanwhile."""
         generation = self._generation
-        delay_s = self._backoff.compute_delay()
 
         def run(_: float) -> None:
             if generation == self._generation:
                 step()
 
-        self._timers.subscribe_once(delay_s, run)
+        return self._timers.subscribe_once(delay_s, run)
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -23,6 +23,7 @@
 from bramleystair.nodes._settings import MEMBER_KIND, NodeSettings, PacketCodec
 from bramleystair.steering import (
     Action,
+    DeliverToServer,
     FindOwner,
     Message,
     OpenFlow,
@@ -53,10 +54,8 @@
 
     Parameters
     ----------
-    loop, settings, codec
+    loop, settings, codec, store
         See `NodeBase`.
-    store : ObjectStore
-        Platform's store.
     read_report : callable
         Returns a server's report from its call, its identity when it is gone, or an
         error.
@@ -76,8 +75,7 @@
         random: random_module.Random,
         started_s: float = 0.0,
     ) -> None:
-        super().__init__(loop, settings, codec)
-        self._store = store
+        super().__init__(loop, settings, codec, store)
         self._read_report = read_report
         self._steering = AgentSteering(
             settings.packet_address,
@@ -128,8 +126,6 @@
     def _use_settings(self, change: SettingsChange) -> None:
         settings = change.settings
         self._steering.set_times(settings.heartbeat_s, settings.flow_lifetime_s)
-        if "store_address" in change.applied:
-            self._store.move(settings.store_address)
 
     def _compute_wait(self, now: float) -> float:
         return self._steering.compute_wait(now)
@@ -137,11 +133,11 @@
     def _run_timers(self, now: float) -> Iterable[Action]:
         return self._steering.run_timers(now)
 
-    def _get_message_socket(self) -> DatagramSocket:
-        return self._packets
-
-    def _deliver_to_server(self, data: bytes) -> None:
-        self._outbound.send(data, self._settings.server_address)
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, DeliverToServer):
+            self._outbound.send(action.data, self._settings.server_address)
+        else:
+            super()._carry_out(action)
 
     def _take_packet(self, data: bytes, sender: tuple[str, int]) -> None:
         self._take_message(data, sender)
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -48,10 +48,8 @@
 
     Parameters
     ----------
-    loop, settings, codec
+    loop, settings, codec, store
         See `NodeBase`.
-    store : ObjectStore
-        Platform's store.
     rules_kind, evacuation_kind : str
         Kinds under which the operator writes.
     read_rules : callable
@@ -71,8 +69,7 @@
         read_rules: Callable[[Any], Result[RoutingRules, StepError]],
         random: random_module.Random,
     ) -> None:
-        super().__init__(loop, settings, codec)
-        self._store = store
+        super().__init__(loop, settings, codec, store)
         self._read_rules = read_rules
         self._behind_since_s: float | None = None
         self._is_confirming = False
@@ -142,11 +139,9 @@
         settings = change.settings
         self._steering.set_owner_lifetime(settings.flow_lifetime_s)
         self._snapshots.peers = settings.peers
-        if "store_address" not in change.applied:
-            return
-        self._store.move(settings.store_address)
-        for mirror in self._mirrors.values():
-            mirror.restart()
+        if "store_address" in change.applied:
+            for mirror in self._mirrors.values():
+                mirror.restart()
 
     def _compute_wait(self, now: float) -> float:
         return self._steering.compute_wait(now)
@@ -179,9 +174,6 @@
         now = self._loop.clock.now()
         self._handle(self._steering.confirm_members(now))
 
-    def _get_message_socket(self) -> DatagramSocket:
-        return self._messages
-
     def _take_packet(self, data: bytes, sender: tuple[str, int]) -> None:
         segment = self._codec.decode_inbound(data)
         if segment is None:
--- a/src/bramleystair/nodes/_node.py
+++ b/src/bramleystair/nodes/_node.py
@@ -1,11 +1,13 @@
 """What balancer and agent processes have in common."""
 
+import abc
 from collections.abc import Callable, Iterable
 
 from bramleystair.actions import Count, Observe
 from bramleystair.http import HttpReply, HttpRequest, HttpServer
 from bramleystair.loop import EventLoop
 from bramleystair.metrics import Metrics
+from bramleystair.mirror import ObjectStore
 from bramleystair.nodes._datagrams import DatagramSocket
 from bramleystair.nodes._journal import DecisionJournal
 from bramleystair.nodes._reload import SettingsChange, compare_settings
@@ -14,7 +16,6 @@
     Action,
     Decision,
     DeliverToCaller,
-    DeliverToServer,
     FindOwner,
     FindReply,
     Message,
@@ -33,7 +34,7 @@
 _BUNDLED = (FindOwner, FindReply)
 
 
-class NodeBase:
+class NodeBase(abc.ABC):
     """Carry out actions, serve readiness and metrics, and run the timers.
 
     Parameters
@@ -44,14 +45,21 @@
         Addresses and times.
     codec : PacketCodec
         Layout of packets.
+    store : ObjectStore
+        Platform's store.
     """
 
     def __init__(
-        self, loop: EventLoop, settings: NodeSettings, codec: PacketCodec
+        self,
+        loop: EventLoop,
+        settings: NodeSettings,
+        codec: PacketCodec,
+        store: ObjectStore,
     ) -> None:
         self._loop = loop
         self._settings = settings
         self._codec = codec
+        self._store = store
         self.metrics = Metrics({"node": settings.name})
         self._journal = DecisionJournal(loop.clock.now)
         self._is_stopping = False
@@ -60,6 +68,8 @@
         self._packets = DatagramSocket(
             loop, settings.packet_address, self._take_packet, self.metrics
         )
+        # Where messages are sent from; a balancer has a socket of its own for them.
+        self._messages = self._packets
         self._caller_port = settings.packet_address[1]
         self._servers = [HttpServer(loop, settings.ready_address, self._answer_ready)]
         if settings.metrics_address is not None:
@@ -69,6 +79,8 @@
         """Take over changed settings and return what that changed."""
         change = compare_settings(self._settings, settings)
         self._settings = change.settings
+        if "store_address" in change.applied:
+            self._store.move(change.settings.store_address)
         self._use_settings(change)
         return change
 
@@ -78,30 +90,31 @@
         for server in self._servers:
             server.close()
 
+    @abc.abstractmethod
     def is_ready(self) -> bool:
         """Return whether the node may receive packets."""
-        raise NotImplementedError
 
+    @abc.abstractmethod
     def _use_settings(self, change: SettingsChange) -> None:
         """Tell the parts that keep copies of settings."""
-        raise NotImplementedError
 
+    @abc.abstractmethod
     def _compute_wait(self, now: float) -> float:
-        raise NotImplementedError
+        """Return the seconds until `_run_timers` has something to do."""
 
+    @abc.abstractmethod
     def _run_timers(self, now: float) -> Iterable[Action]:
-        raise NotImplementedError
+        """Return the actions that are due."""
 
+    @abc.abstractmethod
     def _take_packet(self, data: bytes, sender: tuple[str, int]) -> None:
-        raise NotImplementedError
+        """Handle a datagram that arrived at the address for packets."""
 
+    @abc.abstractmethod
     def _respond(
         self, message: Message, sender: tuple[str, int], now: float
     ) -> Iterable[Action]:
-        raise NotImplementedError
-
-    def _get_message_socket(self) -> DatagramSocket:
-        raise NotImplementedError
+        """Return the actions that a message calls for."""
 
     def _handle(self, actions: Iterable[Action]) -> None:
         bundles: dict[tuple[str, int], list[bytes]] = {}
@@ -112,15 +125,13 @@
             else:
                 self._carry_out(action)
         for address, messages in bundles.items():
-            self._get_message_socket().send(encode_bundle(messages), address)
+            self._messages.send(encode_bundle(messages), address)
         self._schedule()
 
     def _carry_out(self, action: Action) -> None:
         match action:
             case SendMessage(address, message):
-                self._get_message_socket().send(encode_message(message), address)
-            case DeliverToServer(data):
-                self._deliver_to_server(data)
+                self._messages.send(encode_message(message), address)
             case DeliverToCaller(flow, data):
                 self._packets.send(data, self._get_caller_address(flow))
             case ResetCaller(flow, sequence):
@@ -134,9 +145,6 @@
             case Observe(name, seconds):
                 self.metrics.observe(name, seconds)
 
-    def _deliver_to_server(self, data: bytes) -> None:
-        raise NotImplementedError
-
     def _serve(
         self, address: tuple[str, int], respond: Callable[[HttpRequest], HttpReply]
     ) -> None:
--- a/src/bramleystair/steering/_lookups.py
+++ b/src/bramleystair/steering/_lookups.py
@@ -40,11 +40,9 @@
     unsure : set of address
         Members that let their servers decide by a packet.
     due_s : float
-        Time of the next repetition.
+        Time of the next repetition, or of the end of the wait for a confirmation.
     is_confirmed : bool
         Whether the members were known completely after the start.
-    confirm_until_s : float
-        Time until which the confirmation of the members is awaited.
     """
 
     segment: Segment
@@ -61,7 +59,6 @@
     likely: Address | None = None
     due_s: float = 0.0
     is_confirmed: bool = False
-    confirm_until_s: float = 0.0
 
 
 class OwnerLookups:
@@ -120,12 +117,12 @@
         """Repeat or end the lookups that are due."""
         while self._due and self._due[0][0] <= now:
             due_s, token, flow = self._due.pop(0)
-            lookup = self._lookups.get(flow)
-            if lookup is not None and (lookup.due_s, lookup.token) == (due_s, token):
-                self._repeat(lookup, now)
+            lookup = self._get(flow)
+            if lookup is None or (lookup.due_s, lookup.token) != (due_s, token):
                 continue
-            lookup = self._unconfirmed.get(flow)
-            if lookup is not None and lookup.confirm_until_s <= now:
+            if flow in self._lookups:
+                self._repeat(lookup, now)
+            else:
                 del self._unconfirmed[flow]
                 self._reset(lookup)
         if self._pending and now >= self._next_start_s:
@@ -153,7 +150,7 @@
     ) -> None:
         """Look the owner of a packet's flow up; `answered` is known not to be it."""
         flow = segment.flow
-        lookup = self._lookups.get(flow) or self._unconfirmed.get(flow)
+        lookup = self._get(flow)
         if lookup is not None:
             if len(lookup.packets) < self._settings.lookup_packets:
                 lookup.packets.append(segment.data)
@@ -170,6 +167,9 @@
         else:
             self._outbox.count("packet_dropped", "lookups")
 
+    def _get(self, flow: bytes) -> _Lookup | None:
+        return self._lookups.get(flow) or self._unconfirmed.get(flow)
+
     def _start_pending(self, now: float) -> None:
         free = self._settings.max_lookups - len(self._lookups)
         count = min(self._settings.lookup_batch, free, len(self._pending))
@@ -218,15 +218,18 @@
                 continue
             message = FindOwner(lookup.token, segment.flow, segment.acknowledgement)
             self._outbox.send(address, message)
-        lookup.due_s = now + self._settings.lookup_delays_s[lookup.attempt]
-        bisect.insort(self._due, (lookup.due_s, lookup.token, segment.flow))
+        self._wake_at(lookup, now + self._settings.lookup_delays_s[lookup.attempt])
+
+    def _wake_at(self, lookup: _Lookup, due_s: float) -> None:
+        lookup.due_s = due_s
+        bisect.insort(self._due, (due_s, lookup.token, lookup.segment.flow))
 
     def _repeat(self, lookup: _Lookup, now: float) -> None:
         lookup.attempt += 1
         if lookup.attempt < len(self._settings.lookup_delays_s):
             self._ask(lookup, now)
             return
-        lookup.silent += len(self._list_awaited(lookup, now))
+        lookup.silent += self._count_awaited(lookup, now)
         lookup.unanswered.clear()
         lookup.attempt = 0
         self._proceed(lookup, now)
@@ -251,7 +254,7 @@
 
     def _proceed(self, lookup: _Lookup, now: float) -> None:
         """Go on once all members asked have answered or were waited for."""
-        if self._list_awaited(lookup, now):
+        if self._count_awaited(lookup, now):
             return
         lookup.unanswered.clear()
         if lookup.likely is not None:
@@ -282,8 +285,7 @@
             self._reset(lookup)
             return
         self._unconfirmed[flow] = lookup
-        lookup.confirm_until_s = now + self._settings.confirm_timeout_s
-        bisect.insort(self._due, (lookup.confirm_until_s, lookup.token, flow))
+        self._wake_at(lookup, now + self._settings.confirm_timeout_s)
         self._outbox.add(ConfirmMembers())
 
     def _list_added(self, lookup: _Lookup) -> set[Address]:
@@ -294,14 +296,13 @@
         self._outbox.count("lookup_ended", reason)
         self._outbox.reset(lookup.segment, reason)
 
-    def _list_awaited(self, lookup: _Lookup, now: float) -> list[Address]:
-        """Return the members that have not answered and are not lost."""
-        members = [self._members.get(address) for address in lookup.unanswered]
-        return [
-            member.entry.address
+    def _count_awaited(self, lookup: _Lookup, now: float) -> int:
+        """Return how many members have not answered and are not lost."""
+        members = (self._members.get(address) for address in lookup.unanswered)
+        return sum(
+            member is not None and not self._members.is_lost(member, now)
             for member in members
-            if member is not None and not self._members.is_lost(member, now)
-        ]
+        )
 
     def _settle(
         self, lookup: _Lookup, owner: Address, outcome: str, now: float
