Tell refused connections apart in one place, and share the tests' log recorder

Cause: a refused connection was recognised when the failure came with the first event of the socket, but not when connecting failed at once; what the failure said of sent bytes was read nowhere. Two step modules had the same recorder of log lines.

Change: one function describes an OSError of the client, for both paths; is_sent is removed. features/steps/log_recorder.py serves both step modules. The scenario of a closed port also checks that the failure counts as refused.

--- a/features/nodes.feature
+++ b/features/nodes.feature
@@ -35,6 +35,7 @@
     And a port that nobody listens on
     When a call with a limit of 2.0 s is made
     Then it fails with a reason
+    And it was refused
 
   Scenario: Malformed requests end their connection only
     Given an event loop
--- /dev/null
+++ b/features/steps/log_recorder.py
@@ -0,0 +1,25 @@
+"""Recorder of the log lines of a scenario."""
+
+import logging
+
+from bramleystair.logs import ROOT_NAME
+
+
+class Recorder(logging.Handler):
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
+
+
+def record_logs(context):
+    """Keep the records of the product's loggers in `context.recorder`."""
+    context.recorder = Recorder()
+    logger = logging.getLogger(ROOT_NAME)
+    level = logger.level
+    logger.setLevel(logging.INFO)
+    logger.addHandler(context.recorder)
+    context.add_cleanup(logger.removeHandler, context.recorder)
+    context.add_cleanup(logger.setLevel, level)
--- a/features/steps/nodes_steps.py
+++ b/features/steps/nodes_steps.py
@@ -1,10 +1,10 @@
-import logging
 import os
 import random
 import signal
 import socket
 
 from behave import given, then, when
+from log_recorder import record_logs
 
 from bramleystair.http import (
     HttpClient,
@@ -12,7 +12,6 @@
     HttpReply,
     HttpServer,
 )
-from bramleystair.logs import ROOT_NAME
 from bramleystair.loop import EventLoop
 from bramleystair.mirror import Mirror, StoredItem
 from bramleystair.nodes._journal import DecisionJournal
@@ -155,6 +154,11 @@
     assert context.answers[0].detail
 
 
+@then("it was refused")
+def check_refused(context):
+    assert context.answers[0].is_refused, context.answers
+
+
 class AbsentStore:
     """A store whose answers never come."""
 
@@ -220,26 +224,11 @@
     assert len(context.mirrors["members"].items) == count
 
 
-class Recorder(logging.Handler):
-    def __init__(self):
-        super().__init__()
-        self.records = []
-
-    def emit(self, record):
-        self.records.append(record)
-
-
 @given("a decision journal")
 def create_journal(context):
     context.time_s = 5.0
     context.journal = DecisionJournal(lambda: context.time_s)
-    context.recorder = Recorder()
-    logger = logging.getLogger(ROOT_NAME)
-    level = logger.level
-    logger.setLevel(logging.INFO)
-    logger.addHandler(context.recorder)
-    context.add_cleanup(logger.removeHandler, context.recorder)
-    context.add_cleanup(logger.setLevel, level)
+    record_logs(context)
 
 
 @when("{count:d} decisions of one kind and 1 of another are recorded within a second")
--- a/features/steps/reload_steps.py
+++ b/features/steps/reload_steps.py
@@ -1,14 +1,13 @@
-import logging
 import random
 import socket
 from concurrent.futures import Future
 
 import attrs
 from behave import given, then, when
+from log_recorder import record_logs
 from result import Err, Ok
 
 from bramleystair.errors import StepError
-from bramleystair.logs import ROOT_NAME
 from bramleystair.loop import EventLoop
 from bramleystair.nodes import NodeSettings
 from bramleystair.nodes._agent import AgentNode
@@ -42,15 +41,6 @@
         return Future()
 
 
-class Recorder(logging.Handler):
-    def __init__(self):
-        super().__init__()
-        self.records = []
-
-    def emit(self, record):
-        self.records.append(record)
-
-
 def find_port(kind):
     with socket.socket(socket.AF_INET, kind) as probe:
         probe.bind((HOST, 0))
@@ -75,13 +65,7 @@
         peers=(("127.0.0.8", 7000),),
     )
     context.result = Ok(context.settings)
-    context.recorder = Recorder()
-    logger = logging.getLogger(ROOT_NAME)
-    level = logger.level
-    logger.setLevel(logging.INFO)
-    logger.addHandler(context.recorder)
-    context.add_cleanup(logger.removeHandler, context.recorder)
-    context.add_cleanup(logger.setLevel, level)
+    record_logs(context)
 
 
 def start_node(context, node):
--- a/src/bramleystair/http/_client.py
+++ b/src/bramleystair/http/_client.py
@@ -37,13 +37,10 @@
 
     Parameters
     ----------
-    is_sent : bool
-        Whether any byte of the request may have reached the peer.
     is_refused : bool
         Whether nobody listens at the peer's port.
     """
 
-    is_sent: bool = True
     is_refused: bool = False
 
 
@@ -82,8 +79,7 @@
             try:
                 connection = _Connection(self._loop, self.endpoint, self._idle)
             except OSError as error:
-                detail = error.strerror or "connection failed"
-                future.set_result(HttpFailure("connect", self._peer, detail, False))
+                future.set_result(_describe("connect", self._peer, error))
                 return future
         connection.start(method, target, body, timeout_s, future)
         return future
@@ -96,7 +92,7 @@
 
     @property
     def _peer(self) -> str:
-        return f"{self.endpoint[0]}:{self.endpoint[1]}"
+        return _format(self.endpoint)
 
 
 class _Connection:
@@ -106,7 +102,7 @@
         self, loop: EventLoop, endpoint: tuple[str, int], idle: list["_Connection"]
     ) -> None:
         self._loop = loop
-        self._endpoint = endpoint
+        self._peer = _format(endpoint)
         self._idle = idle
         self._parser = h11.Connection(h11.CLIENT)
         self._future: Future | None = None
@@ -128,8 +124,7 @@
         self, method: str, target: str, body: bytes, timeout_s: float, future: Future
     ) -> None:
         """Send a request whose outcome completes `future`."""
-        host = f"{self._endpoint[0]}:{self._endpoint[1]}"
-        headers = [("Host", host)]
+        headers = [("Host", self._peer)]
         if body:
             headers.append(("Content-Type", "application/json"))
         if body or method in ("POST", "PUT"):
@@ -166,8 +161,7 @@
         except BlockingIOError:
             return
         except OSError as error:
-            is_refused = error.errno == errno.ECONNREFUSED
-            self._fail(error.strerror or "connection failed", is_refused)
+            self._end(_describe("call", self._peer, error))
         except h11.ProtocolError as error:
             self._fail(f"malformed response: {error}")
 
@@ -204,18 +198,27 @@
         if future is not None:
             future.set_result(response)
 
-    def _fail(self, detail: str, is_refused: bool = False) -> None:
+    def _fail(self, detail: str) -> None:
+        self._end(HttpFailure("call", self._peer, detail))
+
+    def _end(self, failure: HttpFailure) -> None:
         self.close()
         if self in self._idle:
             self._idle.remove(self)
         future, self._future = self._future, None
         if self._timer is not None:
             self._timer.cancel()
-        if future is None:
-            return
-        peer = f"{self._endpoint[0]}:{self._endpoint[1]}"
-        failure = HttpFailure("call", peer, detail, not is_refused, is_refused)
-        future.set_result(failure)
+        if future is not None:
+            future.set_result(failure)
+
+
+def _format(endpoint: tuple[str, int]) -> str:
+    return f"{endpoint[0]}:{endpoint[1]}"
+
+
+def _describe(step: str, peer: str, error: OSError) -> HttpFailure:
+    detail = error.strerror or "connection failed"
+    return HttpFailure(step, peer, detail, error.errno == errno.ECONNREFUSED)
 
 
 def _set_keepalive(sock: socket.socket) -> None:
