--- a/src/bramleystair/platform/_configuration.py
+++ b/src/bramleystair/platform/_configuration.py
@@ -26,11 +26,7 @@
     try:
         routes = [_read_route(item) for item in spec["Routes"]]
         services = [
-            ServiceRules(
-                item["Name"],
-                float(item.get("ColdPerS", 0)),
-                item.get("HealthPath", "/health"),
-            )
+            ServiceRules(item["Name"], float(item.get("ColdPerS", 0)))
             for item in spec["Services"]
         ]
         return Ok(
@@ -38,7 +34,6 @@
                 int(spec["Version"]),
                 {route.endpoint: route for route in routes},
                 {service.name: service for service in services},
-                spec.get("Limits", {}).get("IdleTimeoutMs", 15_000) / 1000,
             )
         )
     except _UNREADABLE as error:
@@ -58,7 +53,7 @@
     if not targets:
         raise ValueError(f"route {item['Name']} has no service")
     name = _read_text(item["Name"])
-    return Route(name, endpoint, targets, item.get("GoalMs", 0) / 1000)
+    return Route(name, endpoint, targets)
 
 
 def _read_text(value: Any) -> str:
--- a/src/bramleystair/soak/_fleet.py
+++ b/src/bramleystair/soak/_fleet.py
@@ -16,6 +16,7 @@
 from bramleystair.platform._objects import PATH
 from bramleystair.platform.standins import _settings
 from bramleystair.soak._proxy import Proxy
+from bramleystair.standins import try_call, wait_until
 
 ROOT = Path(__file__).resolve().parents[3]
 READY_TIMEOUT_S = 30.0
@@ -133,16 +134,12 @@
         connection.close()
 
     def _wait_for_store(self) -> None:
-        end = time.monotonic() + READY_TIMEOUT_S
-        while time.monotonic() < end:
-            try:
-                connection = http.client.HTTPConnection(*self._store, timeout=1)
-                connection.request("GET", f"{PATH}{CONFIG_KIND}")
-                connection.getresponse().read()
-                return
-            except OSError:
-                time.sleep(0.1)
-        raise TimeoutError("the store did not start")
+        url = f"http://{self._store[0]}:{self._store[1]}{PATH}{CONFIG_KIND}"
+        wait_until(
+            lambda: try_call("GET", url) is not None,
+            READY_TIMEOUT_S,
+            "the start of the store",
+        )
 
     def _add_node(
         self, name: str, ip: str, number: int, seeds: tuple[str, ...], is_agent: bool
--- a/src/bramleystair/steering/_types.py
+++ b/src/bramleystair/steering/_types.py
@@ -111,14 +111,11 @@
     ----------
     endpoint : bytes
         Packed address and port.
-    objective_s : float
-        Latency objective of the requests in seconds.
     """
 
     name: str
     endpoint: bytes
     targets: tuple[Target, ...]
-    objective_s: float = 0.0
 
     def choose_service(self, flow: bytes) -> str:
         """Return the service of `flow`; each balancer computes the same one."""
@@ -143,7 +140,6 @@
 
     name: str
     cold_rate: float = 0.0
-    health_path: str = "/health"
 
 
 @attrs.frozen
@@ -153,7 +149,6 @@
     version: int = 0
     routes: Mapping[bytes, Route] = attrs.field(factory=dict)
     services: Mapping[str, ServiceRules] = attrs.field(factory=dict)
-    idle_timeout_s: float = 15.0
 
 
 def compute_service_id(service: str) -> int:
