Hold packets until a balancer knows configuration, members and zones

Cause: after a loss of power, balancers are still in rotation when they start and get packets some milliseconds before the store answers. First packets were reset as "no_route", which costs callers one of three attempts within 3 ms, and packets of open flows ended a lookup without members, with a pause of 0.8 s before the next one. A balancer that knew members but not yet the evacuated zones could also open flows there.

Ruled out: agents that answer late; the balancers' log shows the resets without a version at 35.721 s, before the first listing.

Change: packets are held for up to 0.5 s until all three are known, then handled in order. Test: features/power_loss.feature, five scenarios that failed before.

--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -1,9 +1,9 @@
 import random
-import struct
 from collections import Counter
 
 import attrs
 from behave import given, then, when
+from steering_samples import ENDPOINT, FLOW, get_member, make_entry, make_segment
 
 from bramleystair.steering import (
     ConfirmMembers,
@@ -22,7 +22,6 @@
     ReturnPacket,
     Route,
     RoutingRules,
-    Segment,
     SendMessage,
     ServerReport,
     ServerState,
@@ -43,16 +42,9 @@
 
 BALANCER = ("10.0.0.1", 7)
 AGENT = ("10.0.1.1", 8)
-ENDPOINT = bytes((198, 18, 0, 1, 1, 187))
-FLOW = bytes((100, 64, 0, 7)) + ENDPOINT[:4] + bytes((156, 65)) + ENDPOINT[4:]
 FIRST_NUMBER = 500
 
 
-def make_segment(flow=FLOW, first=False, returned=False, sequence=1, ack=0, size=0):
-    data = flow + bytes((first, returned)) + struct.pack("!II", sequence, ack)
-    return Segment(flow, data, first, returned, False, False, size > 0, sequence, ack)
-
-
 def make_report(state=ServerState.READY, sequence=10, started_ms=1000, server="i-1"):
     return ServerReport(server, "web", "z", state, 2, 0.0, sequence, started_ms)
 
@@ -264,10 +256,6 @@
     assert not any(isinstance(a, ResetCaller) for a in context.actions)
 
 
-def get_member(number):
-    return (f"10.0.1.{number}", 8)
-
-
 @given("a balancer with {count:d} members")
 def create_balancer(context, count):
     context.now = 50.0
@@ -275,11 +263,9 @@
     route = Route("r", ENDPOINT, (Target("web", 1.0),))
     rules = RoutingRules(9, {ENDPOINT: route}, {"web": ServiceRules("web")})
     context.balancer.set_rules(rules)
-    entries = [
-        MemberEntry(get_member(n), f"zone-{n}", "web", ServerState.READY, 2)
-        for n in range(count)
-    ]
+    entries = [make_entry(n, f"zone-{n}") for n in range(count)]
     context.balancer.set_members(entries, context.now)
+    context.balancer.set_evacuated(())
     context.balancer.run_timers(context.now)
     context.count = count
     context.all_actions = []
@@ -316,10 +302,7 @@
 
 @when("a fourth member is added and the list is confirmed")
 def add_fourth(context):
-    entries = [
-        MemberEntry(get_member(n), f"zone-{n}", "web", ServerState.READY, 2)
-        for n in range(4)
-    ]
+    entries = [make_entry(n, f"zone-{n}") for n in range(4)]
     context.balancer.set_members(entries, context.now)
     context.all_actions = []
     confirm(context)
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -210,10 +210,12 @@
                     "in_force": self._steering.rules.version,
                 },
             )
+        self._schedule()
 
     def _set_evacuations(self, items: dict[str, StoredItem]) -> None:
         log.info("evacuated zones", extra={"zones": sorted(items)})
         self._steering.set_evacuated(items)
+        self._schedule()
 
     def _set_members(self, items: dict[str, StoredItem]) -> None:
         entries = []
@@ -226,3 +228,4 @@
             entries.append(result.unwrap())
         log.info("members", extra={"count": len(entries)})
         self._steering.set_members(entries, self._loop.clock.now())
+        self._schedule()
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -8,6 +8,7 @@
 
 from bramleystair.steering._balancer_settings import BalancerSteeringSettings
 from bramleystair.steering._events import Action, ResetCaller
+from bramleystair.steering._held_packets import HeldPackets
 from bramleystair.steering._lookups import OwnerLookups
 from bramleystair.steering._members import Member, Members
 from bramleystair.steering._messages import (
@@ -110,6 +111,9 @@
         self._event_s: float | None = None
         self._lost: frozenset[Address] = frozenset()
         self._purged_s = 0.0
+        self._held = HeldPackets(settings.max_pending, settings.hold_s)
+        self._has_members = False
+        self._has_zones = False
         self.newest_version = 0
 
     def set_owner_lifetime(self, seconds: float) -> None:
@@ -121,6 +125,11 @@
         """Configuration in force, or None before the first one."""
         return self._rules
 
+    @property
+    def is_informed(self) -> bool:
+        """Whether configuration, members and evacuated zones are known."""
+        return self._rules is not None and self._has_members and self._has_zones
+
     @property
     def flow_count(self) -> int:
         """Number of flows whose owner is remembered."""
@@ -133,7 +142,9 @@
 
     def compute_wait(self, now: float) -> float:
         """Return the seconds until `run_timers` has something to do."""
-        due = [self._subscribe_s, self._check_s, self._lookups.due_s]
+        if self._held and self.is_informed:
+            return 0.0
+        due = [self._subscribe_s, self._check_s, self._lookups.due_s, self._held.due_s]
         due += [
             queue[0][0]
             for queue in (
@@ -155,19 +166,21 @@
 
     def set_members(self, entries: Iterable[MemberEntry], now: float) -> None:
         """Take over the published members."""
+        self._has_members = True
         self.members.update(entries, now)
 
     def set_evacuated(self, zones: Collection[str]) -> None:
         """Place no new flows in these availability zones."""
+        self._has_zones = True
         self.members.set_evacuated(zones)
 
     def handle_segment(self, segment: Segment, now: float) -> list[Action]:
         """Return the actions for a packet of a caller."""
         self._note_event(now)
-        if segment.is_first:
-            self._handle_first(segment, now)
+        if self.is_informed:
+            self._handle_segment(segment, now)
         else:
-            self._handle_later(segment, now)
+            self._held.add(segment, now)
         return self._outbox.take()
 
     def handle_message(
@@ -221,6 +234,7 @@
         self._lookups.run_timers(now)
         if now >= self._subscribe_s:
             self._subscribe(now)
+        self._end_holds(now)
         if now >= self._check_s:
             self._check_members(now)
         return self._outbox.take()
@@ -240,6 +254,25 @@
             self._outbox.send(address, self._build_subscription())
         self._release_lost(now)
 
+    def _end_holds(self, now: float) -> None:
+        """Handle the packets held, or give up those held for too long."""
+        if self.is_informed:
+            for segment in self._held.take():
+                self._handle_segment(segment, now)
+            return
+        for segment in self._held.take_expired(now):
+            if segment.is_first:
+                self._outbox.count("flow_refused", "not_informed")
+                self._outbox.reset(segment, "not_informed")
+            else:
+                self._outbox.count("packet_dropped", "not_informed")
+
+    def _handle_segment(self, segment: Segment, now: float) -> None:
+        if segment.is_first:
+            self._handle_first(segment, now)
+        else:
+            self._handle_later(segment, now)
+
     def _handle_first(self, segment: Segment, now: float) -> None:
         route = self._find_route(segment.flow)
         if route is None:
