--- a/src/bramleystair/model/_callers.py
+++ b/src/bramleystair/model/_callers.py
@@ -14,7 +14,7 @@
 # Copies of a first packet, and the end of the attempt.
 COPY_DELAYS_S = (0.2, 0.6)
 OPEN_TIMEOUT_S = 1.4
-RETRY_DELAY_S = 0.05
+RETRY_DELAY_S = 0.002
 REQUEST_BYTES = 100
 
 
