Refuse messages with loads and rates that are no numbers

Cause, found by reading the decoders for values that break their users: a load report with nan or inf makes every comparison of members false, and a cold rate of nan raises an error where an agent rounds it. Both take one damaged or forged datagram.

Change: such messages are refused like other malformed ones, and counted. Test: the scenario "Numbers that are no measurement are refused", which failed before.

--- a/features/steering.feature
+++ b/features/steering.feature
@@ -304,6 +304,11 @@
     Then each kind of message is the same after encoding and decoding
     And 500 random datagrams are decoded or refused
 
+  Scenario: Numbers that are no measurement are refused
+    # Guards against a load that makes each comparison of members false, and against a
+    # rate whose rounding raises an error in an agent.
+    Then a load or a cold rate of nan, inf or -1 is refused
+
   Scenario: A balancer learns that others apply a newer configuration
     # Guards against a watch that went silent without an error.
     Given a balancer with 3 members
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -622,6 +622,18 @@
         assert decode_message(encode_message(message)).unwrap() == message, message
 
 
+@then("a load or a cold rate of nan, inf or -1 is refused")
+def check_finite(context):
+    for number in (float("nan"), float("inf"), -1.0):
+        messages = (
+            OpenFlow(3, 2**60, number, False, b"packet"),
+            OpenReply(3, Refusal.BUSY, Load(busy=number)),
+            LoadReport(Load(service_s=number)),
+        )
+        for message in messages:
+            assert decode_message(encode_message(message)).is_err(), message
+
+
 @then("1 to {limit:d} messages are the same after they were bundled and split")
 def check_bundles(context, limit):
     context.bundles = []
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 import struct
 from collections.abc import Sequence
 
@@ -245,8 +246,9 @@
     if kind == RELAY:
         return Relay(data[1:])
     if kind == OPEN:
-        fields = _OPEN.unpack_from(data)[1:]
-        return OpenFlow(*fields, data[_OPEN.size :])
+        _, token, service_id, cold_rate, is_last = _OPEN.unpack_from(data)
+        _check_measurements(cold_rate)
+        return OpenFlow(token, service_id, cold_rate, is_last, data[_OPEN.size :])
     if kind == OPEN_REPLY:
         _, token, refusal = _OPEN_REPLY.unpack_from(data)
         return OpenReply(token, Refusal(refusal), _decode_load(data, _OPEN_REPLY.size))
@@ -286,4 +288,12 @@
     if len(data) != offset + _LOAD.size:
         raise ValueError("wrong length of a load")
     state, *fields = _LOAD.unpack_from(data, offset)
-    return Load(_STATES[state], *fields)
+    load = Load(_STATES[state], *fields)
+    _check_measurements(load.busy, load.service_s)
+    return load
+
+
+def _check_measurements(*numbers: float) -> None:
+    for number in numbers:
+        if not 0 <= number < math.inf:
+            raise ValueError(f"{number} is no measurement")
