Watch a bounded neighbourhood, and begin lookups with it

Cause: with 59 balancers and 136 agents, each agent reported to each balancer every 1.5 s, each balancer subscribed to all and probed members that were silent for 0.8 s, which was nearly all of them nearly always, and each lookup asked all members.

Ruled out: longer periods, with which placement works on loads of 1.5 s ago; fewer probes alone, since reports and subscriptions still grow with the product of both.

Change: a balancer watches, per service, up to 32 usable members of its own zone, and others up to 12; it uses the rest before it refuses a flow, watches owners of its flows wherever they are, and lets silence count for members that were watched or asked only. Lookups ask neighbours, then the other members, at the latest after 0.12 s. Zones whose members cannot take flows are replaced within 0.25 s. Alternatives weighed on paper: reports relayed by one agent a zone (one more process on the path of liveness), and a fixed subset by hash without zones (five sixths of the traffic stays between zones).

--- a/features/steering.feature
+++ b/features/steering.feature
@@ -198,9 +198,10 @@
     And all 500 callers are reset
 
   Scenario: A single unknown flow is looked up without delay
-    Given a balancer with 52 members
+    # The neighbours are asked first; features/neighbours.feature has what follows.
+    Given a balancer with 12 members
     When a packet of an unknown flow reaches the balancer
-    Then all 52 members are asked
+    Then all 12 members are asked
 
   Scenario: The second question of a lookup is not repeated before its own delay
     # Guards against packets that are sent to every member twice within milliseconds.
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -80,6 +80,7 @@
             ),
             random,
             settings.zone,
+            settings.name,
         )
         self._messages = DatagramSocket(
             loop, settings.message_address, self._take_message, self.metrics
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -10,7 +10,8 @@
 from bramleystair.steering._events import Action, ResetCaller
 from bramleystair.steering._held_packets import HeldPackets
 from bramleystair.steering._lookups import OwnerLookups
-from bramleystair.steering._members import Member, Members
+from bramleystair.steering._member import Member
+from bramleystair.steering._members import Members
 from bramleystair.steering._messages import (
     FindReply,
     LoadReport,
@@ -77,8 +78,8 @@
         Times and limits.
     random : random.Random
         Source of random choices.
-    zone : str
-        Availability zone of the balancer.
+    zone, name : str
+        Availability zone and name of the balancer.
     """
 
     def __init__(
@@ -86,10 +87,11 @@
         settings: BalancerSteeringSettings,
         random: random_module.Random,
         zone: str = "",
+        name: str = "",
     ) -> None:
         self._settings = settings
         self._rules: RoutingRules | None = None
-        self.members = Members(settings, random, zone)
+        self.members = Members(settings, random, zone, name)
         self._token = random.randrange(TOKEN_MODULUS)
         self._owners: dict[bytes, _Owner] = {}
         self._openings: dict[bytes, _Opening] = {}
@@ -250,6 +252,7 @@
     def _check_members(self, now: float) -> None:
         """Ask silent members for their load, and give up the flows of lost ones."""
         self._check_s = now + self._settings.check_s
+        self.members.refresh_neighbours(now)
         for address in self.members.list_silent(now):
             self._outbox.send(address, self._build_subscription())
         self._release_lost(now)
@@ -374,6 +377,7 @@
         data = opening.segment.data
         message = OpenFlow(opening.token, service_id, cold_rate, is_last, data)
         self._outbox.send(address, message)
+        self.members.expect_message(address, now)
         opening.sent_s = now
         due_s = now + self._settings.open_timeout_s
         self._open_due.append((due_s, opening.token, opening.segment.flow))
@@ -393,6 +397,7 @@
             opening.is_accepted = True
             self._record_opened(opening, sender, now)
             self._owners[flow] = _Owner(sender, opening.segment.sequence, now)
+            self._watch_owner(sender, now)
             due_s = now + self._settings.settle_s
             self._settle_due.append((due_s, opening.token, flow))
             return
@@ -463,10 +468,16 @@
 
     def _remember_owner(self, segment: Segment, owner: Address, now: float) -> None:
         self._owners[segment.flow] = _Owner(owner, None, now, segment.acknowledgement)
+        self._watch_owner(owner, now)
+
+    def _watch_owner(self, address: Address, now: float) -> None:
+        """Ask the owner of a flow for reports, which show that it lives."""
+        if self.members.watch_owner(address, now):
+            self._outbox.send(address, self._build_subscription())
 
     def _subscribe(self, now: float) -> None:
         self._subscribe_s = now + self.members.compute_period()
-        for member in self.members:
+        for member in self.members.list_watched():
             self._outbox.send(member.entry.address, self._build_subscription())
         if now - self._purged_s < self._settings.owner_lifetime_s / 4:
             return
@@ -475,6 +486,7 @@
         oldest_s = now - self._settings.owner_lifetime_s
         for flow in [f for f, o in self._owners.items() if o.seen_s < oldest_s]:
             del self._owners[flow]
+        self.members.keep_owners({o.address for o in self._owners.values()}, now)
 
     def _build_subscription(self) -> Subscribe:
         return Subscribe(0 if self._rules is None else self._rules.version)
--- a/src/bramleystair/steering/_balancer_settings.py
+++ b/src/bramleystair/steering/_balancer_settings.py
@@ -77,6 +77,9 @@
         Time after the last packet for which an owner is remembered.
     sample : int
         Members compared for each new flow.
+    least_neighbours, most_neighbours : int
+        Members per service that report their loads to a balancer: at least so many
+        usable ones where there are, and at most so many of the own availability zone.
     """
 
     open_timeout_s: float = 0.06
@@ -108,3 +111,5 @@
     pause_s: float = 0.75
     owner_lifetime_s: float = 60.0
     sample: int = 3
+    least_neighbours: int = 12
+    most_neighbours: int = 32
--- a/src/bramleystair/steering/_lookups.py
+++ b/src/bramleystair/steering/_lookups.py
@@ -33,8 +33,8 @@
     ----------
     unanswered : set of address
         Members that have not answered.
-    later : tuple of address
-        Members to be asked when these hold no such flow.
+    later : tuple of set of address
+        Members to be asked when these hold no such flow, or take long to answer.
     asked : set of address
         Members that were asked, or are known not to be the owner.
     unsure : set of address
@@ -50,7 +50,7 @@
     started_s: float
     packets: list[bytes]
     unanswered: set[Address]
-    later: tuple[Address, ...] = ()
+    later: tuple[set[Address], ...] = ()
     asked: set[Address] = attrs.field(factory=set)
     unsure: set[Address] = attrs.field(factory=set)
     tried: set[Address] = attrs.field(factory=set)
@@ -180,38 +180,48 @@
 
     def _pace(self, count: int, now: float) -> None:
         """Put off further lookups by the time that `count` take on the link."""
-        size = len(self._members) * (HEADER_BYTES + count * QUESTION_BYTES)
-        self._next_start_s = now + size / self._settings.lookup_bytes_per_s
+        watched = len(self._members.list_watched())
+        self._use_link(watched * (HEADER_BYTES + count * QUESTION_BYTES), now)
+
+    def _use_link(self, size: int, now: float) -> None:
+        start_s = max(now, self._next_start_s)
+        self._next_start_s = start_s + size / self._settings.lookup_bytes_per_s
 
     def _start(self, segment: Segment, answered: Address | None, now: float) -> None:
         flow = segment.flow
-        first, later = self._list_members(flow, answered)
+        first, *later = self._list_stages(flow, answered) or [set()]
         token = self._create_token(flow)
-        lookup = _Lookup(segment, token, now, [segment.data], first, later)
+        lookup = _Lookup(segment, token, now, [segment.data], first, tuple(later))
         if answered is not None:
             lookup.asked.add(answered)
         self._lookups[flow] = lookup
         self._ask(lookup, now)
         self._proceed(lookup, now)
 
-    def _list_members(
-        self, flow: bytes, answered: Address | None
-    ) -> tuple[set[Address], tuple[Address, ...]]:
-        """Return the members of the route's services, and all others.
+    def _list_stages(self, flow: bytes, answered: Address | None) -> list[set[Address]]:
+        """Return the members in the order in which they are asked.
 
-        The route may have been moved to other services since the flow was opened.
+        The neighbours own most flows. The route may have been moved to other services
+        since the flow was opened, so members of other services are asked last.
         """
         route = self._find_route(flow)
         services = {target.service for target in route.targets} if route else set()
-        members = [m for m in self._members if m.entry.address != answered]
-        first = {m.entry.address for m in members if m.entry.service in services}
-        later = tuple(m.entry.address for m in members if m.entry.address not in first)
-        return (first, later) if first else (set(later), ())
+        near, far, others = set(), set(), set()
+        for member in self._members:
+            if member.entry.service not in services:
+                others.add(member.entry.address)
+            elif member.is_watched:
+                near.add(member.entry.address)
+            else:
+                far.add(member.entry.address)
+        stages = (stage - {answered} for stage in (near, far, others))
+        return [stage for stage in stages if stage]
 
     def _ask(self, lookup: _Lookup, now: float) -> None:
         segment = lookup.segment
         lookup.asked |= lookup.unanswered
         for address in lookup.unanswered:
+            self._members.expect_message(address, now)
             if address in lookup.unsure:
                 lookup.tried.add(address)
                 self._outbox.send(address, TryPacket(lookup.token, segment.data))
@@ -225,6 +235,10 @@
         bisect.insort(self._due, (due_s, lookup.token, lookup.segment.flow))
 
     def _repeat(self, lookup: _Lookup, now: float) -> None:
+        if lookup.later:
+            # A member that is slow or gone does not keep the others from being asked.
+            self._ask_others(lookup, set().union(*lookup.later), now)
+            lookup.later = ()
         lookup.attempt += 1
         if lookup.attempt < len(self._settings.lookup_delays_s):
             self._ask(lookup, now)
@@ -264,7 +278,9 @@
         if untried:
             lookup.unanswered = untried
         elif lookup.later:
-            lookup.unanswered, lookup.later = set(lookup.later), ()
+            stage, *later = lookup.later
+            lookup.later = tuple(later)
+            self._ask_others(lookup, stage, now)
         elif added := self._list_added(lookup):
             lookup.unanswered = added
         else:
@@ -273,6 +289,11 @@
         lookup.attempt = 0
         self._ask(lookup, now)
 
+    def _ask_others(self, lookup: _Lookup, addresses: set[Address], now: float) -> None:
+        """Add members to those that are asked next."""
+        lookup.unanswered |= addresses
+        self._use_link(len(addresses) * QUESTION_BYTES, now)
+
     def _fail(self, lookup: _Lookup, now: float) -> None:
         flow = lookup.segment.flow
         self._remove(lookup, now)
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -3,13 +3,11 @@
 import random as random_module
 from collections.abc import Collection, Iterable
 
-import attrs
-
 from bramleystair.steering._balancer_settings import BalancerSteeringSettings
+from bramleystair.steering._member import Member
+from bramleystair.steering._neighbours import select_neighbours
 from bramleystair.steering._types import Address, Load, MemberEntry, ServerState
 
-# Load that a new flow adds until a report shows its real load, in requests at once.
-FLOW_DEMAND = 0.08
 # Utilization up to which a server's speed decides rather than its load.
 SPEED_WEIGHT = 0.5
 # A cold server answers more slowly; it is chosen when the others are this much busier.
@@ -18,49 +16,6 @@
 ZONE_PENALTY = 0.15
 
 
-@attrs.define(eq=False)
-class Member:
-    """One member with its last load report.
-
-    Parameters
-    ----------
-    opened : int
-        Flows sent to the member since its last report.
-    heard_s : float
-        Time of its last message, or of its first appearance.
-    is_heard : bool
-        Whether it has sent any message.
-    suspect_until_s : float
-        Time until which it is avoided because it did not answer.
-    busy_until_s : float
-        Time until which it is not asked again because it refused as busy.
-    """
-
-    entry: MemberEntry
-    heard_s: float
-    load: Load | None = None
-    opened: int = 0
-    suspect_until_s: float = 0.0
-    failures: int = 0
-    busy_until_s: float = 0.0
-    is_heard: bool = False
-
-    @property
-    def is_restarting(self) -> bool:
-        """Whether the agent said that it stops while its server goes on."""
-        return self.load is not None and self.load.is_stopping
-
-    def compute_utilization(self) -> float:
-        """Return the expected share of busy slots with one more flow."""
-        slots = max(1, self.entry.slots)
-        if self.load is None:
-            return (self.opened + 1) * FLOW_DEMAND / slots
-        flows = max(1, self.load.flows)
-        demand = max(FLOW_DEMAND / 2, self.load.busy / flows)
-        busy = max(self.load.busy, 0.5 * self.load.running)
-        return (busy + (self.opened + 1) * demand) / slots
-
-
 class Members:
     """Members of all services.
 
@@ -70,8 +25,8 @@
         Times after which a silent member is avoided.
     random : random.Random
         Source of the sample.
-    zone : str
-        Availability zone of the balancer.
+    zone, name : str
+        Availability zone and name of the balancer.
     """
 
     def __init__(
@@ -79,12 +34,18 @@
         settings: BalancerSteeringSettings,
         random: random_module.Random,
         zone: str = "",
+        name: str = "",
     ) -> None:
         self._settings = settings
         self._zone = zone
+        self._name = name
         self._random = random
         self._members: dict[Address, Member] = {}
         self._evacuated: frozenset[str] = frozenset()
+        self._neighbours: frozenset[Address] = frozenset()
+        self._unusable: frozenset[Address] = frozenset()
+        # Members that own flows of this balancer without being neighbours.
+        self._owners: frozenset[Address] = frozenset()
 
     def __iter__(self):
         """Iterate over all members."""
@@ -114,19 +75,66 @@
             known.entry = entry
             members[entry.address] = known
         self._members = members
+        self.select_neighbours(now)
 
     def set_evacuated(self, zones: Collection[str]) -> None:
         """Place no new flows in `zones`."""
         self._evacuated = frozenset(zones)
 
+    def refresh_neighbours(self, now: float) -> None:
+        """Choose the neighbours anew if other members are usable than before."""
+        if self._list_unusable(now) != self._unusable:
+            self.select_neighbours(now)
+
+    def select_neighbours(self, now: float) -> None:
+        """Choose the neighbours anew, and watch them and the owners of flows only."""
+        settings = self._settings
+        self._unusable = self._list_unusable(now)
+        self._neighbours = select_neighbours(
+            self,
+            self._zone,
+            self._name,
+            settings.least_neighbours,
+            settings.most_neighbours,
+            lambda member: member.entry.address not in self._unusable,
+        )
+        watched = self._neighbours | self._owners
+        for address, member in self._members.items():
+            if address in watched:
+                member.watch(now)
+            elif member.is_watched:
+                member.unwatch()
+
+    def list_watched(self) -> list[Member]:
+        """Return the members that report their loads to this balancer."""
+        return [member for member in self if member.is_watched]
+
+    def watch_owner(self, address: Address, now: float) -> bool:
+        """Watch a member that owns a flow; return whether it was not watched."""
+        member = self._members.get(address)
+        if member is None or member.is_watched:
+            return False
+        self._owners |= {address}
+        member.watch(now)
+        return True
+
+    def keep_owners(self, owners: Collection[Address], now: float) -> None:
+        """Stop watching members that own no flows any more."""
+        if not self._owners <= set(owners):
+            self._owners &= frozenset(owners)
+            self.select_neighbours(now)
+
+    def expect_message(self, address: Address, now: float) -> None:
+        """Note that the member at `address` was asked something."""
+        member = self._members.get(address)
+        if member is not None:
+            member.expect_message(now)
+
     def record_message(self, address: Address, now: float) -> Member | None:
         """Note that the member at `address` is alive and return it."""
         member = self._members.get(address)
         if member is not None:
-            member.heard_s = now
-            member.is_heard = True
-            member.suspect_until_s = 0.0
-            member.failures = 0
+            member.record_message(now)
         return member
 
     def record_load(self, address: Address, load: Load, now: float) -> None:
@@ -145,6 +153,8 @@
 
     def is_lost(self, member: Member, now: float) -> bool:
         """Return whether the member's silence says that its VM is gone."""
+        if not member.is_awaited:
+            return False
         settings = self._settings
         limit_s = settings.lost_after_s
         if member.is_restarting:
@@ -163,10 +173,7 @@
         return [
             member
             for member in self._members.values()
-            if member.entry.service == service
-            and member.entry.state is ServerState.READY
-            and member.entry.zone not in self._evacuated
-            and (member.load is None or member.load.state is ServerState.READY)
+            if member.entry.service == service and self._is_ready(member)
         ]
 
     def choose(
@@ -178,8 +185,9 @@
     ) -> Member | None:
         """Return the member for a new flow, or None if none is left.
 
-        Members that answer are preferred to those that do not; among a random sample,
-        the one with the lowest cost is taken.
+        Neighbours that answer are preferred to other members, and those to neighbours
+        that do not answer; among a random sample, the one with the lowest cost is
+        taken.
         """
         candidates = [
             member
@@ -191,7 +199,7 @@
         live = [member for member in candidates if self._is_live(member, now)]
         idle = [member for member in live if now >= member.busy_until_s]
         accepting = [m for m in idle if m.load is None or m.load.is_accepting]
-        pool = accepting or idle
+        pool = accepting or self._list_others(candidates, now) or idle
         if not pool and not live and not live_only:
             pool = candidates
         if not pool:
@@ -203,6 +211,16 @@
         )
         return min(sample, key=lambda member: self._compute_cost(member, fastest_s))
 
+    def _list_others(self, candidates: list[Member], now: float) -> list[Member]:
+        """Return the candidates that are not watched and have not just refused."""
+        return [
+            member
+            for member in candidates
+            if not member.is_watched
+            and now >= max(member.busy_until_s, member.suspect_until_s)
+            and not self.is_lost(member, now)
+        ]
+
     def record_busy(self, address: Address, now: float) -> None:
         """Do not ask a member that refused as busy again at once."""
         member = self._members.get(address)
@@ -229,26 +247,44 @@
         return [
             address
             for address, member in self._members.items()
-            if settings.probe_after_s < now - member.heard_s <= settings.probe_until_s
+            if member.is_watched
+            and settings.probe_after_s < now - member.heard_s <= settings.probe_until_s
         ]
 
     def compute_period(self) -> float:
         """Return the seconds between subscriptions to load reports."""
         settings = self._settings
         return max(
-            settings.subscribe_period_s, settings.subscribe_gap_s * len(self._members)
+            settings.subscribe_period_s,
+            settings.subscribe_gap_s * len(self.list_watched()),
         )
 
     def is_isolated(self, now: float) -> bool:
-        """Return whether no member at all was heard of late."""
+        """Return whether no watched member was heard of late."""
         limit_s = self._settings.isolated_after_s
-        return bool(self._members) and all(
-            now - member.heard_s > limit_s for member in self._members.values()
+        watched = self.list_watched()
+        return bool(watched) and all(now - m.heard_s > limit_s for m in watched)
+
+    def _is_ready(self, member: Member) -> bool:
+        return (
+            member.entry.state is ServerState.READY
+            and member.entry.zone not in self._evacuated
+            and (member.load is None or member.load.state is ServerState.READY)
+        )
+
+    def _list_unusable(self, now: float) -> frozenset[Address]:
+        return frozenset(
+            address
+            for address, member in self._members.items()
+            if not self._is_ready(member)
+            or member.is_unable
+            or self.is_lost(member, now)
         )
 
     def _is_live(self, member: Member, now: float) -> bool:
         return (
-            now >= member.suspect_until_s
+            member.is_watched
+            and now >= member.suspect_until_s
             and now - member.heard_s <= self._settings.stale_after_s
         )
 
