Let the watches of members lag, and read them up to date before a reset

Agents decide what their servers get, so members that are seconds old cost time only; but a flow may be reset only if no newer member owns it.

A confirmation reads the changes without lag; those within 0.15 s share a call. An answer older than the copy is ignored: it may hold an object without its deletion, and would bring back a member that has left. Empty answers that come early are followed by a pause. Watches end after 18 s, within the history that the store keeps, instead of 25 s, after which an unchanged kind had to be listed again.

Tests: five scenarios in features/mirror.feature; the one on a member that has left fails without the check.

--- a/features/mirror.feature
+++ b/features/mirror.feature
@@ -74,6 +74,56 @@
     And the store's clock advances by 3 s
     Then it is confirmed with a, b and c
 
+  Scenario: A copy that may lag is brought up to date before it is confirmed
+    # Guards against resets of flows whose owner joined within the lag.
+    Given a store with members a and b
+    And a mirror of the members that may lag
+    When the store's reads that may lag stay behind from now on
+    And c is added to the store
+    And the store's clock advances by 1 s
+    Then the mirror holds a and b
+    When the copy is to be confirmed
+    Then it is confirmed with a, b and c
+
+  Scenario: An old answer does not bring back a member that has left
+    # Guards against flows placed on a server that is gone.
+    Given a store with members a and b
+    And a mirror of the members that may lag
+    When c is added and deleted while no watch is answered
+    And the copy is to be confirmed
+    Then it is confirmed with a and b
+    When the watch that waits is answered with the state before c was deleted
+    And the store's clock advances by 1 s
+    Then the mirror holds a and b
+
+  Scenario: A store that lags is not asked again and again
+    # Guards against calls in a row while each answer is older than the copy.
+    Given a store with members a and b
+    And a mirror of the members that may lag
+    When the store's reads that may lag stay behind from now on
+    And c is added to the store
+    And the copy is to be confirmed
+    And the store's clock advances by 5 s
+    Then the store got at most 6 calls that may lag
+
+  Scenario: Confirmations in a row share calls
+    # Guards against a call for each flow that is reset after a loss of power.
+    Given a store with members a and b
+    And a mirror of the members that may lag
+    When the copy is to be confirmed 100 times within 1 s
+    Then it is confirmed 100 times after at most 8 calls
+
+  Scenario: A copy that may lag is confirmed after the store is back
+    Given a store with members a and b
+    And a mirror of the members that may lag
+    When the store is down
+    And the copy is to be confirmed
+    And the store's clock advances by 1 s
+    Then it is not confirmed yet
+    When the store is up again with c added
+    And the store's clock advances by 2 s
+    Then it is confirmed with a, b and c
+
   Scenario: A node's object is written when it changes only
     Given an empty store and a publisher
     When it publishes ready
--- a/features/steps/mirror_steps.py
+++ b/features/steps/mirror_steps.py
@@ -44,6 +44,10 @@
     fate: str = ""
     late_s: float = 0.0
     listing: Future | None = None
+    # Revision that calls which may lag get to see, and how many of them there were.
+    lagging_at: int | None = None
+    lagging_calls: int = 0
+    short_calls: int = 0
 
     def list_items(self, kind, after):
         if self.listing is not None:
@@ -55,18 +59,27 @@
         items = tuple(self.items[name] for name in names[: self.page])
         return complete(Listing(items, self.revision, len(names) > self.page))
 
-    def watch(self, kind, revision):
+    def watch(self, kind, revision, wait_s=None, may_lag=False):
         if not self.is_up:
             return complete(fail())
         if revision < self.oldest:
             return complete(fail(FailureKind.HISTORY_LOST))
+        if may_lag and self.lagging_at is not None:
+            self.lagging_calls += 1
+            return complete(self.build_lagging(revision))
+        self.short_calls += wait_s is not None
         events = self.get_events(revision)
-        if events:
+        if events or wait_s is not None:
             return complete(Changes(events, self.revision))
         future = Future()
         self.waiting.append((revision, future))
         return future
 
+    def build_lagging(self, revision):
+        events = self.get_events(revision)
+        seen = tuple(e for e in events if e[0].revision <= self.lagging_at)
+        return Changes(seen, self.lagging_at)
+
     def get_events(self, revision):
         return tuple(event for event in self.history if event[0].revision > revision)
 
@@ -159,6 +172,48 @@
     context.mirror._gather_s = 1.0
 
 
+@given("a mirror of the members that may lag")
+def start_lagging_mirror(context):
+    start_mirror(context)
+    context.mirror._may_lag = True
+    context.mirror.restart()
+
+
+@when("the store's reads that may lag stay behind from now on")
+def start_lag(context):
+    context.store.lagging_at = context.store.revision
+    answer_waiting(context)
+
+
+def answer_waiting(context):
+    store = context.store
+    waiting, store.waiting = store.waiting, []
+    for revision, future in waiting:
+        future.set_result(store.build_lagging(revision))
+
+
+@when("the watch that waits is answered with the state before {name} was deleted")
+def answer_late(context, name):
+    store = context.store
+    store.lagging_at = next(
+        item.revision for item, is_deleted in store.history if item.name == name
+    )
+    answer_waiting(context)
+
+
+@when("{name} is added and deleted while no watch is answered")
+def add_and_delete(context, name):
+    waiting, context.store.waiting = context.store.waiting, []
+    add(context, name)
+    delete(context, name)
+    context.store.waiting = waiting
+
+
+@then("the store got at most {count:d} calls that may lag")
+def check_lagging_calls(context, count):
+    assert 0 < context.store.lagging_calls <= count, context.store.lagging_calls
+
+
 @when("the mirror is restarted")
 def restart_mirror(context):
     # The listing is answered later, so that the mirror is asked to confirm meanwhile.
@@ -183,6 +238,21 @@
     context.mirror.confirm(lambda: context.confirmed.append(sorted(context.copy)))
 
 
+@when("the copy is to be confirmed {count:d} times within 1 s")
+def ask_many(context, count):
+    context.confirmed = []
+    for _ in range(count):
+        context.mirror.confirm(lambda: context.confirmed.append(1))
+        pass_part(context, 0.01)
+    pass_part(context, 0.2)
+
+
+@then("it is confirmed {count:d} times after at most {calls:d} calls")
+def check_shared(context, count, calls):
+    assert len(context.confirmed) == count
+    assert context.store.short_calls <= calls, context.store.short_calls
+
+
 @then("it is not confirmed yet")
 def check_unconfirmed(context):
     assert not context.confirmed
--- a/features/steps/reload_steps.py
+++ b/features/steps/reload_steps.py
@@ -37,7 +37,7 @@
         self.listings += 1
         return Future()
 
-    def watch(self, kind, revision):
+    def watch(self, kind, revision, wait_s=None, may_lag=False):
         return Future()
 
 
--- a/src/bramleystair/mirror/_mirror.py
+++ b/src/bramleystair/mirror/_mirror.py
@@ -20,6 +20,13 @@
 
 # A change takes some milliseconds to end a watch; this covers a loaded store.
 CONFIRM_S = 0.05
+# An answer without changes that comes sooner than this is an old one; the next watch
+# waits as long, so that a store that lags is not asked again and again.
+MIN_WATCH_S = 1.0
+# A call that only brings the copy up to date waits for no change.
+CATCH_UP_WAIT_S = 0.001
+# Confirmations within this time share a call, which callers wait for.
+CATCH_UP_GAP_S = 0.15
 # A pause after a change is cut short to this when the copy is to be confirmed, so that
 # confirmations in series do not cost a call for each change.
 SHORT_GATHER_S = 0.25
@@ -46,6 +53,9 @@
     gather_s : float
         Pause after a change before the next watch, which then brings all changes made
         meanwhile in one call.
+    may_lag : bool
+        Whether the copy may be some seconds behind, which costs the store less. It is
+        still brought up to date before it is confirmed.
     """
 
     def __init__(
@@ -56,6 +66,7 @@
         random: random_module.Random,
         on_change: Callable[[dict[str, StoredItem]], None],
         gather_s: float = 0.0,
+        may_lag: bool = False,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -63,6 +74,9 @@
         self._backoff = Backoff(random)
         self._on_change = on_change
         self._gather_s = gather_s
+        self._may_lag = may_lag
+        self._is_catching_up = False
+        self._caught_up_s = float("-inf")
         self._items: dict[str, StoredItem] = {}
         self._pages: dict[str, StoredItem] = {}
         self._page_revision = 0
@@ -112,9 +126,14 @@
         """Call `on_confirmed` once the copy holds all changes made until now.
 
         That is at once if a watch has been waiting for a while, else after the next
-        watch, whose answer holds all changes made before it. While the store is out of
-        reach, it is not called.
+        watch, whose answer holds all changes made before it. A copy that may lag is
+        brought up to date by a call of its own. While the store is out of reach,
+        `on_confirmed` is not called.
         """
+        if self._may_lag:
+            self._on_confirmed.append((self._timers.clock.now(), on_confirmed))
+            self._catch_up()
+            return
         if self._is_current():
             on_confirmed()
             return
@@ -125,6 +144,39 @@
             elapsed_s = self._timers.clock.now() - self._changed_s
             self._watch_later(SHORT_GATHER_S - elapsed_s)
 
+    def _catch_up(self) -> None:
+        if self._is_catching_up or not self._on_confirmed or not self._revision:
+            return
+        self._is_catching_up = True
+        elapsed_s = self._timers.clock.now() - self._caught_up_s
+        if elapsed_s >= CATCH_UP_GAP_S:
+            self._ask_for_changes()
+            return
+        self._timers.subscribe_once(
+            CATCH_UP_GAP_S - elapsed_s, lambda _: self._ask_for_changes()
+        )
+
+    def _ask_for_changes(self) -> None:
+        generation, sent_s = self._generation, self._timers.clock.now()
+        self._caught_up_s = sent_s
+        future = self._store.watch(self._kind, self._revision, CATCH_UP_WAIT_S, False)
+        future.add_done_callback(
+            lambda done: self._take_catch_up(done, generation, sent_s)
+        )
+
+    def _take_catch_up(self, future: Future, generation: int, sent_s: float) -> None:
+        self._is_catching_up = False
+        match future.result():
+            case Changes(events, revision) if generation == self._generation:
+                self._apply_new(events, revision)
+                self._report_confirmed(sent_s)
+                self._catch_up()
+            case StoreFailure() as failure if generation == self._generation:
+                log.warning("%s: not confirmed: %s", self._kind, failure)
+                self._call_later(self._backoff.compute_delay(), self._catch_up)
+            case _:
+                self._catch_up()
+
     def _is_current(self) -> bool:
         if self._watch_s is None:
             return False
@@ -179,15 +231,16 @@
         self.is_complete = True
         if is_changed:
             self._on_change(self._items)
+        self._catch_up()
         self._watch()
 
     def _watch(self) -> None:
         generation = self._generation
         self._pause = None
         self._watch_s = self._timers.clock.now()
-        if self._on_confirmed:
+        if self._on_confirmed and not self._may_lag:
             self._check_later()
-        future = self._store.watch(self._kind, self._revision)
+        future = self._store.watch(self._kind, self._revision, None, self._may_lag)
         future.add_done_callback(lambda done: self._take_changes(done, generation))
 
     def _watch_later(self, delay_s: float) -> None:
@@ -210,12 +263,12 @@
                 self._retry(failure, self._watch)
             case Changes(events, revision):
                 self._record_success()
-                self._revision = max(self._revision, revision)
-                if not events:
-                    self._watch()
+                if not self._apply_new(events, revision):
+                    elapsed_s = self._timers.clock.now() - sent_s
+                    self._watch_later(MIN_WATCH_S - elapsed_s)
                     return
-                self._apply(events)
-                self._report_confirmed(sent_s)
+                if not self._may_lag:
+                    self._report_confirmed(sent_s)
                 self._gather()
 
     def _gather(self) -> None:
@@ -226,6 +279,21 @@
             delay_s = min(delay_s, SHORT_GATHER_S)
         self._watch_later(delay_s)
 
+    def _apply_new(
+        self, events: tuple[tuple[StoredItem, bool], ...], revision: int
+    ) -> bool:
+        """Apply the events of an answer and return whether there were any.
+
+        An answer that is older than the copy is ignored, since it may hold an object
+        without the event that deleted it.
+        """
+        if revision < self._revision:
+            return False
+        self._revision = revision
+        if events:
+            self._apply(events)
+        return bool(events)
+
     def _apply(self, events: tuple[tuple[StoredItem, bool], ...]) -> None:
         items = dict(self._items)
         for item, is_deleted in events:
--- a/src/bramleystair/mirror/_types.py
+++ b/src/bramleystair/mirror/_types.py
@@ -91,8 +91,19 @@
     def list_items(self, kind: str, after: str) -> Future:
         """Return a page, as Listing or StoreFailure, after the name `after`."""
 
-    def watch(self, kind: str, revision: int) -> Future:
-        """Return Changes or StoreFailure once there is a change, or after a while."""
+    def watch(
+        self, kind: str, revision: int, wait_s: float | None, may_lag: bool
+    ) -> Future:
+        """Return Changes or StoreFailure once there is a change, or after a while.
+
+        Parameters
+        ----------
+        wait_s : float or None
+            Longest wait for a change; the store's own limit by default.
+        may_lag : bool
+            Whether the answer may lack the changes of the last seconds, which costs the
+            store less.
+        """
 
     def create(self, kind: str, name: str, value: Any) -> Future:
         """Create an object; StoredItem or StoreFailure."""
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -92,8 +92,16 @@
         self._evacuations = Mirror(
             store, evacuation_kind, timers, random, self._set_evacuations, GATHER_S
         )
+        # Members that are some seconds old cost time only, since the agents decide. A
+        # flow is reset after the copy was brought up to date.
         self._members = Mirror(
-            store, MEMBER_KIND, timers, random, self._set_members, MEMBER_GATHER_S
+            store,
+            MEMBER_KIND,
+            timers,
+            random,
+            self._set_members,
+            MEMBER_GATHER_S,
+            may_lag=True,
         )
         self._mirrors = {
             "rules": self._rules,
--- a/src/bramleystair/platform/_objects.py
+++ b/src/bramleystair/platform/_objects.py
@@ -1,6 +1,7 @@
 """The platform's metadata store."""
 
 import json
+import math
 from collections.abc import Callable
 from concurrent.futures import Future
 from typing import Any
@@ -19,8 +20,9 @@
 PATH = "/bramleystair/objects/"
 # A call normally takes 4 ms; a slowed store may take some hundred times as long.
 CALL_TIMEOUT_S = 1.5
-# Longest wait that the store allows is 30 s; an idle watch costs a call each time.
-WATCH_WAIT_S = 25.0
+# The store keeps its history for 20 s. A watch that waited longer without a change
+# would end in another listing, and each answer costs a call.
+WATCH_WAIT_S = 18.0
 WATCH_MARGIN_S = 2.0
 _KINDS_BY_STATUS = {
     404: FailureKind.NOT_FOUND,
@@ -56,10 +58,15 @@
         query = f"?after={quote(after)}" if after else ""
         return self._call("GET", kind + query, _read_listing)
 
-    def watch(self, kind: str, revision: int) -> Future:
+    def watch(
+        self, kind: str, revision: int, wait_s: float | None, may_lag: bool
+    ) -> Future:
         """Return Changes or StoreFailure once there is a change, or after a while."""
-        target = f"{kind}?Watch={revision}&WaitMs={int(WATCH_WAIT_S * 1000)}"
-        timeout_s = WATCH_WAIT_S + WATCH_MARGIN_S
+        wait_s = WATCH_WAIT_S if wait_s is None else wait_s
+        target = f"{kind}?Watch={revision}&WaitMs={math.ceil(wait_s * 1000)}"
+        if may_lag:
+            target += "&StaleRead=1"
+        timeout_s = wait_s + WATCH_MARGIN_S
         return self._call("GET", target, _read_changes, timeout_s=timeout_s)
 
     def create(self, kind: str, name: str, value: Any) -> Future:
