Ask far members again until they are heard

Cause, found by reading what the neighbourhood does to the rule on lost members: a member outside it that had been asked once, and whose question or answer was lost, counted as lost 2 s later, with nothing sent meanwhile. The next lookup would not have waited for it, and a flow that it owns could have been reset; after a cut it would have stayed lost for good.

Change: members that have not answered are probed and subscribed to like neighbours until they are heard. Tests: two scenarios in features/neighbours.feature that failed before.

--- a/features/neighbours.feature
+++ b/features/neighbours.feature
@@ -71,6 +71,26 @@
     And 0.2 s go by at the large balancer
     Then all 108 members were asked for its owner
 
+  Scenario: A far member whose answers are lost is asked again until it is heard
+    # Guards against resets of its flows after a single lost question.
+    When a packet of a flow without a known owner arrives
+    And they all answer no
+    And the members of other zones but member 40 answer no
+    And for 2 s all members of zone 0 report that they are idle
+    Then member 40 was asked for reports at least 5 times
+    When member 40 reports that it is idle
+    And for 5 s all members of zone 0 report that they are idle
+    Then no member counts as lost
+
+  Scenario: A far member that was lost counts again once it answers
+    # Guards against a member that counts as lost for good after a cut.
+    When a packet of a flow without a known owner arrives
+    And they all answer no
+    And the members of other zones but member 40 answer no
+    And for 12 s all members of zone 0 report that they are idle
+    Then only member 40 counts as lost
+    And member 40 was asked for reports in the last second
+
   Scenario: A change of one member changes few neighbours
     # Guards against a wave of subscriptions at each change.
     Given 20 balancers that watch 32 of 100 members each
--- a/features/steps/neighbours_steps.py
+++ b/features/steps/neighbours_steps.py
@@ -167,6 +167,43 @@
     answer(context, list_receivers(context, FindOwner), Ownership.NONE)
 
 
+@when("the members of other zones but member {number:d} answer no")
+def deny_far(context, number):
+    asked = list_receivers(context, FindOwner) - {get_member(number)}
+    answer(context, asked, Ownership.NONE)
+
+
+def count_subscriptions(context, number):
+    return sum(
+        isinstance(action, SendMessage)
+        and isinstance(action.message, Subscribe)
+        and action.address == get_member(number)
+        for action in context.sent
+    )
+
+
+@then("member {number:d} was asked for reports at least {count:d} times")
+def check_asked_again(context, number, count):
+    assert count_subscriptions(context, number) >= count
+
+
+@when("member {number:d} reports that it is idle")
+def report_single(context, number):
+    report(context, [number], IDLE)
+
+
+@then("only member {number:d} counts as lost")
+def check_lost(context, number):
+    assert context.large.members.list_lost(context.now) == {get_member(number)}
+
+
+@then("member {number:d} was asked for reports in the last second")
+def check_still_asked(context, number):
+    context.sent = []
+    pass_time(context, 1, range(context.size))
+    assert count_subscriptions(context, number) >= 1
+
+
 @when("a flow is found at a member of zone 3")
 def find_far(context):
     find_one(context)
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -477,7 +477,9 @@
 
     def _subscribe(self, now: float) -> None:
         self._subscribe_s = now + self.members.compute_period()
-        for member in self.members.list_watched():
+        # Those that have not answered a question are asked until they are heard, since
+        # their silence alone must not make them count as lost for good.
+        for member in self.members.list_awaited():
             self._outbox.send(member.entry.address, self._build_subscription())
         if now - self._purged_s < self._settings.owner_lifetime_s / 4:
             return
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -109,6 +109,10 @@
         """Return the members that report their loads to this balancer."""
         return [member for member in self if member.is_watched]
 
+    def list_awaited(self) -> list[Member]:
+        """Return the members that are watched, or have not answered a question."""
+        return [member for member in self if member.is_awaited]
+
     def watch_owner(self, address: Address, now: float) -> bool:
         """Watch a member that owns a flow; return whether it was not watched."""
         member = self._members.get(address)
@@ -247,7 +251,7 @@
         return [
             address
             for address, member in self._members.items()
-            if member.is_watched
+            if member.is_awaited
             and settings.probe_after_s < now - member.heard_s <= settings.probe_until_s
         ]
 
