Take an owner's answer that arrives while the members are confirmed

Cause, found by reading: lookups do not wait for members that count as lost. One that is back and says that it owns the flow was ignored if its answer came after those of all others, and the caller was reset though the server held its flow.

Change: the answer ends the lookup until the reset is sent. Test: a scenario in features/steering.feature that failed before.

--- a/features/steering.feature
+++ b/features/steering.feature
@@ -188,6 +188,16 @@
     And 1 s pass at the balancer
     Then the caller is not reset by the balancer
 
+  Scenario: An owner that answers while the members are confirmed keeps its flow
+    # Guards against a reset of a live flow whose owner was taken for lost.
+    Given a balancer with 3 members whose list of members is behind
+    When a packet of an unknown flow reaches the balancer
+    And all members say that they do not hold it
+    And member 2 says that it owns the flow
+    Then the packet goes to member 2
+    When the list is confirmed
+    Then the caller is not reset by the balancer
+
   Scenario: Many unknown flows are looked up at a bounded rate
     # Guards against a balancer that starts with thousands of flows and fills its link
     # with questions, so that no first packet gets through.
--- a/src/bramleystair/steering/_lookups.py
+++ b/src/bramleystair/steering/_lookups.py
@@ -123,7 +123,7 @@
             if flow in self._lookups:
                 self._repeat(lookup, now)
             else:
-                del self._unconfirmed[flow]
+                self._remove(lookup, now)
                 self._reset(lookup)
         if self._pending and now >= self._next_start_s:
             self._start_pending(now)
@@ -134,7 +134,6 @@
         for flow, lookup in unconfirmed.items():
             lookup.is_confirmed = True
             self._lookups[flow] = lookup
-            self._flows_by_token[lookup.token] = flow
             self._proceed(lookup, now)
 
     def purge(self, now: float) -> None:
@@ -252,9 +251,14 @@
         """Take a member's answer."""
         self._members.record_message(sender, now)
         flow = self._flows_by_token.get(message.token)
-        lookup = None if flow is None else self._lookups.get(flow)
+        lookup = None if flow is None else self._get(flow)
         if lookup is None or lookup.token != message.token:
             return
+        if flow in self._unconfirmed:
+            # A member that was taken for lost may be back meanwhile.
+            if message.ownership is Ownership.CERTAIN:
+                self._settle(lookup, sender, "certain", now)
+            return
         lookup.unanswered.discard(sender)
         match message.ownership:
             case Ownership.CERTAIN:
@@ -306,6 +310,7 @@
             self._reset(lookup)
             return
         self._unconfirmed[flow] = lookup
+        self._flows_by_token[lookup.token] = flow
         self._wake_at(lookup, now + self._settings.confirm_timeout_s)
         self._outbox.add(ConfirmMembers())
 
@@ -341,6 +346,7 @@
 
     def _remove(self, lookup: _Lookup, now: float) -> None:
         self._lookups.pop(lookup.segment.flow, None)
+        self._unconfirmed.pop(lookup.segment.flow, None)
         self._flows_by_token.pop(lookup.token, None)
 
     def _create_token(self, flow: bytes) -> int:
