Let the mirrors of a node repeat failed calls one at a time

Cause: while the store refuses a node, its three mirrors each call it every 0.6 s, and a refused call costs as much as an answered one: with a third of 69 balancers refused for 9 s, about a thousand calls.

Ruled out: longer delays, since a node has to be back within two seconds.

Change: one failed call is repeated after the delay; when it succeeds, the others follow at once, and when it stays silent, the next one follows after 0.3 s.

--- a/features/mirror.feature
+++ b/features/mirror.feature
@@ -74,6 +74,24 @@
     And the store's clock advances by 3 s
     Then it is confirmed with a, b and c
 
+  Scenario: The mirrors of a node ask a store that is down in turn
+    # Guards against calls that cost as much as answered ones, three at a time.
+    Given a store with members a and b
+    And a mirror of the members that has started
+    And two more mirrors on the same node
+    When the store is down
+    And the store's clock advances by 10 s
+    Then the store refused at most 30 calls
+    When the store is up again with c added
+    And the store's clock advances by 2 s
+    Then all three mirrors hold a, b and c
+
+  Scenario: A repeated call that stays silent does not keep the others waiting
+    # Guards against copies that wait for a watch which is answered after many seconds.
+    Given a queue of retries with two calls, of which the first stays silent
+    When 1.2 s pass at the mirror
+    Then both calls were repeated once
+
   Scenario: A copy that may lag is brought up to date before it is confirmed
     # Guards against resets of flows whose owner joined within the lag.
     Given a store with members a and b
--- a/features/steps/mirror_steps.py
+++ b/features/steps/mirror_steps.py
@@ -10,6 +10,7 @@
     Listing,
     Mirror,
     Publisher,
+    RetryQueue,
     StoredItem,
     StoreFailure,
 )
@@ -48,20 +49,21 @@
     lagging_at: int | None = None
     lagging_calls: int = 0
     short_calls: int = 0
+    refused: int = 0
 
     def list_items(self, kind, after):
         if self.listing is not None:
             listing, self.listing = self.listing, None
             return listing
         if not self.is_up:
-            return complete(fail())
+            return self.refuse()
         names = sorted(name for name in self.items if name > after)
         items = tuple(self.items[name] for name in names[: self.page])
         return complete(Listing(items, self.revision, len(names) > self.page))
 
     def watch(self, kind, revision, wait_s=None, may_lag=False):
         if not self.is_up:
-            return complete(fail())
+            return self.refuse()
         if revision < self.oldest:
             return complete(fail(FailureKind.HISTORY_LOST))
         if may_lag and self.lagging_at is not None:
@@ -75,6 +77,10 @@
         self.waiting.append((revision, future))
         return future
 
+    def refuse(self):
+        self.refused += 1
+        return complete(fail())
+
     def build_lagging(self, revision):
         events = self.get_events(revision)
         seen = tuple(e for e in events if e[0].revision <= self.lagging_at)
@@ -162,10 +168,48 @@
     def take(items):
         context.copy = dict(items)
 
-    context.mirror = Mirror(context.store, KIND, context.timers, random.Random(1), take)
+    context.retries = RetryQueue(context.timers, random.Random(1))
+    context.mirror = create_mirror(context, take)
     context.mirror.start()
 
 
+def create_mirror(context, take):
+    return Mirror(context.store, KIND, context.timers, context.retries, take)
+
+
+@given("two more mirrors on the same node")
+def start_more_mirrors(context):
+    context.others = [{}, {}]
+    for copy in context.others:
+        create_mirror(context, copy.update).start()
+
+
+@given("a queue of retries with two calls, of which the first stays silent")
+def create_retries(context):
+    create_store(context)
+    context.repeated = []
+    retries = RetryQueue(context.timers, random.Random(1))
+    retries.add(lambda: context.repeated.append("first"))
+    retries.add(lambda: context.repeated.append("second"))
+
+
+@then("both calls were repeated once")
+def check_repeated(context):
+    assert context.repeated == ["first", "second"], context.repeated
+
+
+@then("the store refused at most {count:d} calls")
+def check_refused(context, count):
+    assert 0 < context.store.refused <= count, context.store.refused
+
+
+@then("all three mirrors hold {names}")
+def check_all_mirrors(context, names):
+    expected = names.replace(" and ", ", ").split(", ")
+    for copy in (context.copy, *context.others):
+        assert sorted(copy) == expected, copy
+
+
 @given("a mirror of the members that pauses for 1 s after each change")
 def start_pausing_mirror(context):
     start_mirror(context)
--- a/features/steps/nodes_steps.py
+++ b/features/steps/nodes_steps.py
@@ -13,7 +13,7 @@
     HttpServer,
 )
 from bramleystair.loop import EventLoop
-from bramleystair.mirror import Mirror, StoredItem
+from bramleystair.mirror import Mirror, RetryQueue, StoredItem
 from bramleystair.nodes._journal import DecisionJournal
 from bramleystair.nodes._snapshots import SnapshotClient, SnapshotServer
 from bramleystair.nodes._start import _DroppingStream
@@ -175,7 +175,7 @@
             AbsentStore(),
             name,
             context.loop.timers,
-            random.Random(1),
+            RetryQueue(context.loop.timers, random.Random(1)),
             lambda items: None,
         )
     if members:
--- a/src/bramleystair/mirror/__init__.py
+++ b/src/bramleystair/mirror/__init__.py
@@ -2,6 +2,7 @@
 
 from bramleystair.mirror._mirror import Mirror
 from bramleystair.mirror._publisher import Publisher
+from bramleystair.mirror._retries import RetryQueue
 from bramleystair.mirror._types import (
     Changes,
     FailureKind,
@@ -18,6 +19,7 @@
     "Mirror",
     "ObjectStore",
     "Publisher",
+    "RetryQueue",
     "StoreFailure",
     "StoredItem",
 ]
--- a/src/bramleystair/mirror/_mirror.py
+++ b/src/bramleystair/mirror/_mirror.py
@@ -1,11 +1,10 @@
 """Copy of all objects of one kind, kept up to date by a watch."""
 
-import random as random_module
 from collections.abc import Callable
 from concurrent.futures import Future
 
 from bramleystair.logs import get_log
-from bramleystair.mirror._backoff import Backoff
+from bramleystair.mirror._retries import RetryQueue
 from bramleystair.mirror._types import (
     Changes,
     FailureKind,
@@ -45,9 +44,9 @@
     kind : str
         Kind of the objects.
     timers : TimerService
-        Runs the retries.
-    random : random.Random
-        Source of the jitter.
+        Runs the pauses.
+    retries : RetryQueue
+        Repeats calls that failed; shared by the mirrors of a node.
     on_change : callable
         Called with the copy, a dict of StoredItem by name, after each change.
     gather_s : float
@@ -63,7 +62,7 @@
         store: ObjectStore,
         kind: str,
         timers: TimerService,
-        random: random_module.Random,
+        retries: RetryQueue,
         on_change: Callable[[dict[str, StoredItem]], None],
         gather_s: float = 0.0,
         may_lag: bool = False,
@@ -71,7 +70,8 @@
         self._store = store
         self._kind = kind
         self._timers = timers
-        self._backoff = Backoff(random)
+        self._retries = retries
+        self._is_loss_logged = False
         self._on_change = on_change
         self._gather_s = gather_s
         self._may_lag = may_lag
@@ -173,7 +173,7 @@
                 self._catch_up()
             case StoreFailure() as failure if generation == self._generation:
                 log.warning("%s: not confirmed: %s", self._kind, failure)
-                self._call_later(self._backoff.compute_delay(), self._catch_up)
+                self._retries.add(self._guard(self._catch_up))
             case _:
                 self._catch_up()
 
@@ -308,23 +308,29 @@
         self._on_change(items)
 
     def _record_success(self) -> None:
-        self._backoff.reset()
+        self._is_loss_logged = False
+        self._retries.record_success()
         if not self.is_connected:
             self.is_connected = True
             log.info("%s: store is reachable", self._kind)
 
     def _retry(self, failure: StoreFailure, step: Callable[[], None]) -> None:
-        if self.is_connected or not self._backoff.failures:
+        if not self._is_loss_logged:
             log.warning("%s: store is lost: %s", self._kind, failure)
+        self._is_loss_logged = True
         self.is_connected = False
-        self._call_later(self._backoff.compute_delay(), step)
+        self._retries.add(self._guard(step))
 
     def _call_later(self, delay_s: float, step: Callable[[], None]) -> Subscription:
-        """Call `step` after a delay, unless the mirror was started anew meanwhile."""
+        guarded = self._guard(step)
+        return self._timers.subscribe_once(delay_s, lambda _: guarded())
+
+    def _guard(self, step: Callable[[], None]) -> Callable[[], None]:
+        """Return `step` without effect once the mirror was started anew."""
         generation = self._generation
 
-        def run(_: float) -> None:
+        def run() -> None:
             if generation == self._generation:
                 step()
 
-        return self._timers.subscribe_once(delay_s, run)
+        return run
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -9,7 +9,7 @@
 from bramleystair.errors import StepError
 from bramleystair.logs import get_log
 from bramleystair.loop import EventLoop
-from bramleystair.mirror import Mirror, ObjectStore, StoredItem
+from bramleystair.mirror import Mirror, ObjectStore, RetryQueue, StoredItem
 from bramleystair.nodes._datagrams import DatagramSocket
 from bramleystair.nodes._node import NodeBase, subscribe_once
 from bramleystair.nodes._reload import SettingsChange
@@ -86,11 +86,12 @@
             loop, settings.message_address, self._take_message, self.metrics
         )
         timers = loop.timers
+        retries = RetryQueue(timers, random)
         self._rules = Mirror(
-            store, rules_kind, timers, random, self._set_rules, GATHER_S
+            store, rules_kind, timers, retries, self._set_rules, GATHER_S
         )
         self._evacuations = Mirror(
-            store, evacuation_kind, timers, random, self._set_evacuations, GATHER_S
+            store, evacuation_kind, timers, retries, self._set_evacuations, GATHER_S
         )
         # Members that are some seconds old cost time only, since the agents decide. A
         # flow is reset after the copy was brought up to date.
@@ -98,7 +99,7 @@
             store,
             MEMBER_KIND,
             timers,
-            random,
+            retries,
             self._set_members,
             MEMBER_GATHER_S,
             may_lag=True,
