--- /dev/null
+++ b/features/steps/fuzz_steps.py
@@ -0,0 +1,225 @@
+import random
+
+from behave import then, when
+from steering_samples import ENDPOINT, get_member, make_entry, make_segment
+
+from bramleystair.steering import (
+    FindOwner,
+    FindReply,
+    Load,
+    LoadReport,
+    OpenFlow,
+    OpenReply,
+    Ownership,
+    Refusal,
+    Relay,
+    ReturnPacket,
+    Route,
+    RoutingRules,
+    SendMessage,
+    ServerReport,
+    ServerState,
+    Subscribe,
+    Target,
+    TryPacket,
+    decode_message,
+    encode_message,
+)
+from bramleystair.steering._types import compute_service_id
+from bramleystair.steering.agent import AgentSteering, AgentSteeringSettings
+from bramleystair.steering.balancer import BalancerSteering, BalancerSteeringSettings
+
+MEMBERS = 6
+AGENT = get_member(0)
+STRANGER = ("10.9.9.9", 1)
+BALANCERS = (("10.0.0.1", 7), ("10.0.0.2", 7), STRANGER)
+
+
+class Fuzzer:
+    """Feed a balancer and an agent with random events."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.now = 100.0
+        self.errors = []
+        self.tokens = [0]
+        self.agent = AgentSteering(AGENT, "z", AgentSteeringSettings(), self.now, 1)
+        self.balancer = BalancerSteering(
+            BalancerSteeringSettings(), random.Random(seed), "zone-0", "b"
+        )
+        route = Route("r", ENDPOINT, (Target("web", 1.0),))
+        self.balancer.set_rules(RoutingRules(9, {ENDPOINT: route}))
+        self.balancer.set_evacuated(())
+        self.set_members()
+
+    def set_members(self):
+        count = self.random.randrange(MEMBERS + 1)
+        entries = [make_entry(n, f"zone-{n % 3}") for n in range(count)]
+        self.balancer.set_members(entries, self.now)
+
+    def draw_segment(self):
+        draw = self.random
+        flow = bytes((draw.randrange(8), *b"\x40\x00\x07")) + ENDPOINT[:4]
+        flow += bytes((0, draw.randrange(4))) + ENDPOINT[4:]
+        segment = make_segment(
+            flow,
+            first=draw.random() < 0.4,
+            returned=draw.random() < 0.3,
+            sequence=draw.choice((0, 1, 2**32 - 1)),
+            ack=draw.choice((0, 77, 2**32 - 1)),
+            size=draw.choice((0, 9)),
+        )
+        segment.is_reset = draw.random() < 0.1
+        segment.is_fin = draw.random() < 0.1
+        return segment
+
+    def draw_message(self):
+        draw = self.random
+        load = Load(
+            draw.choice(tuple(ServerState)),
+            draw.choice((0, 1, 65_535)),
+            draw.choice((0, 5, 65_535)),
+            draw.choice((0.0, 1e30)),
+            draw.choice((0, 65_535)),
+            draw.choice((0.0, 1e-30, 1e30)),
+            *(draw.random() < 0.5 for _ in range(3)),
+        )
+        token, data = draw.choice(self.tokens), b"packet"
+        flow = self.draw_segment().flow
+        service_id = compute_service_id(draw.choice(("web", "api")))
+        message = draw.choice(
+            (
+                OpenFlow(token, service_id, draw.choice((0.0, 1e30)), False, data),
+                OpenReply(token, draw.choice(tuple(Refusal)), load),
+                Relay(data),
+                FindOwner(token, flow, 77),
+                TryPacket(token, data),
+                FindReply(token, draw.choice(tuple(Ownership))),
+                ReturnPacket(data),
+                Subscribe(draw.choice((0, 2**63))),
+                LoadReport(load, draw.choice((0, 2**63))),
+            )
+        )
+        encoded = bytearray(encode_message(message))
+        if draw.random() < 0.2:
+            encoded[draw.randrange(len(encoded))] = draw.randrange(256)
+        return decode_message(bytes(encoded))
+
+    def run(self, count):
+        for _ in range(count):
+            self.now += self.random.choice((0.0, 0.001, 0.05, 0.4, 3.0))
+            try:
+                self.note(self.draw_event()())
+            except Exception as error:
+                self.errors.append(repr(error))
+
+    def note(self, actions):
+        for action in actions or ():
+            if isinstance(action, SendMessage):
+                self.tokens.append(getattr(action.message, "token", 0))
+        del self.tokens[:-20]
+
+    def draw_event(self):
+        segment, message = self.draw_segment(), self.draw_message()
+        sender = self.random.choice((*BALANCERS, AGENT, get_member(3)))
+        report = ServerReport(
+            self.random.choice(("i-1", "i-2")),
+            "web",
+            "z",
+            self.random.choice(tuple(ServerState)),
+            self.random.choice((0, 1, 3)),
+            self.random.choice((0.0, 3.0)),
+            self.random.randrange(9),
+            self.random.choice((0, 1, 10**12)),
+        )
+        events = [
+            lambda: self.balancer.run_timers(self.now),
+            lambda: self.agent.run_timers(self.now),
+            lambda: self.balancer.handle_segment(segment, self.now),
+            lambda: self.balancer.handle_returned(sender, segment, self.now),
+            lambda: self.balancer.confirm_members(self.now),
+            lambda: self.agent.handle_server_segment(segment, self.now),
+            lambda: self.agent.take_report(report, self.now),
+            lambda: self.agent.remove_server("i-1", self.now),
+            lambda: self.agent.assume_ready("web", self.now),
+        ]
+        if self.random.random() < 0.05:
+            events = [self.set_members]
+        if message.is_ok():
+            events += 4 * [
+                lambda: self.send_to_agent(sender, message.unwrap(), segment),
+                lambda: self.balancer.handle_message(
+                    sender, message.unwrap(), self.now
+                ),
+            ]
+        return self.random.choice(events)
+
+    def send_to_agent(self, sender, message, segment):
+        match message:
+            case Relay():
+                return self.agent.handle_relay(sender, segment, self.now)
+            case OpenFlow():
+                return self.agent.handle_open(sender, message, segment, self.now)
+            case TryPacket():
+                return self.agent.handle_try(sender, message, segment, self.now)
+            case FindOwner():
+                return self.agent.handle_find(sender, message, self.now)
+            case Subscribe():
+                return self.agent.handle_subscription(sender, message, self.now)
+
+    def open_flow(self):
+        """Let the balancer open a flow at the agent, both as the events left them."""
+        self.now += 100
+        entry = make_entry(0, "zone-0")
+        self.balancer.set_members([entry], self.now)
+        self.agent.take_report(
+            ServerReport("i-9", "web", "z", ServerState.READY, 2, 0.0, 9, 10**13),
+            self.now,
+        )
+        segment = make_segment(first=True, sequence=5)
+        report = LoadReport(Load(slots=2))
+        self.balancer.handle_message(AGENT, report, self.now)
+        actions = self.balancer.handle_segment(segment, self.now)
+        (asked,) = [
+            action.message
+            for action in actions
+            if isinstance(action, SendMessage) and isinstance(action.message, OpenFlow)
+        ]
+        actions = self.agent.handle_open(BALANCERS[0], asked, segment, self.now)
+        return [
+            action.message.refusal
+            for action in actions
+            if isinstance(action, SendMessage) and isinstance(action.message, OpenReply)
+        ]
+
+
+@when("a balancer and an agent get {count:d} random events drawn with seed {seed:d}")
+def fuzz(context, count, seed):
+    context.fuzzer = Fuzzer(seed)
+    context.fuzzer.run(count)
+
+
+@when("an agent whose reports fail gets {count:d} random events drawn with seed 1")
+def fuzz_planted(context, count):
+    context.fuzzer = Fuzzer(1)
+
+    def fail(now):
+        raise ZeroDivisionError
+
+    context.fuzzer.agent._build_report = fail
+    context.fuzzer.run(count)
+
+
+@then("no handler raised an error")
+def check_no_error(context):
+    assert not context.fuzzer.errors, context.fuzzer.errors[:3]
+
+
+@then("a handler raised an error")
+def check_error(context):
+    assert context.fuzzer.errors
+
+
+@then("both still open a flow")
+def check_alive(context):
+    assert context.fuzzer.open_flow() == [Refusal.NONE]
