Confirm every copy by a call of its own

Cause, found by reading: two ways to confirm a copy stood side by side, one by the watch that waits and one by a call, and nodes use the second one only.

Change: the first one is removed. A confirmation in the pause after a change no longer waits for a shortened pause, so its scenario now expects the answer at once.

--- a/features/mirror.feature
+++ b/features/mirror.feature
@@ -41,15 +41,13 @@
     And the copy is to be confirmed
     Then it is confirmed with a and b
 
-  Scenario: A copy in the pause after a change is confirmed early and with later changes
+  Scenario: A copy in the pause after a change is confirmed with later changes
     # Guards against decisions on a copy that lacks what changed during the pause.
     Given a store with members a and b
     And a mirror of the members that pauses for 1 s after each change
     When c is added to the store
     And d is added to the store
     And the copy is to be confirmed
-    Then it is not confirmed yet
-    When 0.35 s pass at the mirror
     Then it is confirmed with a, b, c and d
 
   Scenario: A copy that is listed again in a pause is watched once
--- a/src/bramleystair/mirror/_mirror.py
+++ b/src/bramleystair/mirror/_mirror.py
@@ -17,8 +17,6 @@
 
 log = get_log("mirror")
 
-# A change takes some milliseconds to end a watch; this covers a loaded store.
-CONFIRM_S = 0.05
 # An answer without changes that comes sooner than this is an old one; the next watch
 # waits as long, so that a store that lags is not asked again and again.
 MIN_WATCH_S = 1.0
@@ -26,9 +24,6 @@
 CATCH_UP_WAIT_S = 0.001
 # Confirmations within this time share a call, which callers wait for.
 CATCH_UP_GAP_S = 0.15
-# A pause after a change is cut short to this when the copy is to be confirmed, so that
-# confirmations in series do not cost a call for each change.
-SHORT_GATHER_S = 0.25
 
 
 class Mirror:
@@ -53,8 +48,7 @@
         Pause after a change before the next watch, which then brings all changes made
         meanwhile in one call.
     may_lag : bool
-        Whether the copy may be some seconds behind, which costs the store less. It is
-        still brought up to date before it is confirmed.
+        Whether the copy may be some seconds behind, which costs the store less.
     """
 
     def __init__(
@@ -82,9 +76,6 @@
         self._page_revision = 0
         self._revision = 0
         self._generation = 0
-        # Start of the watch in progress, and end of the last one that brought changes.
-        self._watch_s: float | None = None
-        self._changed_s = 0.0
         self._pause: Subscription | None = None
         # Callbacks with the time of their request.
         self._on_confirmed: list[tuple[float, Callable[[], None]]] = []
@@ -125,24 +116,11 @@
     def confirm(self, on_confirmed: Callable[[], None]) -> None:
         """Call `on_confirmed` once the copy holds all changes made until now.
 
-        That is at once if a watch has been waiting for a while, else after the next
-        watch, whose answer holds all changes made before it. A copy that may lag is
-        brought up to date by a call of its own. While the store is out of reach,
+        The changes are read by a call of their own. While the store is out of reach,
         `on_confirmed` is not called.
         """
-        if self._may_lag:
-            self._on_confirmed.append((self._timers.clock.now(), on_confirmed))
-            self._catch_up()
-            return
-        if self._is_current():
-            on_confirmed()
-            return
         self._on_confirmed.append((self._timers.clock.now(), on_confirmed))
-        if self._watch_s is not None:
-            self._check_later()
-        elif self._pause is not None:
-            elapsed_s = self._timers.clock.now() - self._changed_s
-            self._watch_later(SHORT_GATHER_S - elapsed_s)
+        self._catch_up()
 
     def _catch_up(self) -> None:
         if self._is_catching_up or not self._on_confirmed or not self._revision:
@@ -177,19 +155,6 @@
             case _:
                 self._catch_up()
 
-    def _is_current(self) -> bool:
-        if self._watch_s is None:
-            return False
-        return self._timers.clock.now() - self._watch_s >= CONFIRM_S
-
-    def _check_later(self) -> None:
-        delay_s = self._watch_s + CONFIRM_S - self._timers.clock.now()
-        self._timers.subscribe_once(delay_s, lambda _: self._check_confirmed())
-
-    def _check_confirmed(self) -> None:
-        if self._is_current():
-            self._report_confirmed(self._timers.clock.now())
-
     def _report_confirmed(self, until_s: float) -> None:
         """Answer the requests made until `until_s`."""
         requests, self._on_confirmed = self._on_confirmed, []
@@ -200,7 +165,6 @@
                 self._on_confirmed.append((requested_s, callback))
 
     def _list(self, after: str) -> None:
-        self._watch_s = None
         if not after:
             self._pages = {}
         generation = self._generation
@@ -235,13 +199,12 @@
         self._watch()
 
     def _watch(self) -> None:
-        generation = self._generation
+        generation, sent_s = self._generation, self._timers.clock.now()
         self._pause = None
-        self._watch_s = self._timers.clock.now()
-        if self._on_confirmed and not self._may_lag:
-            self._check_later()
         future = self._store.watch(self._kind, self._revision, None, self._may_lag)
-        future.add_done_callback(lambda done: self._take_changes(done, generation))
+        future.add_done_callback(
+            lambda done: self._take_changes(done, generation, sent_s)
+        )
 
     def _watch_later(self, delay_s: float) -> None:
         if self._pause is not None:
@@ -251,10 +214,9 @@
             return
         self._pause = self._call_later(delay_s, self._watch)
 
-    def _take_changes(self, future: Future, generation: int) -> None:
+    def _take_changes(self, future: Future, generation: int, sent_s: float) -> None:
         if generation != self._generation:
             return
-        sent_s, self._watch_s = self._watch_s, None
         match future.result():
             case StoreFailure(kind=FailureKind.HISTORY_LOST):
                 log.warning("%s: history lost at %d", self._kind, self._revision)
@@ -263,21 +225,11 @@
                 self._retry(failure, self._watch)
             case Changes(events, revision):
                 self._record_success()
-                if not self._apply_new(events, revision):
-                    elapsed_s = self._timers.clock.now() - sent_s
-                    self._watch_later(MIN_WATCH_S - elapsed_s)
+                if self._apply_new(events, revision):
+                    self._watch_later(self._gather_s)
                     return
-                if not self._may_lag:
-                    self._report_confirmed(sent_s)
-                self._gather()
-
-    def _gather(self) -> None:
-        """Pause, so that the next watch brings several changes in one call."""
-        self._changed_s = self._timers.clock.now()
-        delay_s = self._gather_s
-        if self._on_confirmed:
-            delay_s = min(delay_s, SHORT_GATHER_S)
-        self._watch_later(delay_s)
+                elapsed_s = self._timers.clock.now() - sent_s
+                self._watch_later(MIN_WATCH_S - elapsed_s)
 
     def _apply_new(
         self, events: tuple[tuple[StoredItem, bool], ...], revision: int
