--- a/features/neighbours.feature
+++ b/features/neighbours.feature
@@ -65,6 +65,16 @@
     When they all answer no
     Then the 90 members of other zones are asked for its owner
 
+  Scenario: A packet is tried at no server before all members were asked
+    # Guards against a flow that goes to a neighbour whose server is slow to return the
+    # packet, while its owner in another zone is certain.
+    When a packet of a flow without a known owner arrives
+    And they all answer that they are unsure
+    Then the 90 members of other zones are asked for its owner
+    And the packet was tried nowhere
+    When member 40 answers that it owns the flow
+    Then the packet goes to member 40 only
+
   Scenario: A silent neighbour does not keep the other zones from being asked
     # Guards against a lookup that waits for a VM that has just lost its power.
     When a packet of a flow without a known owner arrives
--- a/features/steps/neighbours_steps.py
+++ b/features/steps/neighbours_steps.py
@@ -13,12 +13,14 @@
     OpenReply,
     Ownership,
     Refusal,
+    Relay,
     ResetCaller,
     Route,
     RoutingRules,
     SendMessage,
     Subscribe,
     Target,
+    TryPacket,
 )
 from bramleystair.steering._member import Member
 from bramleystair.steering._neighbours import select_neighbours
@@ -204,6 +206,27 @@
     assert count_subscriptions(context, number) >= 1
 
 
+@when("they all answer that they are unsure")
+def doubt_near(context):
+    answer(context, list_receivers(context, FindOwner), Ownership.UNSURE)
+
+
+@when("member {number:d} answers that it owns the flow")
+def own_far(context, number):
+    answer(context, [get_member(number)], Ownership.CERTAIN)
+
+
+@then("the packet was tried nowhere")
+def check_untried(context):
+    assert not list_receivers(context, TryPacket)
+
+
+@then("the packet goes to member {number:d} only")
+def check_relayed_far(context, number):
+    assert list_receivers(context, Relay) == {get_member(number)}
+    check_untried(context)
+
+
 @when("a flow is found at a member of zone 3")
 def find_far(context):
     find_one(context)
--- a/src/bramleystair/steering/_lookups.py
+++ b/src/bramleystair/steering/_lookups.py
@@ -275,16 +275,17 @@
         if self._count_awaited(lookup, now):
             return
         lookup.unanswered.clear()
-        if lookup.likely is not None:
-            self._settle(lookup, lookup.likely, "likely", now)
-            return
         untried = lookup.unsure - lookup.tried
-        if untried:
-            lookup.unanswered = untried
-        elif lookup.later:
+        if lookup.later:
+            # The owner may be certain, so packets are tried after all were asked.
             stage, *later = lookup.later
             lookup.later = tuple(later)
             self._ask_others(lookup, stage, now)
+        elif untried:
+            lookup.unanswered = untried
+        elif lookup.likely is not None:
+            self._settle(lookup, lookup.likely, "likely", now)
+            return
         elif added := self._list_added(lookup):
             lookup.unanswered = added
         else:
