Ask the store shortly before watching again after a failure

Change: after a failure, the changes are read by a call that does not wait and that is given up after 1.5 s, and the watch follows its answer. Test: a scenario in features/mirror.feature that failed before.

--- a/features/mirror.feature
+++ b/features/mirror.feature
@@ -84,6 +84,17 @@
     And the store's clock advances by 2 s
     Then all three mirrors hold a, b and c
 
+  Scenario: A watch that reached a silent store does not hide later changes
+    # Guards against a configuration that is seen 20 s after the store's return.
+    Given a store with members a and b
+    And a mirror of the members that has started
+    When the store falls silent and the mirror's watch times out
+    And the store's clock advances by 1 s
+    And the store answers again
+    And c is added to the store
+    And the store's clock advances by 3 s
+    Then the mirror holds a, b and c
+
   Scenario: A repeated call that stays silent does not keep the others waiting
     # Guards against copies that wait for a watch which is answered after many seconds.
     Given a queue of retries with two calls, of which the first stays silent
--- a/features/steps/mirror_steps.py
+++ b/features/steps/mirror_steps.py
@@ -50,6 +50,7 @@
     lagging_calls: int = 0
     short_calls: int = 0
     refused: int = 0
+    is_silent: bool = False
 
     def list_items(self, kind, after):
         if self.listing is not None:
@@ -70,6 +71,8 @@
             self.lagging_calls += 1
             return complete(self.build_lagging(revision))
         self.short_calls += wait_s is not None
+        if self.is_silent:
+            return self.leave_unanswered(20.0 if wait_s is None else 1.5)
         events = self.get_events(revision)
         if events or wait_s is not None:
             return complete(Changes(events, self.revision))
@@ -77,6 +80,11 @@
         self.waiting.append((revision, future))
         return future
 
+    def leave_unanswered(self, timeout_s):
+        future = Future()
+        self.timers.subscribe_once(timeout_s, lambda _: future.set_result(fail()))
+        return future
+
     def refuse(self):
         self.refused += 1
         return complete(fail())
@@ -177,6 +185,19 @@
     return Mirror(context.store, KIND, context.timers, context.retries, take)
 
 
+@when("the store falls silent and the mirror's watch times out")
+def fall_silent(context):
+    context.store.is_silent = True
+    waiting, context.store.waiting = context.store.waiting, []
+    for _, future in waiting:
+        future.set_result(fail())
+
+
+@when("the store answers again")
+def answer_again(context):
+    context.store.is_silent = False
+
+
 @given("two more mirrors on the same node")
 def start_more_mirrors(context):
     context.others = [{}, {}]
--- a/src/bramleystair/mirror/_mirror.py
+++ b/src/bramleystair/mirror/_mirror.py
@@ -206,6 +206,29 @@
             lambda done: self._take_changes(done, generation, sent_s)
         )
 
+    def _resume(self) -> None:
+        """Read the changes since the last answer, then watch again.
+
+        A watch that reaches a silent store is never answered, and would be waited for
+        long after the store's return.
+        """
+        generation, sent_s = self._generation, self._timers.clock.now()
+        future = self._store.watch(self._kind, self._revision, CATCH_UP_WAIT_S, False)
+        future.add_done_callback(
+            lambda done: self._take_resumed(done, generation, sent_s)
+        )
+
+    def _take_resumed(self, future: Future, generation: int, sent_s: float) -> None:
+        if generation != self._generation:
+            return
+        match future.result():
+            case Changes(events, revision):
+                self._record_success()
+                self._apply_new(events, revision)
+                self._watch()
+            case _:
+                self._take_changes(future, generation, sent_s)
+
     def _watch_later(self, delay_s: float) -> None:
         if self._pause is not None:
             self._pause.cancel()
@@ -222,7 +245,7 @@
                 log.warning("%s: history lost at %d", self._kind, self._revision)
                 self._list("")
             case StoreFailure() as failure:
-                self._retry(failure, self._watch)
+                self._retry(failure, self._resume)
             case Changes(events, revision):
                 self._record_success()
                 if self._apply_new(events, revision):
--- a/src/bramleystair/platform/_objects.py
+++ b/src/bramleystair/platform/_objects.py
@@ -62,11 +62,13 @@
         self, kind: str, revision: int, wait_s: float | None, may_lag: bool
     ) -> Future:
         """Return Changes or StoreFailure once there is a change, or after a while."""
-        wait_s = WATCH_WAIT_S if wait_s is None else wait_s
+        timeout_s = CALL_TIMEOUT_S
+        if wait_s is None:
+            wait_s = WATCH_WAIT_S
+            timeout_s = WATCH_WAIT_S + WATCH_MARGIN_S
         target = f"{kind}?Watch={revision}&WaitMs={math.ceil(wait_s * 1000)}"
         if may_lag:
             target += "&StaleRead=1"
-        timeout_s = wait_s + WATCH_MARGIN_S
         return self._call("GET", target, _read_changes, timeout_s=timeout_s)
 
     def create(self, kind: str, name: str, value: Any) -> Future:
