Read the changes of a copy in one place

A confirmation and the return after a failure made the same call, each with its own lines. Behaviour is the same; the features of mirror, reload, nodes, adapter and soak pass.

--- a/src/bramleystair/mirror/_mirror.py
+++ b/src/bramleystair/mirror/_mirror.py
@@ -135,12 +135,14 @@
         )
 
     def _ask_for_changes(self) -> None:
+        self._caught_up_s = self._timers.clock.now()
+        self._read_changes(self._take_catch_up)
+
+    def _read_changes(self, take: Callable[[Future, int, float], None]) -> None:
+        """Read the changes since the last answer without waiting for one."""
         generation, sent_s = self._generation, self._timers.clock.now()
-        self._caught_up_s = sent_s
         future = self._store.watch(self._kind, self._revision, CATCH_UP_WAIT_S, False)
-        future.add_done_callback(
-            lambda done: self._take_catch_up(done, generation, sent_s)
-        )
+        future.add_done_callback(lambda done: take(done, generation, sent_s))
 
     def _take_catch_up(self, future: Future, generation: int, sent_s: float) -> None:
         self._is_catching_up = False
@@ -212,11 +214,7 @@
         A watch that reaches a silent store is never answered, and would be waited for
         long after the store's return.
         """
-        generation, sent_s = self._generation, self._timers.clock.now()
-        future = self._store.watch(self._kind, self._revision, CATCH_UP_WAIT_S, False)
-        future.add_done_callback(
-            lambda done: self._take_resumed(done, generation, sent_s)
-        )
+        self._read_changes(self._take_resumed)
 
     def _take_resumed(self, future: Future, generation: int, sent_s: float) -> None:
         if generation != self._generation:
