Do not count a copy of an answered request as a request in progress

Cause: a caller repeats a request that takes longer than its first timeout. Where the copy crossed the response, the agent counted it as a further request in progress, which never ended; it took one of the server's slots until it counted as stuck, 5 to 7.5 s later. Ruled out: slots reserved for flows that never send a request; they end after 0.1 s.

--- /dev/null
+++ b/features/steps/admission_steps.py
@@ -0,0 +1,67 @@
+from behave import given, then, when
+from steering_samples import FLOW, make_segment
+
+from bramleystair.steering import (
+    OpenFlow,
+    ServerReport,
+    ServerState,
+)
+from bramleystair.steering._types import compute_service_id
+from bramleystair.steering.agent import AgentSteering, AgentSteeringSettings
+
+BALANCER = ("10.0.0.1", 7)
+AGENT = ("10.0.1.1", 8)
+
+
+def make_flow(number):
+    return bytes((number,)) + FLOW[1:]
+
+
+def open_flow(context, number):
+    message = OpenFlow(number, compute_service_id("web"), 0.0, False, b"")
+    segment = make_segment(make_flow(number), first=True, sequence=500)
+    return context.agent.handle_open(BALANCER, message, segment, context.now)
+
+
+@given("an agent whose idle server has {slots:d} slots")
+def create_idle(context, slots):
+    context.now = 100.0
+    settings = AgentSteeringSettings(heartbeat_s=0.8)
+    context.agent = AgentSteering(AGENT, "z", settings, context.now)
+    report = ServerReport("i-1", "web", "z", ServerState.READY, slots, 0.0, 10, 1000)
+    context.agent.take_report(report, context.now)
+
+
+@when("a caller is admitted and its request arrives")
+def admit_request(context):
+    open_flow(context, 0)
+    context.now += 0.004
+    answer = make_segment(make_flow(0), first=True, sequence=900, ack=501)
+    context.agent.handle_server_segment(answer, context.now)
+    send_request(context, 501)
+
+
+def send_request(context, sequence):
+    request = make_segment(make_flow(0), sequence=sequence, ack=901, size=40)
+    context.agent.handle_relay(BALANCER, request, context.now)
+
+
+@when("the server responds and a copy of the request arrives")
+def cross_response(context):
+    context.now += 0.21
+    response = make_segment(make_flow(0), sequence=901, ack=541, size=90)
+    context.agent.handle_server_segment(response, context.now)
+    context.now += 0.001
+    send_request(context, 501)
+
+
+@when("the caller sends its next request")
+def send_next(context):
+    context.now += 0.01
+    send_request(context, 541)
+
+
+@then("the agent reports {count:d} request in progress")
+@then("the agent reports {count:d} requests in progress")
+def check_running(context, count):
+    assert context.agent.build_load(context.now).running == count
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -26,7 +26,11 @@
     TryPacket,
 )
 from bramleystair.steering._outbox import Outbox
-from bramleystair.steering._segments import Segment, compute_distance
+from bramleystair.steering._segments import (
+    SEQUENCE_MODULUS,
+    Segment,
+    compute_distance,
+)
 from bramleystair.steering._types import (
     Address,
     Load,
@@ -60,6 +64,8 @@
         Whether the server has shown that it holds the flow.
     request_s : float or None
         Start of the request in progress.
+    newest_sequence : int or None
+        Number of the newest packet of a request, by which copies are recognised.
     acknowledgement : int
         What the caller acknowledged last, near which it accepts a reset.
     server_s : float or None
@@ -75,6 +81,7 @@
     is_open: bool = False
     is_certain: bool = False
     request_s: float | None = None
+    newest_sequence: int | None = None
     acknowledgement: int = 0
     server_s: float | None = None
 
@@ -529,9 +536,11 @@
         flow.balancer = sender
         flow.seen_s = now
         flow.acknowledgement = segment.acknowledgement
-        if segment.has_payload and flow.request_s is None:
+        if _starts_request(flow, segment):
             flow.request_s = now
             self._meter.start_request(now)
+        if _is_newest(flow, segment):
+            flow.newest_sequence = segment.sequence
         if segment.is_reset or segment.is_fin:
             self._end_request(flow, now)
         self._deliver(segment)
@@ -643,6 +652,20 @@
     return report.server, report.started_ms
 
 
+def _starts_request(flow: _Flow, segment: Segment) -> bool:
+    """Return whether a packet begins a request; a copy of an answered one does not."""
+    return flow.request_s is None and _is_newest(flow, segment)
+
+
+def _is_newest(flow: _Flow, segment: Segment) -> bool:
+    if not segment.has_payload:
+        return False
+    if flow.newest_sequence is None:
+        return True
+    distance = compute_distance(flow.newest_sequence, segment.sequence)
+    return 0 < distance < SEQUENCE_MODULUS // 2
+
+
 def _is_other_number(flow: _Flow, acknowledgement: int) -> bool:
     """Return whether a half-open flow's caller acknowledged another server's number."""
     if flow.is_open or flow.server_sequence is None:
