Move the first packets of a balancer into a module of their own

_balancer.py had 520 lines; who waits, who is refused and where a flow goes were spread over it. Behaviour is the same; the features of steering, neighbours, fuzz, power_loss and model pass.

--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -1,7 +1,6 @@
 """Decisions of a balancer: which agent receives each packet of a caller."""
 
 import random as random_module
-from collections import deque
 from collections.abc import Collection, Iterable
 
 import attrs
@@ -10,18 +9,16 @@
 from bramleystair.steering._events import Action, ResetCaller
 from bramleystair.steering._held_packets import HeldPackets
 from bramleystair.steering._lookups import OwnerLookups
-from bramleystair.steering._member import Member
 from bramleystair.steering._members import Members
 from bramleystair.steering._messages import (
     FindReply,
     LoadReport,
     Message,
-    OpenFlow,
     OpenReply,
-    Refusal,
     Relay,
     Subscribe,
 )
+from bramleystair.steering._openings import TOKEN_MODULUS, Openings
 from bramleystair.steering._outbox import Outbox
 from bramleystair.steering._segments import Segment, get_service_endpoint
 from bramleystair.steering._types import (
@@ -29,13 +26,8 @@
     MemberEntry,
     Route,
     RoutingRules,
-    compute_service_id,
 )
 
-TOKEN_MODULUS = 2**32
-# A later attempt at the same member would be refused for the same reason.
-_LASTING_REFUSALS = frozenset({Refusal.WRONG_SERVICE, Refusal.DRAINING})
-
 
 @attrs.define(eq=False)
 class _Owner:
@@ -53,22 +45,6 @@
     acknowledgement: int = 0
 
 
-@attrs.define(eq=False)
-class _Opening:
-    """A first packet for which a member is being chosen."""
-
-    segment: Segment
-    route: Route
-    service: str
-    token: int
-    started_s: float
-    sent_s: float = 0.0
-    tried: list[Address] = attrs.field(factory=list)
-    refusals: set[Refusal] = attrs.field(factory=set)
-    current: Address | None = None
-    is_accepted: bool = False
-
-
 class BalancerSteering:
     """Choose the agent for each packet of a caller.
 
@@ -92,22 +68,26 @@
         self._settings = settings
         self._rules: RoutingRules | None = None
         self.members = Members(settings, random, zone, name)
-        self._token = random.randrange(TOKEN_MODULUS)
+        first_token = random.randrange(TOKEN_MODULUS)
         self._owners: dict[bytes, _Owner] = {}
-        self._openings: dict[bytes, _Opening] = {}
         self._outbox = Outbox()
+        self._openings = Openings(
+            settings,
+            self.members,
+            self._outbox,
+            first_token,
+            lambda: self._rules,
+            self._record_opened,
+            self._forget_owner,
+        )
         self._lookups = OwnerLookups(
             settings,
             self.members,
             self._outbox,
-            self._token,
+            first_token,
             self._find_route,
             self._remember_owner,
         )
-        self._flows_by_token: dict[int, bytes] = {}
-        self._retry_due: deque[tuple[float, int, bytes]] = deque()
-        self._open_due: deque[tuple[float, int, bytes]] = deque()
-        self._settle_due: deque[tuple[float, int, bytes]] = deque()
         self._subscribe_s = 0.0
         self._check_s = 0.0
         self._event_s: float | None = None
@@ -146,17 +126,14 @@
         """Return the seconds until `run_timers` has something to do."""
         if self._held and self.is_informed:
             return 0.0
-        due = [self._subscribe_s, self._check_s, self._lookups.due_s, self._held.due_s]
-        due += [
-            queue[0][0]
-            for queue in (
-                self._open_due,
-                self._retry_due,
-                self._settle_due,
-            )
-            if queue
-        ]
-        return max(0.0, min(due) - now)
+        due_s = min(
+            self._subscribe_s,
+            self._check_s,
+            self._lookups.due_s,
+            self._openings.due_s,
+            self._held.due_s,
+        )
+        return max(0.0, due_s - now)
 
     def set_rules(self, rules: RoutingRules) -> None:
         """Apply a configuration; an older one is ignored."""
@@ -220,19 +197,7 @@
     def run_timers(self, now: float) -> list[Action]:
         """Return the actions that are due."""
         self._note_event(now)
-        while self._open_due and self._open_due[0][0] <= now:
-            _, token, flow = self._open_due.popleft()
-            self._expire_attempt(token, flow, now)
-        while self._retry_due and self._retry_due[0][0] <= now:
-            _, token, flow = self._retry_due.popleft()
-            opening = self._openings.get(flow)
-            if opening is not None and opening.token == token:
-                self._try_next(opening, now)
-        while self._settle_due and self._settle_due[0][0] <= now:
-            _, token, flow = self._settle_due.popleft()
-            opening = self._openings.get(flow)
-            if opening is not None and opening.token == token:
-                self._end_opening(opening)
+        self._openings.run_timers(now)
         self._lookups.run_timers(now)
         if now >= self._subscribe_s:
             self._subscribe(now)
@@ -282,170 +247,34 @@
             self._outbox.count("flow_refused", "no_route")
             self._outbox.reset(segment, "no_route")
             return
-        flow = segment.flow
-        opening = self._openings.get(flow)
-        if opening is not None and opening.segment.sequence == segment.sequence:
-            if opening.is_accepted:
-                # The server may not have answered; its agent decides whether to refuse.
-                opening.segment = segment
-                self._send_open(opening, opening.current, False, now)
+        if self._openings.repeat(segment, now):
             return
-        owner = self._owners.get(flow)
+        owner = self._owners.get(segment.flow)
         if owner is not None and owner.first_sequence == segment.sequence:
             self._outbox.send(owner.address, Relay(segment.data))
             return
-        self._owners.pop(flow, None)
-        if opening is not None:
-            self._end_opening(opening)
-        opening = _Opening(
-            segment, route, route.choose_service(flow), self._create_token(flow), now
-        )
-        self._openings[flow] = opening
-        self._try_next(opening, now)
+        self._forget_owner(segment.flow)
+        self._openings.start(segment, route, now)
 
     def _find_route(self, flow: bytes) -> Route | None:
         if self._rules is None:
             return None
         return self._rules.routes.get(get_service_endpoint(flow))
 
-    def _try_next(self, opening: _Opening, now: float) -> None:
-        member = None
-        if len(opening.tried) < self._settings.open_attempts:
-            member = self._choose(opening, opening.service, now)
-        if member is None:
-            member = self._choose_elsewhere(opening, now)
-        if member is None:
-            self._end_round(opening, now)
-            return
-        self._try_member(opening, member, False, now)
-
-    def _choose(self, opening: _Opening, service: str, now: float) -> Member | None:
-        # With busy members that answer, silent ones are not worth the wait.
-        live_only = Refusal.BUSY in opening.refusals
-        return self.members.choose(service, opening.tried, live_only, now)
-
-    def _try_member(
-        self, opening: _Opening, member: Member, is_last: bool, now: float
-    ) -> None:
-        address = member.entry.address
-        opening.tried.append(address)
-        opening.current = address
-        opening.is_accepted = False
-        member.opened += 1
-        self._send_open(opening, address, is_last, now)
-
-    def _end_round(self, opening: _Opening, now: float) -> None:
-        """Decide after all members tried have refused or not answered."""
-        settings = self._settings
-        held_s = now - opening.started_s
-        if self.members.has_busy(opening.service, now):
-            opening.refusals.add(Refusal.BUSY)
-        if Refusal.BUSY in opening.refusals and held_s >= settings.busy_hold_s:
-            # A request that waited longer would be late, and delay others.
-            self._give_up(opening, "busy")
-            return
-        if not opening.refusals - _LASTING_REFUSALS:
-            self._give_up(opening, "no_member")
-            return
-        if held_s >= settings.hold_s:
-            self._give_up(opening, "not_accepted")
-            return
-        # Agents that restart know their servers again within a heartbeat.
-        opening.tried.clear()
-        opening.current = None
-        opening.refusals.clear()
-        due_s = now + settings.round_delay_s
-        self._retry_due.append((due_s, opening.token, opening.segment.flow))
-
-    def _choose_elsewhere(self, opening: _Opening, now: float) -> Member | None:
-        """Return a member of another service that shares the route."""
-        for target in opening.route.targets:
-            if target.service == opening.service:
-                continue
-            member = self._choose(opening, target.service, now)
-            if member is not None:
-                opening.service = target.service
-                return member
-        return None
-
-    def _send_open(
-        self, opening: _Opening, address: Address, is_last: bool, now: float
-    ) -> None:
-        rules = self._rules.services.get(opening.service)
-        cold_rate = 0.0 if rules is None else rules.cold_rate
-        service_id = compute_service_id(opening.service)
-        data = opening.segment.data
-        message = OpenFlow(opening.token, service_id, cold_rate, is_last, data)
-        self._outbox.send(address, message)
-        self.members.expect_message(address, now)
-        opening.sent_s = now
-        due_s = now + self._settings.open_timeout_s
-        self._open_due.append((due_s, opening.token, opening.segment.flow))
-
     def _handle_open_reply(
         self, sender: Address, message: OpenReply, now: float
     ) -> None:
-        self.members.record_message(sender, now)
-        member = self.members.get(sender)
+        member = self.members.record_message(sender, now)
         if member is not None:
             member.load = message.load
-        flow = self._flows_by_token.get(message.token)
-        opening = None if flow is None else self._openings.get(flow)
-        if opening is None or opening.current != sender:
-            return
-        if message.refusal is Refusal.NONE:
-            opening.is_accepted = True
-            self._record_opened(opening, sender, now)
-            self._owners[flow] = _Owner(sender, opening.segment.sequence, now)
-            self._watch_owner(sender, now)
-            due_s = now + self._settings.settle_s
-            self._settle_due.append((due_s, opening.token, flow))
-            return
-        self._outbox.count("open_refused", message.refusal.name.lower())
-        self._owners.pop(flow, None)
-        opening.refusals.add(message.refusal)
-        if message.refusal is Refusal.BUSY:
-            self.members.record_busy(sender, now)
-        self._try_next(opening, now)
-
-    def _record_opened(self, opening: _Opening, agent: Address, now: float) -> None:
-        waited_s = now - opening.started_s
-        self._outbox.observe("open", waited_s)
-        member = self.members.get(agent)
-        self._outbox.log(
-            "open",
-            opening.segment.flow,
-            "accepted",
-            agent=agent[0],
-            tried=len(opening.tried),
-            waited_ms=round(waited_s * 1000, 1),
-            utilization=round(member.compute_utilization(), 2) if member else None,
-        )
-
-    def _expire_attempt(self, token: int, flow: bytes, now: float) -> None:
-        opening = self._openings.get(flow)
-        if opening is None or opening.token != token or opening.is_accepted:
-            return
-        address = opening.current
-        if address is None or opening.sent_s + self._settings.open_timeout_s > now:
-            # A reply to this attempt arrived, or a later one is on its way.
-            return
-        member = self.members.get(address)
-        if member is not None:
-            self.members.record_failure(member, now)
-        self._outbox.count("open_refused", "timeout")
-        opening.refusals.add(Refusal.NO_ANSWER)
-        self._outbox.log("open", flow, "timeout", agent=address[0])
-        self._try_next(opening, now)
+        self._openings.handle_reply(sender, message, now)
 
-    def _give_up(self, opening: _Opening, reason: str) -> None:
-        self._end_opening(opening)
-        self._outbox.count("flow_refused", reason)
-        self._outbox.reset(opening.segment, reason, tried=len(opening.tried))
+    def _record_opened(self, segment: Segment, agent: Address, now: float) -> None:
+        self._owners[segment.flow] = _Owner(agent, segment.sequence, now)
+        self._watch_owner(agent, now)
 
-    def _end_opening(self, opening: _Opening) -> None:
-        self._openings.pop(opening.segment.flow, None)
-        self._flows_by_token.pop(opening.token, None)
+    def _forget_owner(self, flow: bytes) -> None:
+        self._owners.pop(flow, None)
 
     def _handle_later(self, segment: Segment, now: float) -> None:
         owner = self._owners.get(segment.flow)
@@ -456,10 +285,10 @@
                 del self._owners[segment.flow]
             self._outbox.send(owner.address, Relay(segment.data))
             return
-        opening = self._openings.get(segment.flow)
-        if opening is not None and opening.current is not None:
+        member = self._openings.get_member(segment.flow)
+        if member is not None:
             # The caller's answer may be faster than the agent's.
-            self._outbox.send(opening.current, Relay(segment.data))
+            self._outbox.send(member, Relay(segment.data))
             return
         if segment.is_reset:
             self._outbox.count("packet_dropped", "reset_without_owner")
@@ -513,8 +342,3 @@
     def is_isolated(self, now: float) -> bool:
         """Return whether the balancer hears no member, as when it is cut off."""
         return self.members.is_isolated(now)
-
-    def _create_token(self, flow: bytes) -> int:
-        self._token = (self._token + 1) % TOKEN_MODULUS
-        self._flows_by_token[self._token] = flow
-        return self._token
