End a request when its server closes the flow

Cause: a caller whose deadline passes before its flow opens sends its request together with the end of the flow. The server acknowledges both, closes the flow and sends no response, while the agent counts the request as in progress until it is stuck, 5 to 7.5 s later. Ruled out: copies of answered requests, mended before; each of the 14 has one packet with payload. Change: the end of a flow from its server ends the request, too.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -13,3 +13,11 @@
     Then the agent reports 0 requests in progress
     When the caller sends its next request
     Then the agent reports 1 request in progress
+
+  Scenario: A caller gives up while its first packet waits
+    # Guards against slots that are taken by requests which never end: such a caller sends
+    # its request together with the end of the flow, and the server answers neither.
+    Given an agent whose idle server has 2 slots
+    When a caller is admitted and its request arrives
+    And the server closes the flow without a response
+    Then the agent reports 0 requests in progress
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -55,6 +55,14 @@
     send_request(context, 501)
 
 
+@when("the server closes the flow without a response")
+def close_flow(context):
+    context.now += 0.001
+    end = make_segment(make_flow(0), sequence=901, ack=542)
+    end.is_fin = True
+    context.agent.handle_server_segment(end, context.now)
+
+
 @when("the caller sends its next request")
 def send_next(context):
     context.now += 0.01
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -369,7 +369,7 @@
             self._outbox.observe("response", now - flow.request_s)
             self._meter.end_request(flow.request_s, now)
             flow.request_s = None
-        if segment.is_reset:
+        if segment.is_reset or segment.is_fin:
             self._end_request(flow, now)
         self._outbox.add(DeliverToCaller(segment.flow, segment.data))
         return self._outbox.take()
