--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -8,6 +8,20 @@
     Then its flow is 100.64.0.7:40001 to 198.18.0.1:443
     And it is a first packet with the number 287454020
 
+  Scenario Outline: A copy of a first packet tells its age
+    # Guards against slots for callers that have given up: the age is known from the
+    # number of copies even by a balancer that has just started.
+    Given the packet a1b2c3d5 11223344 <copies> 64400007 01bb 9c41 c6120001 0000 00000000 20 00
+    When it is read as a caller's packet
+    Then it was first sent <age> s before
+
+    Examples:
+      | copies   | age |
+      | 00000000 | 0   |
+      | 00000001 | 0.2 |
+      | 00000002 | 0.6 |
+      | 00000009 | 0.6 |
+
   Scenario: A reset is built
     When a reset of the flow 100.64.0.7:40001 to 198.18.0.1:443 is built with number 0
     Then the reset reads 00000000 00000000 00000000 c6120001 9c41 01bb 64400007 0000 00000000 04 00
@@ -36,6 +50,24 @@
     And the route 198.18.0.2:8443 goes to api alone
     And a cold api server bears 4 flows per second
 
+  Scenario: The service level of a route is translated
+    # Guards against callers of an important route that wait behind others.
+    Given a configuration with a split route, a plain route and an unknown field
+    When the configuration is read
+    Then the callers of 198.18.0.1:443 expect 0.25 s, wait 1.5 s and have priority 2
+    And the callers of 198.18.0.2:8443 expect 1 s, wait 10 s and have priority 0
+
+  Scenario Outline: Service levels that are no numbers of such a kind are refused
+    Given a configuration whose <field> is <value>
+    Then reading it is refused
+
+    Examples:
+      | field     | value    |
+      | Priority  | -1       |
+      | GoalMs    | -5       |
+      | GoalMs    | NaN      |
+      | TimeoutMs | Infinity |
+
   Scenario: Configurations of any content are read or refused
     When 300 damaged configurations are read
     Then each was read or refused with an error
--- a/features/admission.feature
+++ b/features/admission.feature
@@ -1,7 +1,29 @@
 Feature: Who is admitted while servers are busy
 
-  An agent bounds the requests in progress at its server, which it counts from the
-  packets that pass.
+  An agent bounds the requests in progress at its server, and those expected of flows
+  that it has admitted. It counts them from the packets that pass.
+
+  Scenario: Callers that arrive together
+    # Guards against a burst of first packets that all pass the limit before the first
+    # request arrives, and then queue at the server.
+    Given an agent whose idle server has 2 slots
+    When 5 first packets arrive at once
+    Then 3 of them are taken and 2 are refused as busy
+
+  Scenario: A caller that was admitted sends its request
+    # Guards against a request that counts twice, for its first packet and for itself.
+    Given an agent whose idle server has 2 slots
+    When a caller is admitted and its request arrives
+    Then the agent reports 1 request in progress
+
+  Scenario: A caller that was admitted never sends its request
+    # Guards against slots that stay taken by callers which have given up.
+    Given an agent whose idle server has 2 slots
+    When 5 first packets arrive at once
+    And 0.2 s pass without a request
+    And the balancer has no more callers that wait
+    Then the agent reports 0 requests in progress
+    And a further first packet is taken
 
   Scenario: A copy of a request crosses its response
     # Guards against requests that were never made: callers repeat a request that takes
@@ -21,3 +43,9 @@
     When a caller is admitted and its request arrives
     And the server closes the flow without a response
     Then the agent reports 0 requests in progress
+
+  Scenario: A caller ends its flow without a request
+    # Guards against slots that are kept for a caller which says that it has gone.
+    Given an agent whose idle server has 2 slots
+    When a caller is admitted and ends its flow
+    Then the agent reports 0 requests in progress
--- a/features/model.feature
+++ b/features/model.feature
@@ -55,6 +55,19 @@
     Then requests in time are at least 70 % of the capacity from 10 s on
     And no open flow was broken
 
+  Scenario Outline: A burst of two classes while servers are down
+    # Guards against callers with a flow for each request that starve behind those which
+    # hold long flows: 95 % of the first class are served, and half of the second in time.
+    When the pattern "burst" runs with seed <seed>
+    Then at least 95 % of the first class's requests from 10 s on are served
+    And at least 50 % of the second class's requests from 10 s on are in time
+    And no open flow was broken
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
   Scenario: One server crashes and returns under load
     # Guards against flows that stay silent after their server has gone.
     Given a modelled deployment of 5 servers of which 0 have half the speed
--- a/features/power_loss.feature
+++ b/features/power_loss.feature
@@ -32,3 +32,13 @@
     When a first packet reaches it
     And 0.6 s pass without news
     Then the caller is reset as not_informed
+
+  Scenario: A late copy of a first packet meets members that are starting
+    # Guards against a refusal at once because the caller has waited before: the copy is
+    # its last one, and the members know their servers again within a heartbeat.
+    Given a balancer that starts and does not know the zones
+    When a third copy of a first packet reaches it
+    And the balancer is told the zones
+    And the member refuses it since it does not know its server
+    And all other members refuse it, too
+    Then no caller is reset
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -13,7 +13,7 @@
 from bramleystair.platform._heartbeats import HEARTBEAT_PATH, read_report
 from bramleystair.platform._packets import Codec
 from bramleystair.platform._settings import read_settings
-from bramleystair.steering import ServerState
+from bramleystair.steering import ServerState, ServiceLevel
 
 SOURCES = Path(__file__).parents[2] / "src" / "bramleystair"
 # Names that only the platform's pages use.
@@ -46,6 +46,8 @@
             "Host": "198.18.0.1",
             "PathPrefix": "/443/",
             "GoalMs": 250,
+            "TimeoutMs": 1500,
+            "Priority": 2,
             "TrafficSplit": [
                 {"Service": "web", "Weight": 90},
                 {"Service": "api", "Weight": 10},
@@ -339,3 +341,33 @@
         path.read_text(encoding="utf-8") for path in (SOURCES / "platform").glob("*.py")
     )
     assert pattern.search(adapter)
+
+
+@then("it was first sent {age:g} s before")
+def check_age(context, age):
+    assert context.segment.age_s == age
+
+
+def find_level(context, address, port):
+    endpoint = socket.inet_aton(address) + port.to_bytes(2, "big")
+    return context.rules.routes[endpoint].level
+
+
+@then(
+    "the callers of {address}:{port:d} expect {objective:g} s, wait {deadline:g} s and"
+    " have priority {priority:d}"
+)
+def check_level(context, address, port, objective, deadline, priority):
+    level = find_level(context, address, port)
+    assert level == ServiceLevel(priority, objective, deadline), level
+
+
+@given("a configuration whose {field} is {value}")
+def change_level(context, field, value):
+    context.configuration = copy.deepcopy(CONFIGURATION)
+    context.configuration["Routes"][0][field] = json.loads(value)
+
+
+@then("reading it is refused")
+def check_level_refused(context):
+    assert read_rules(context.configuration).is_err()
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -1,10 +1,16 @@
+from collections import Counter
+
 from behave import given, then, when
 from steering_samples import FLOW, make_segment
 
 from bramleystair.steering import (
     OpenFlow,
+    OpenReply,
+    Refusal,
+    SendMessage,
     ServerReport,
     ServerState,
+    Urgency,
 )
 from bramleystair.steering._types import compute_service_id
 from bramleystair.steering.agent import AgentSteering, AgentSteeringSettings
@@ -18,11 +24,16 @@
 
 
 def open_flow(context, number):
-    message = OpenFlow(number, compute_service_id("web"), 0.0, False, b"")
+    message = OpenFlow(number, compute_service_id("web"), 0.0, Urgency(), None, b"")
     segment = make_segment(make_flow(number), first=True, sequence=500)
     return context.agent.handle_open(BALANCER, message, segment, context.now)
 
 
+def list_refusals(actions):
+    messages = [a.message for a in actions if isinstance(a, SendMessage)]
+    return [m.refusal for m in messages if isinstance(m, OpenReply)]
+
+
 @given("an agent whose idle server has {slots:d} slots")
 def create_idle(context, slots):
     context.now = 100.0
@@ -32,15 +43,34 @@
     context.agent.take_report(report, context.now)
 
 
-@when("a caller is admitted and its request arrives")
-def admit_request(context):
+@when("{count:d} first packets arrive at once")
+def open_flows(context, count):
+    context.actions = []
+    for number in range(count):
+        context.actions += open_flow(context, number)
+
+
+def admit(context):
     open_flow(context, 0)
     context.now += 0.004
     answer = make_segment(make_flow(0), first=True, sequence=900, ack=501)
     context.agent.handle_server_segment(answer, context.now)
+
+
+@when("a caller is admitted and its request arrives")
+def admit_request(context):
+    admit(context)
     send_request(context, 501)
 
 
+@when("a caller is admitted and ends its flow")
+def admit_end(context):
+    admit(context)
+    end = make_segment(make_flow(0), sequence=501, ack=901)
+    end.is_fin = True
+    context.agent.handle_relay(BALANCER, end, context.now)
+
+
 def send_request(context, sequence):
     request = make_segment(make_flow(0), sequence=sequence, ack=901, size=40)
     context.agent.handle_relay(BALANCER, request, context.now)
@@ -69,7 +99,33 @@
     send_request(context, 541)
 
 
+@when("{seconds:g} s pass without a request")
+def pass_time(context, seconds):
+    for number in range(2):
+        # The server answers first packets, so that it does not count as silent.
+        answer = make_segment(make_flow(number), first=True, sequence=900, ack=501)
+        context.agent.handle_server_segment(answer, context.now)
+    context.now += seconds
+    context.agent.run_timers(context.now)
+
+
+@when("the balancer has no more callers that wait")
+def decline_slot(context):
+    context.agent.handle_decline(BALANCER, context.now)
+
+
+@then("{taken:d} of them are taken and {refused:d} are refused as busy")
+def check_refusals(context, taken, refused):
+    counts = Counter(list_refusals(context.actions))
+    assert counts == {Refusal.NONE: taken, Refusal.BUSY: refused}, counts
+
+
 @then("the agent reports {count:d} request in progress")
 @then("the agent reports {count:d} requests in progress")
 def check_running(context, count):
     assert context.agent.build_load(context.now).running == count
+
+
+@then("a further first packet is taken")
+def check_further(context):
+    assert list_refusals(open_flow(context, 9)) == [Refusal.NONE]
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -4,10 +4,12 @@
 from steering_samples import ENDPOINT, get_member, make_entry, make_segment
 
 from bramleystair.steering import (
+    DeclineSlot,
     FindOwner,
     FindReply,
     Load,
     LoadReport,
+    OfferSlot,
     OpenFlow,
     OpenReply,
     Ownership,
@@ -22,6 +24,7 @@
     Subscribe,
     Target,
     TryPacket,
+    Urgency,
     decode_message,
     encode_message,
 )
@@ -89,7 +92,14 @@
         service_id = compute_service_id(draw.choice(("web", "api")))
         message = draw.choice(
             (
-                OpenFlow(token, service_id, draw.choice((0.0, 1e30)), False, data),
+                OpenFlow(
+                    token,
+                    service_id,
+                    draw.choice((0.0, 1e30)),
+                    Urgency(draw.random() < 0.5, draw.choice((0, 2, 255))),
+                    draw.choice((None, Urgency(True, 1))),
+                    data,
+                ),
                 OpenReply(token, draw.choice(tuple(Refusal)), load),
                 Relay(data),
                 FindOwner(token, flow, 77),
@@ -98,6 +108,8 @@
                 ReturnPacket(data),
                 Subscribe(draw.choice((0, 2**63))),
                 LoadReport(load, draw.choice((0, 2**63))),
+                OfferSlot(),
+                DeclineSlot(),
             )
         )
         encoded = bytearray(encode_message(message))
@@ -160,6 +172,8 @@
                 return self.agent.handle_relay(sender, segment, self.now)
             case OpenFlow():
                 return self.agent.handle_open(sender, message, segment, self.now)
+            case DeclineSlot():
+                return self.agent.handle_decline(sender, self.now)
             case TryPacket():
                 return self.agent.handle_try(sender, message, segment, self.now)
             case FindOwner():
--- a/features/steps/model_steps.py
+++ b/features/steps/model_steps.py
@@ -9,6 +9,7 @@
     Outcome,
     ServerSettings,
 )
+from bramleystair.model._patterns import PATTERNS, POLICIES
 
 FAST, SLOW = ServerSettings(), ServerSettings(speed=0.5)
 
@@ -27,7 +28,7 @@
     context.fleet = Fleet(
         FleetSettings(
             servers=(FAST,) * 3,
-            callers=CallerSettings(callers=350, period_s=0.4),
+            callers=(CallerSettings(callers=350, period_s=0.4),),
         )
     )
     # Three servers with five slots and 60 ms of work.
@@ -39,7 +40,7 @@
     server = ServerSettings(cold_s=4.0)
     callers = CallerSettings(keeps_flows=False, callers=130)
     context.fleet = Fleet(
-        FleetSettings(servers=(server,) * 3, cold_rate=rate, callers=callers)
+        FleetSettings(servers=(server,) * 3, cold_rate=rate, callers=(callers,))
     )
     context.opened = []
     for fleet_server in context.fleet.servers:
@@ -160,6 +161,41 @@
     assert max(runs[: context.slow]) < min(runs[context.slow :]), runs
 
 
+@when('the pattern "{pattern}" runs with seed {seed:d}')
+def run_pattern(context, pattern, seed):
+    context.fleet = PATTERNS[pattern](POLICIES[0], seed)
+
+
+def compute_class_share(context, first_group, outcomes, start):
+    """Return the share of a class, whose groups of callers have every second number."""
+    groups = context.fleet.report.groups
+    reports = [groups[number] for number in sorted(groups)[first_group::2]]
+    counts = {
+        outcome: sum(report.count(outcome, start) for report in reports)
+        for outcome in Outcome
+    }
+    return sum(counts[outcome] for outcome in outcomes) / sum(counts.values())
+
+
+@then(
+    "at least {percent:d} % of the first class's requests from {start:d} s on are"
+    " served"
+)
+def check_first_class(context, percent, start):
+    served = (Outcome.IN_TIME, Outcome.LATE)
+    share = compute_class_share(context, 0, served, start)
+    assert share >= percent / 100, share
+
+
+@then(
+    "at least {percent:d} % of the second class's requests from {start:d} s on are in"
+    " time"
+)
+def check_second_class(context, percent, start):
+    share = compute_class_share(context, 1, (Outcome.IN_TIME,), start)
+    assert share >= percent / 100, share
+
+
 @then("no open flow was broken")
 def check_flows(context):
     assert context.fleet.report.broken_flows == 0, context.fleet.report.broken_flows
--- a/features/steps/power_loss_steps.py
+++ b/features/steps/power_loss_steps.py
@@ -6,7 +6,10 @@
 from bramleystair.steering import (
     Decision,
     FindOwner,
+    Load,
     OpenFlow,
+    OpenReply,
+    Refusal,
     ResetCaller,
     Route,
     RoutingRules,
@@ -49,6 +52,42 @@
     send(context, make_segment(first=True))
 
 
+@when("a third copy of a first packet reaches it")
+def send_third_copy(context):
+    segment = make_segment(first=True)
+    segment.age_s = 0.6
+    send(context, segment)
+
+
+def refuse(context):
+    """Refuse the flow at the member that was asked last; return whether one was."""
+    asked = [
+        (action.address, action.message)
+        for action in context.actions
+        if isinstance(action, SendMessage) and isinstance(action.message, OpenFlow)
+    ]
+    for address, message in asked:
+        reply = OpenReply(message.token, Refusal.UNKNOWN_SERVER, Load(slots=0))
+        context.actions = context.starting.handle_message(address, reply, context.now)
+    return bool(asked)
+
+
+@when("the member refuses it since it does not know its server")
+def refuse_first(context):
+    assert refuse(context)
+
+
+@when("all other members refuse it, too")
+def refuse_others(context):
+    while refuse(context):
+        pass
+
+
+@then("no caller is reset")
+def check_not_reset(context):
+    assert not any(isinstance(action, ResetCaller) for action in context.actions)
+
+
 @when("a packet of an open flow reaches it")
 def send_later_early(context):
     send(context, make_segment(ack=77, size=5))
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -7,12 +7,14 @@
 
 from bramleystair.steering import (
     ConfirmMembers,
+    DeclineSlot,
     DeliverToServer,
     FindOwner,
     FindReply,
     Load,
     LoadReport,
     MemberEntry,
+    OfferSlot,
     OpenFlow,
     OpenReply,
     Ownership,
@@ -29,6 +31,7 @@
     Subscribe,
     Target,
     TryPacket,
+    Urgency,
     decode_entry,
     decode_message,
     encode_bundle,
@@ -84,7 +87,7 @@
 
 @when("a new flow for {service} arrives")
 def open_flow(context, service):
-    message = OpenFlow(7, compute_service_id(service), 0.0, False, b"")
+    message = OpenFlow(7, compute_service_id(service), 0.0, Urgency(), None, b"")
     segment = make_segment(first=True, sequence=FIRST_NUMBER)
     context.actions = context.agent.handle_open(BALANCER, message, segment, context.now)
 
@@ -604,7 +607,7 @@
 
 
 MESSAGES = (
-    OpenFlow(3, 2**60, 4.5, True, b"packet"),
+    OpenFlow(3, 2**60, 4.5, Urgency(True, 2), Urgency(), b"packet"),
     OpenReply(3, Refusal.BUSY, Load(running=3, busy=1.5, is_cold=True)),
     Relay(b"packet"),
     FindOwner(9, bytes(range(12)), 77),
@@ -613,6 +616,8 @@
     ReturnPacket(b"packet"),
     Subscribe(12),
     LoadReport(Load(ServerState.DRAINING, is_accepting=False), 12),
+    OfferSlot(),
+    DeclineSlot(),
 )
 
 
@@ -626,7 +631,7 @@
 def check_finite(context):
     for number in (float("nan"), float("inf"), -1.0):
         messages = (
-            OpenFlow(3, 2**60, number, False, b"packet"),
+            OpenFlow(3, 2**60, number, Urgency(), None, b"packet"),
             OpenReply(3, Refusal.BUSY, Load(busy=number)),
             LoadReport(Load(service_s=number)),
         )
@@ -658,7 +663,7 @@
     results = [
         decode_message(source.randbytes(source.randrange(60))) for _ in range(count)
     ]
-    kinds = [bytes((kind,)) + source.randbytes(21) for kind in range(1, 10)]
+    kinds = [bytes((kind,)) + source.randbytes(21) for kind in range(1, 13)]
     results += [decode_message(data) for data in kinds]
     assert any(result.is_err() for result in results)
     assert decode_message(b"").is_err()
--- a/src/bramleystair/model/_callers.py
+++ b/src/bramleystair/model/_callers.py
@@ -35,6 +35,10 @@
     ----------
     callers : int
         Number of callers, each with at most one request at a time.
+    priority : int
+        Priority of their route; 0 is the highest.
+    start_s, end_s : float
+        Span in which they send requests.
     period_s : float
         Mean time between the requests of a caller.
     objective_s, deadline_s : float
@@ -48,6 +52,9 @@
     """
 
     callers: int = 100
+    priority: int = 0
+    start_s: float = 0.0
+    end_s: float = float("inf")
     period_s: float = 0.7
     objective_s: float = 0.25
     deadline_s: float = 1.5
@@ -99,7 +106,8 @@
 
     def start(self) -> None:
         """Begin with requests at a random time."""
-        delay_s = self._random.uniform(0, self._settings.period_s)
+        delay_s = self._settings.start_s
+        delay_s += self._random.uniform(0, self._settings.period_s)
         self._events.call_after(delay_s, self._begin_request)
 
     def take(self, segment: Segment) -> None:
@@ -107,9 +115,10 @@
         if segment.flow != self._flow:
             return
         if segment.is_reset:
+            may_retry = self._settings.is_idempotent or not self._is_open
             self._flow = None
             self._is_open = False
-            self._fail(is_refused=True)
+            self._fail(is_refused=True, may_retry=may_retry)
             return
         if segment.is_first:
             if not self._is_open:
@@ -121,6 +130,8 @@
             self._finish()
 
     def _begin_request(self) -> None:
+        if self._events.now >= self._settings.end_s:
+            return
         self._started_s = self._events.now
         self._attempts = 0
         self._request += 1
@@ -180,10 +191,10 @@
         is_late = latency_s > self._settings.objective_s
         self._end(Outcome.LATE if is_late else Outcome.IN_TIME)
 
-    def _fail(self, is_refused: bool) -> None:
+    def _fail(self, is_refused: bool, may_retry: bool = True) -> None:
         if self._started_s is None:
             return
-        if self._attempts > self._settings.retries:
+        if not may_retry or self._attempts > self._settings.retries:
             self._end(Outcome.REFUSED if is_refused else Outcome.EXPIRED)
             return
         request = self._request
--- a/src/bramleystair/model/_fleet.py
+++ b/src/bramleystair/model/_fleet.py
@@ -3,6 +3,7 @@
 import random as random_module
 import struct
 import zlib
+from functools import partial
 
 import attrs
 
@@ -16,6 +17,7 @@
     Action,
     ConfirmMembers,
     Decision,
+    DeclineSlot,
     DeliverToCaller,
     DeliverToServer,
     FindOwner,
@@ -29,6 +31,7 @@
     SendMessage,
     ServerReport,
     ServerState,
+    ServiceLevel,
     ServiceRules,
     Subscribe,
     Target,
@@ -37,7 +40,8 @@
 from bramleystair.steering.agent import AgentSteering, AgentSteeringSettings
 from bramleystair.steering.balancer import BalancerSteering, BalancerSteeringSettings
 
-ENDPOINT = bytes((198, 18, 0, 1)) + struct.pack("!H", 443)
+SERVICE_HOST = bytes((198, 18, 0, 1))
+FIRST_PORT = 443
 SERVICE = "feed"
 # One way between nodes, and between nodes and callers.
 NODE_DELAY_S = 0.001
@@ -56,6 +60,8 @@
 
     Parameters
     ----------
+    callers : tuple of CallerSettings
+        Groups of callers, each with a route of its own.
     work_s : float
         Mean work of a request in seconds.
     heartbeat_s : float
@@ -68,7 +74,7 @@
 
     balancers: int = 3
     servers: tuple[ServerSettings, ...] = (ServerSettings(),) * 5
-    callers: CallerSettings = CallerSettings()
+    callers: tuple[CallerSettings, ...] = (CallerSettings(),)
     work_s: float = 0.06
     heartbeat_s: float = 0.8
     cold_rate: float = 0.0
@@ -217,19 +223,20 @@
         self._send_report(address)
 
     def _create_callers(self) -> None:
-        settings = self.settings.callers
-        for number in range(settings.callers):
-            caller = Caller(
-                number,
-                ENDPOINT,
-                settings,
-                self.events,
-                self.random,
-                self._send_to_balancer,
-                self.report.record,
-            )
-            self._callers[struct.pack("!I", 0x64400000 + number)] = caller
-            caller.start()
+        for group, settings in enumerate(self.settings.callers):
+            for _ in range(settings.callers):
+                number = len(self._callers)
+                caller = Caller(
+                    number,
+                    _get_endpoint(group),
+                    settings,
+                    self.events,
+                    self.random,
+                    self._send_to_balancer,
+                    partial(self.report.record, group=group),
+                )
+                self._callers[struct.pack("!I", 0x64400000 + number)] = caller
+                caller.start()
 
     def _begin_balancer(self, address: Address) -> None:
         balancer = BalancerSteering(self.settings.balancer_steering, self.random)
@@ -239,9 +246,17 @@
         self._balancers[address] = balancer
 
     def _build_rules(self) -> RoutingRules:
-        route = Route("feed", ENDPOINT, (Target(SERVICE, 1.0),))
+        routes = {}
+        for group, callers in enumerate(self.settings.callers):
+            endpoint = _get_endpoint(group)
+            level = ServiceLevel(
+                callers.priority, callers.objective_s, callers.deadline_s
+            )
+            routes[endpoint] = Route(
+                f"route-{group}", endpoint, (Target(SERVICE, 1.0),), level
+            )
         rules = ServiceRules(SERVICE, self.settings.cold_rate)
-        return RoutingRules(self._version, {ENDPOINT: route}, {SERVICE: rules})
+        return RoutingRules(self._version, routes, {SERVICE: rules})
 
     def _send_heartbeat(self, address: Address) -> None:
         self._send_report(address)
@@ -307,6 +322,8 @@
         balancer = self._balancers.get(receiver)
         if agent is not None:
             match message:
+                case DeclineSlot():
+                    actions = agent.handle_decline(sender, now)
                 case Subscribe():
                     actions = agent.handle_subscription(sender, message, now)
                 case Relay(data):
@@ -374,6 +391,10 @@
         self.events.call_after(TIMER_PERIOD_S, self._run_timers)
 
 
+def _get_endpoint(group: int) -> bytes:
+    return SERVICE_HOST + struct.pack("!H", FIRST_PORT + group)
+
+
 def _get_balancer_address(number: int) -> Address:
     return f"10.0.0.{number + 1}", PORT
 
--- a/src/bramleystair/model/_report.py
+++ b/src/bramleystair/model/_report.py
@@ -19,15 +19,20 @@
         Open flows that were reset although their server held them.
     runs : dict of str to int
         Requests processed by server.
+    groups : dict of int to Report
+        Outcomes of each group of callers.
     """
 
     outcomes: Counter[tuple[int, Outcome]] = attrs.field(factory=Counter)
     broken_flows: int = 0
     runs: dict[str, int] = attrs.field(factory=dict)
+    groups: "dict[int, Report]" = attrs.field(factory=dict)
 
-    def record(self, outcome: Outcome, started_s: float) -> None:
-        """Count a request."""
-        self.outcomes[int(started_s), outcome] += 1
+    def record(self, outcome: Outcome, started_s: float, group: int) -> None:
+        """Count a request of a group of callers."""
+        second = int(started_s)
+        self.outcomes[second, outcome] += 1
+        self.groups.setdefault(group, Report()).outcomes[second, outcome] += 1
 
     def count(
         self, outcome: Outcome, start_s: float = 0, end_s: float = float("inf")
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -23,6 +23,7 @@
 from bramleystair.nodes._settings import MEMBER_KIND, NodeSettings, PacketCodec
 from bramleystair.steering import (
     Action,
+    DeclineSlot,
     DeliverToServer,
     FindOwner,
     Message,
@@ -149,6 +150,8 @@
             return self._steering.handle_subscription(sender, message, now)
         if isinstance(message, FindOwner):
             return self._steering.handle_find(sender, message, now)
+        if isinstance(message, DeclineSlot):
+            return self._steering.handle_decline(sender, now)
         if not isinstance(message, Relay | OpenFlow | TryPacket):
             self.metrics.count("message_dropped", "unexpected")
             return ()
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -126,7 +126,11 @@
         self._is_stopping = True
         delay_s = min(WITHDRAW_S, GRACE_SHARE * self._settings.grace_s)
         log.info("withdrawing", extra={"seconds": delay_s})
-        subscribe_once(self._loop, delay_s, self._loop.stop)
+        subscribe_once(self._loop, delay_s, self._end)
+
+    def _end(self) -> None:
+        self._handle(self._steering.end())
+        self._loop.stop()
 
     def is_ready(self) -> bool:
         """Return whether all objects are known and members are heard.
--- a/src/bramleystair/platform/_configuration.py
+++ b/src/bramleystair/platform/_configuration.py
@@ -1,12 +1,19 @@
 """The operator's configuration."""
 
+import math
 import socket
 from typing import Any
 
 from result import Err, Ok, Result
 
 from bramleystair.errors import StepError
-from bramleystair.steering._types import Route, RoutingRules, ServiceRules, Target
+from bramleystair.steering._types import (
+    Route,
+    RoutingRules,
+    ServiceLevel,
+    ServiceRules,
+    Target,
+)
 
 CONFIG_KIND = "config"
 EVACUATION_KIND = "evacuations"
@@ -53,7 +60,20 @@
     if not targets:
         raise ValueError(f"route {item['Name']} has no service")
     name = _read_text(item["Name"])
-    return Route(name, endpoint, targets)
+    return Route(name, endpoint, targets, _read_level(item))
+
+
+def _read_level(item: dict[str, Any]) -> ServiceLevel:
+    default = ServiceLevel()
+    level = ServiceLevel(
+        int(item.get("Priority", default.priority)),
+        float(item.get("GoalMs", default.objective_s * 1000)) / 1000,
+        float(item.get("TimeoutMs", default.deadline_s * 1000)) / 1000,
+    )
+    times_s = (level.objective_s, level.deadline_s)
+    if level.priority < 0 or not all(0 <= time_s < math.inf for time_s in times_s):
+        raise ValueError(f"route {item['Name']} has a service level of {level}")
+    return level
 
 
 def _read_text(value: Any) -> str:
--- a/src/bramleystair/platform/_packets.py
+++ b/src/bramleystair/platform/_packets.py
@@ -9,6 +9,9 @@
 _FLAGS_OFFSET = 30
 SYN, ACK, FIN, RST, BOUNCED = 32, 8, 64, 4, 1
 MAX_DATA_BYTES = 1200
+# A caller counts the copies of its first packet in `ack`, and sends them so long after
+# the first one.
+_COPY_AGES_S = (0.0, 0.2, 0.6)
 
 
 class Codec:
@@ -20,7 +23,10 @@
         if fields is None:
             return None
         _, sequence, ack, src, dport, sport, dst, length, _, flags, _ = fields
-        return _build(src + dst + sport + dport, data, sequence, ack, length, flags)
+        segment = _build(src + dst + sport + dport, data, sequence, ack, length, flags)
+        if segment.is_first:
+            segment.age_s = _COPY_AGES_S[min(ack, len(_COPY_AGES_S) - 1)]
+        return segment
 
     def decode_outbound(self, data: bytes) -> Segment | None:
         """Return a server's packet, or a caller's that the server returned."""
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -17,6 +17,7 @@
     FindOwner,
     FindReply,
     LoadReport,
+    OfferSlot,
     OpenFlow,
     OpenReply,
     Ownership,
@@ -25,7 +26,9 @@
     Subscribe,
     TryPacket,
 )
+from bramleystair.steering._offers import SlotOffers
 from bramleystair.steering._outbox import Outbox
+from bramleystair.steering._reservations import Reservations
 from bramleystair.steering._segments import (
     SEQUENCE_MODULUS,
     Segment,
@@ -140,6 +143,8 @@
         self._lookup_due: deque[tuple[float, bytes]] = deque()
         self._learning_until_s = now + settings.flow_lifetime_s
         self._meter = LoadMeter(settings.busy_window_s)
+        self._reservations = Reservations(settings.request_wait_s)
+        self._offers = SlotOffers(settings.offer_wait_s, settings.interest_s)
         self._server_s = now
         self._unanswered_s: float | None = None
         self._subscribers: dict[Address, float] = {}
@@ -182,7 +187,7 @@
 
     def compute_wait(self, now: float) -> float:
         """Return the seconds until `run_timers` has something to do."""
-        due_s = self._next_report_s
+        due_s = min(self._next_report_s, self._offers.due_s)
         if self._lookup_due:
             due_s = min(due_s, self._lookup_due[0][0])
         return max(0.0, due_s - now)
@@ -205,6 +210,7 @@
             # Entries stay until the new server returns their packets.
             self._learning_until_s = now + self._settings.flow_lifetime_s
             self._meter.reset(now)
+            self._reservations.clear()
             self._release_former(report, now)
         elif is_new and self._has_seen_start(report):
             self._learning_until_s = now
@@ -277,7 +283,16 @@
         if flow is not None and flow.first_sequence == segment.sequence:
             self._handle_copy(sender, message, segment, flow, now)
             return self._outbox.take()
+        # A slot that was offered to the sender is free for this flow.
+        self._offers.settle(sender)
         refusal = self._check_admission(message, now)
+        waiting = [message.waiting] if message.waiting is not None else []
+        if refusal is Refusal.BUSY:
+            waiting.append(message.urgency)
+        if waiting:
+            self._offers.add_interest(sender, min(waiting), now)
+        else:
+            self._offers.remove_interest(sender)
         if refusal is not Refusal.NONE:
             self._refuse(sender, message.token, segment.flow, refusal, now)
             return self._outbox.take()
@@ -287,10 +302,19 @@
         self._flows[segment.flow] = _Flow(
             sender, now, message.token, segment.sequence, now
         )
+        self._reservations.add(segment.flow, now)
         if self._unanswered_s is None:
             self._unanswered_s = now
         self._deliver(segment)
         self._reply(sender, message.token, Refusal.NONE, now)
+        self._offer_slots(now)
+        return self._outbox.take()
+
+    def handle_decline(self, sender: Address, now: float) -> list[Action]:
+        """Offer a slot that a balancer has no use for to another one."""
+        self._offers.settle(sender)
+        self._offers.remove_interest(sender)
+        self._offer_slots(now)
         return self._outbox.take()
 
     def handle_relay(
@@ -370,8 +394,10 @@
             self._meter.end_request(flow.request_s, now)
             flow.request_s = None
         if segment.is_reset or segment.is_fin:
+            self._reservations.discard(segment.flow)
             self._end_request(flow, now)
         self._outbox.add(DeliverToCaller(segment.flow, segment.data))
+        self._offer_slots(now)
         return self._outbox.take()
 
     def handle_subscription(
@@ -390,6 +416,7 @@
         while self._lookup_due and self._lookup_due[0][0] <= now:
             _, flow = self._lookup_due.popleft()
             self._confirm_likely(flow, now)
+        self._offer_slots(now)
         if now >= self._next_report_s:
             self._next_report_s = now + max(
                 self._settings.report_period_s,
@@ -418,12 +445,12 @@
         is_accepting = (
             not self._is_stopping
             and not self.is_server_silent(now)
-            and self._meter.running < self._settings.max_load * report.slots
+            and not self._is_busy(report, now)
         )
         return Load(
             report.state,
             report.slots,
-            self._meter.running,
+            self._count_admitted(now),
             self._meter.busy,
             len(self._flows),
             self._meter.service_s,
@@ -471,11 +498,36 @@
             message.cold_rate, now
         ):
             return Refusal.COLD
-        limit = self._settings.max_load * report.slots
-        if self._meter.running >= limit and not message.is_last:
+        if self._is_busy(report, now):
             return Refusal.BUSY
         return Refusal.NONE
 
+    def _is_busy(self, report: ServerReport, now: float) -> bool:
+        settings = self._settings
+        return (
+            self._meter.running >= settings.max_load * report.slots
+            or self._count_admitted(now) >= settings.max_admitted * report.slots
+        )
+
+    def _count_admitted(self, now: float) -> int:
+        """Return the requests in progress, with those that are on their way."""
+        expected = self._reservations.count(now) + self._offers.count(now)
+        return self._meter.running + expected
+
+    def _offer_slots(self, now: float) -> None:
+        """Offer free slots to the balancers whose callers wait for one."""
+        report = self._report
+        if report is None or report.state is not ServerState.READY:
+            return
+        while not self._is_busy(report, now):
+            if self._is_stopping or self.is_server_silent(now):
+                return
+            balancer = self._offers.choose(now)
+            if balancer is None:
+                return
+            self._outbox.count("slot_offered", "free")
+            self._outbox.send(balancer, OfferSlot())
+
     def _release_former(self, report: ServerReport, now: float) -> None:
         """Reset the flows of a server that has been replaced by `report`'s.
 
@@ -538,10 +590,12 @@
         flow.acknowledgement = segment.acknowledgement
         if _starts_request(flow, segment):
             flow.request_s = now
+            self._reservations.discard(segment.flow)
             self._meter.start_request(now)
         if _is_newest(flow, segment):
             flow.newest_sequence = segment.sequence
         if segment.is_reset or segment.is_fin:
+            self._reservations.discard(segment.flow)
             self._end_request(flow, now)
         self._deliver(segment)
 
@@ -592,6 +646,7 @@
 
     def _remove_flow(self, flow: bytes, now: float) -> None:
         known = self._flows.pop(flow, None)
+        self._reservations.discard(flow)
         if known is not None:
             self._end_request(known, now)
 
@@ -605,11 +660,19 @@
         if now - self._purged_s < settings.stuck_after_s / 2:
             return
         self._purged_s = now
-        for flow in self._flows.values():
+        for key, flow in self._flows.items():
             if (
                 flow.request_s is not None
                 and now - flow.request_s > settings.stuck_after_s
             ):
+                self._outbox.count("request_stuck", "no_response")
+                self._outbox.log(
+                    "request",
+                    key,
+                    "stuck",
+                    seconds=round(now - flow.request_s, 1),
+                    is_certain=flow.is_certain,
+                )
                 self._end_request(flow, now)
         oldest_s = now - settings.flow_lifetime_s
         for key in [k for k, flow in self._flows.items() if flow.seen_s < oldest_s]:
@@ -634,7 +697,7 @@
     ) -> None:
         reason = refusal.name.lower()
         self._outbox.count("flow_refused", reason)
-        self._outbox.log("open", flow, reason, running=self._meter.running)
+        self._outbox.log("open", flow, reason, running=self._count_admitted(now))
         self._reply(sender, token, refusal, now)
 
     def _reply(self, sender: Address, token: int, refusal: Refusal, now: float) -> None:
--- a/src/bramleystair/steering/_agent_settings.py
+++ b/src/bramleystair/steering/_agent_settings.py
@@ -21,8 +21,18 @@
     silent_heartbeats : float
         Missed reports, in intervals, after which the server counts as silent.
     max_load : float
-        Requests in progress per slot from which new flows are refused as long as
-        another member is left.
+        Requests in progress per slot from which new flows are refused.
+    max_admitted : float
+        The same for requests in progress or expected. It is above `max_load`, since
+        slots get free while a request is on its way.
+    request_wait_s : float
+        Time for which an admitted flow takes a slot without a request; several round
+        trips to a caller.
+    offer_wait_s : float
+        Time for which a slot is kept for a balancer that was offered it; several round
+        trips between availability zones.
+    interest_s : float
+        Time for which a balancer that was refused is offered slots.
     report_period_s : float
         Interval between load reports, at least.
     report_gap_s : float
@@ -50,6 +60,10 @@
     first_reply_s: float = 0.15
     silent_heartbeats: float = 2.5
     max_load: float = 1.0
+    max_admitted: float = 1.5
+    request_wait_s: float = 0.1
+    offer_wait_s: float = 0.03
+    interest_s: float = 0.5
     report_period_s: float = 0.25
     report_gap_s: float = 0.025
     subscription_s: float = 3.0
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -11,9 +11,11 @@
 from bramleystair.steering._lookups import OwnerLookups
 from bramleystair.steering._members import Members
 from bramleystair.steering._messages import (
+    DeclineSlot,
     FindReply,
     LoadReport,
     Message,
+    OfferSlot,
     OpenReply,
     Relay,
     Subscribe,
@@ -141,6 +143,7 @@
             return
         self._rules = rules
         self._outbox.version = rules.version
+        self._openings.apply_rules(rules)
         self.newest_version = max(self.newest_version, rules.version)
 
     def set_members(self, entries: Iterable[MemberEntry], now: float) -> None:
@@ -172,6 +175,8 @@
                 self._handle_open_reply(sender, message, now)
             case FindReply():
                 self._lookups.handle_reply(sender, message, now)
+            case OfferSlot():
+                self._handle_offer(sender, now)
             case LoadReport(load, rules_version):
                 self.members.record_load(sender, load, now)
                 self.newest_version = max(self.newest_version, rules_version)
@@ -206,6 +211,11 @@
             self._check_members(now)
         return self._outbox.take()
 
+    def end(self) -> list[Action]:
+        """Refuse the callers that no member has taken, since this process ends."""
+        self._openings.end()
+        return self._outbox.take()
+
     def _note_event(self, now: float) -> None:
         """Notice that this process did not run for a while."""
         elapsed_s = 0.0 if self._event_s is None else now - self._event_s
@@ -269,6 +279,11 @@
             member.load = message.load
         self._openings.handle_reply(sender, message, now)
 
+    def _handle_offer(self, sender: Address, now: float) -> None:
+        member = self.members.record_message(sender, now)
+        if member is None or not self._openings.use_slot(member, now):
+            self._outbox.send(sender, DeclineSlot())
+
     def _record_opened(self, segment: Segment, agent: Address, now: float) -> None:
         self._owners[segment.flow] = _Owner(agent, segment.sequence, now)
         self._watch_owner(agent, now)
--- a/src/bramleystair/steering/_balancer_settings.py
+++ b/src/bramleystair/steering/_balancer_settings.py
@@ -16,10 +16,18 @@
         Members of one service tried in a round.
     round_delay_s : float
         Pause before the members are tried again.
-    busy_hold_s : float
-        Time for which a first packet is tried while members answer that they are busy.
+    first_packet_s : float
+        Time after which a caller gives up a first packet that was not answered.
+    max_waiting : int
+        First packets that wait for a slot at once.
+    poll_s : float
+        Interval at which members are asked for a slot while first packets wait, for
+        offers that were lost.
+    rate_window_s : float
+        Span over which the flows placed are counted, to predict who waits in vain.
     hold_s : float
-        Time for which a first packet is tried; the caller gives up after 1.4 s.
+        Time for which a first packet is tried at members that do not take it for
+        another reason than their load.
     settle_s : float
         Time for which an accepted flow may still be refused by its server.
     lookup_delays_s : tuple of float
@@ -85,7 +93,10 @@
     open_timeout_s: float = 0.06
     open_attempts: int = 4
     round_delay_s: float = 0.04
-    busy_hold_s: float = 0.05
+    first_packet_s: float = 1.4
+    max_waiting: int = 1024
+    poll_s: float = 0.1
+    rate_window_s: float = 0.5
     hold_s: float = 0.5
     settle_s: float = 1.5
     lookup_delays_s: tuple[float, ...] = (0.12, 0.25, 0.4)
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -177,7 +177,7 @@
         return [
             member
             for member in self._members.values()
-            if member.entry.service == service and self._is_ready(member)
+            if member.entry.service == service and self.is_ready(member)
         ]
 
     def choose(
@@ -237,6 +237,20 @@
             now < member.busy_until_s for member in self.list_candidates(service)
         )
 
+    def estimate_response_s(self, service: str) -> float:
+        """Return the average time to respond of the service's members, 0 if unknown."""
+        loads = [member.load for member in self.list_candidates(service)]
+        known = [load.service_s for load in loads if load and load.service_s > 0]
+        return sum(known) / len(known) if known else 0.0
+
+    def count_slots(self, service: str, now: float) -> int:
+        """Return the slots of the service's members that are not lost."""
+        return sum(
+            member.entry.slots
+            for member in self.list_candidates(service)
+            if not self.is_lost(member, now)
+        )
+
     def list_lost(self, now: float) -> frozenset[Address]:
         """Return the members whose silence says that their VM is gone."""
         return frozenset(
@@ -269,7 +283,8 @@
         watched = self.list_watched()
         return bool(watched) and all(now - m.heard_s > limit_s for m in watched)
 
-    def _is_ready(self, member: Member) -> bool:
+    def is_ready(self, member: Member) -> bool:
+        """Return whether new flows may be sent to a member."""
         return (
             member.entry.state is ServerState.READY
             and member.entry.zone not in self._evacuated
@@ -280,7 +295,7 @@
         return frozenset(
             address
             for address, member in self._members.items()
-            if not self._is_ready(member)
+            if not self.is_ready(member)
             or member.is_unable
             or self.is_lost(member, now)
         )
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -13,7 +13,7 @@
 from result import Err, Ok, Result
 
 from bramleystair.errors import StepError
-from bramleystair.steering._types import Load, ServerState
+from bramleystair.steering._types import Load, ServerState, Urgency
 
 
 class Refusal(enum.IntEnum):
@@ -56,14 +56,17 @@
         Service for which the flow is meant.
     cold_rate : float
         New flows per second that a cold server of the service bears; 0 for no limit.
-    is_last : bool
-        Whether no other member is left, so that a busy one should take it.
+    urgency : Urgency
+        Urgency of the flow.
+    waiting : Urgency or None
+        The same of the most urgent flow that waits at the sender for this service.
     """
 
     token: int
     service_id: int
     cold_rate: float
-    is_last: bool
+    urgency: Urgency
+    waiting: Urgency | None
     data: bytes
 
 
@@ -148,6 +151,16 @@
     rules_version: int = 0
 
 
+@attrs.define
+class OfferSlot:
+    """Tell a balancer that a server it found busy keeps a slot for it."""
+
+
+@attrs.define
+class DeclineSlot:
+    """Answer that no first packet waits for the slot."""
+
+
 Message = (
     OpenFlow
     | OpenReply
@@ -158,9 +171,11 @@
     | ReturnPacket
     | Subscribe
     | LoadReport
+    | OfferSlot
+    | DeclineSlot
 )
 
-_OPEN = struct.Struct("!BIQf?")
+_OPEN = struct.Struct("!BIQfBB")
 _OPEN_REPLY = struct.Struct("!BIB")
 _FIND = struct.Struct("!BI12sI")
 _TRY = struct.Struct("!BI")
@@ -173,7 +188,10 @@
 OPEN, OPEN_REPLY, RELAY, FIND, FIND_REPLY, RETURN, SUBSCRIBE, REPORT, TRY = range(1, 10)
 # First byte of a datagram with several short messages, each after its length.
 BUNDLE = 10
+OFFER_SLOT, DECLINE_SLOT = 11, 12
 _MAX_U16 = 0xFFFF
+# An urgency takes one byte: a bit for late flows, and the priority.
+_LATE, _MAX_PRIORITY, _NO_URGENCY = 0x80, 0x7E, 0xFF
 
 
 def encode_message(message: Message) -> bytes:
@@ -181,8 +199,10 @@
     match message:
         case Relay(data):
             return b"\x03" + data
-        case OpenFlow(token, service_id, cold_rate, is_last, data):
-            return _OPEN.pack(OPEN, token, service_id, cold_rate, is_last) + data
+        case OpenFlow(token, service_id, cold_rate, urgency, waiting, data):
+            urgencies = _encode_urgency(urgency), _encode_urgency(waiting)
+            head = _OPEN.pack(OPEN, token, service_id, cold_rate, *urgencies)
+            return head + data
         case OpenReply(token, refusal, load):
             return _OPEN_REPLY.pack(OPEN_REPLY, token, refusal) + _encode_load(load)
         case FindOwner(token, flow, acknowledgement):
@@ -197,6 +217,10 @@
             return _SUBSCRIBE.pack(SUBSCRIBE, rules_version)
         case LoadReport(load, rules_version):
             return _REPORT.pack(REPORT, rules_version) + _encode_load(load)
+        case OfferSlot():
+            return bytes((OFFER_SLOT,))
+        case DeclineSlot():
+            return bytes((DECLINE_SLOT,))
 
 
 def encode_bundle(messages: Sequence[bytes]) -> bytes:
@@ -246,9 +270,13 @@
     if kind == RELAY:
         return Relay(data[1:])
     if kind == OPEN:
-        _, token, service_id, cold_rate, is_last = _OPEN.unpack_from(data)
+        _, token, service_id, cold_rate, *urgencies = _OPEN.unpack_from(data)
         _check_measurements(cold_rate)
-        return OpenFlow(token, service_id, cold_rate, is_last, data[_OPEN.size :])
+        urgency, waiting = map(_decode_urgency, urgencies)
+        if urgency is None:
+            raise ValueError("a flow without urgency")
+        packet = data[_OPEN.size :]
+        return OpenFlow(token, service_id, cold_rate, urgency, waiting, packet)
     if kind == OPEN_REPLY:
         _, token, refusal = _OPEN_REPLY.unpack_from(data)
         return OpenReply(token, Refusal(refusal), _decode_load(data, _OPEN_REPLY.size))
@@ -267,9 +295,26 @@
     if kind == REPORT:
         version = _REPORT.unpack_from(data)[1]
         return LoadReport(_decode_load(data, _REPORT.size), version)
+    if data == bytes((OFFER_SLOT,)):
+        return OfferSlot()
+    if data == bytes((DECLINE_SLOT,)):
+        return DeclineSlot()
     raise ValueError(f"unknown kind {kind}")
 
 
+def _encode_urgency(urgency: Urgency | None) -> int:
+    if urgency is None:
+        return _NO_URGENCY
+    late_bit = _LATE if urgency.is_late else 0
+    return late_bit | min(urgency.priority, _MAX_PRIORITY)
+
+
+def _decode_urgency(value: int) -> Urgency | None:
+    if value == _NO_URGENCY:
+        return None
+    return Urgency(bool(value & _LATE), value & ~_LATE)
+
+
 def _encode_load(load: Load) -> bytes:
     return _LOAD.pack(
         _STATES.index(load.state),
--- a/src/bramleystair/steering/_openings.py
+++ b/src/bramleystair/steering/_openings.py
@@ -10,13 +10,14 @@
 from bramleystair.steering._members import Members
 from bramleystair.steering._messages import OpenFlow, OpenReply, Refusal
 from bramleystair.steering._outbox import Outbox
-from bramleystair.steering._segments import Segment
+from bramleystair.steering._segments import Segment, get_service_endpoint
 from bramleystair.steering._types import (
     Address,
     Route,
     RoutingRules,
     compute_service_id,
 )
+from bramleystair.steering._waiting import ServiceRate, WaitingFlow, WaitingFlows
 
 TOKEN_MODULUS = 2**32
 # A later attempt at the same member would be refused for the same reason.
@@ -25,13 +26,23 @@
 
 @attrs.define(eq=False)
 class _Opening:
-    """A first packet for which a member is being chosen."""
+    """A first packet for which a member is being chosen.
+
+    Parameters
+    ----------
+    arrived_s : float
+        Time of its arrival here.
+    started_s, expires_s : float
+        Times at which its caller sent it first, and gives it up.
+    """
 
     segment: Segment
     route: Route
     service: str
     token: int
+    arrived_s: float
     started_s: float
+    expires_s: float
     sent_s: float = 0.0
     tried: list[Address] = attrs.field(factory=list)
     refusals: set[Refusal] = attrs.field(factory=set)
@@ -79,6 +90,9 @@
         self._on_refused = on_refused
         self._openings: dict[bytes, _Opening] = {}
         self._flows_by_token: dict[int, bytes] = {}
+        self._waiting = WaitingFlows(settings.max_waiting)
+        self._poll_due_s = 0.0
+        self._rates: dict[str, ServiceRate] = {}
         self._retry_due: deque[tuple[float, int, bytes]] = deque()
         self._open_due: deque[tuple[float, int, bytes]] = deque()
         self._settle_due: deque[tuple[float, int, bytes]] = deque()
@@ -87,7 +101,8 @@
     def due_s(self) -> float:
         """Time at which `run_timers` has something to do."""
         queues = (self._open_due, self._retry_due, self._settle_due)
-        return min((queue[0][0] for queue in queues if queue), default=float("inf"))
+        due_s = min((queue[0][0] for queue in queues if queue), default=float("inf"))
+        return min(due_s, self._poll_due_s) if self._waiting else due_s
 
     def get_member(self, flow: bytes) -> Address | None:
         """Return the member that was asked last to take `flow`, or None."""
@@ -102,7 +117,7 @@
         if opening.is_accepted:
             # The server may not have answered; its agent decides whether to refuse.
             opening.segment = segment
-            self._send_open(opening, opening.current, False, now)
+            self._send_open(opening, opening.current, now)
         return True
 
     def start(self, segment: Segment, route: Route, now: float) -> None:
@@ -111,12 +126,46 @@
         former = self._openings.get(flow)
         if former is not None:
             self._end(former)
+        started_s = now - segment.age_s
+        patience_s = min(self._settings.first_packet_s, route.level.deadline_s)
         opening = _Opening(
-            segment, route, route.choose_service(flow), self._create_token(flow), now
+            segment,
+            route,
+            route.choose_service(flow),
+            self._create_token(flow),
+            now,
+            started_s,
+            started_s + patience_s,
         )
         self._openings[flow] = opening
         self._try_next(opening, now)
 
+    def apply_rules(self, rules: RoutingRules) -> None:
+        """Let the flows that wait follow a changed configuration."""
+        for flow in list(self._waiting):
+            opening = self._openings[flow]
+            route = rules.routes.get(get_service_endpoint(flow))
+            if route is None:
+                self._give_up(opening, "no_route")
+                continue
+            opening.route = route
+            if not self._may_use(flow, opening.service):
+                opening.service = route.choose_service(flow)
+
+    def use_slot(self, member: Member, now: float) -> bool:
+        """Try the next waiting flow at a member that keeps a slot; False if none is."""
+        if not self._members.is_ready(member):
+            return False
+        service = member.entry.service
+        response_s = self._members.estimate_response_s(service)
+        waiting = self._choose_waiting(service, now, response_s)
+        if waiting is None:
+            return False
+        opening = self._resume(waiting.flow)
+        opening.service = service
+        self._try_member(opening, member, now)
+        return True
+
     def handle_reply(self, sender: Address, message: OpenReply, now: float) -> None:
         """Take a member's answer."""
         flow = self._flows_by_token.get(message.token)
@@ -152,6 +201,69 @@
             opening = self._openings.get(flow)
             if opening is not None and opening.token == token:
                 self._end(opening)
+        if self._waiting and now >= self._poll_due_s:
+            self._poll(now)
+
+    def end(self) -> None:
+        """Give up all flows that no member has taken."""
+        for opening in list(self._openings.values()):
+            if not opening.is_accepted:
+                self._give_up(opening, "stopping")
+
+    def _poll(self, now: float) -> None:
+        """Give up flows that wait in vain, and ask the members for another one."""
+        self._poll_due_s = now + self._settings.poll_s
+        for waiting in self._waiting.list_expired(now):
+            self._give_up(self._openings[waiting.flow], "expired")
+        for service in {self._openings[flow].service for flow in self._waiting}:
+            self._poll_service(service, now)
+
+    def _poll_service(self, service: str, now: float) -> None:
+        response_s = self._members.estimate_response_s(service)
+        if response_s == 0:
+            capacity = float("inf")
+        else:
+            capacity = self._members.count_slots(service, now) / response_s
+        rate = self._get_rate(service).estimate(now, max(1.0, capacity))
+
+        def is_of_service(flow: bytes) -> bool:
+            return self._openings[flow].service == service
+
+        for waiting in self._waiting.list_hopeless(
+            now, response_s, rate, is_of_service
+        ):
+            opening = self._openings[waiting.flow]
+            self._give_up(
+                opening,
+                "no_slot_in_time",
+                rate=round(rate, 1),
+                waiting=len(self._waiting),
+                waited_ms=round((now - opening.arrived_s) * 1000, 1),
+            )
+        waiting = self._waiting.choose(now, response_s, is_of_service)
+        if waiting is not None:
+            self._try_next(self._resume(waiting.flow), now)
+
+    def _resume(self, flow: bytes) -> _Opening:
+        """End the wait of a flow, so that all members may be tried."""
+        self._waiting.discard(flow)
+        opening = self._openings[flow]
+        opening.tried.clear()
+        opening.refusals.clear()
+        opening.current = None
+        return opening
+
+    def _choose_waiting(
+        self, service: str, now: float, response_s: float
+    ) -> WaitingFlow | None:
+        """Return the most urgent flow that a member of `service` may take."""
+        return self._waiting.choose(
+            now, response_s, lambda flow: self._may_use(flow, service)
+        )
+
+    def _may_use(self, flow: bytes, service: str) -> bool:
+        targets = self._openings[flow].route.targets
+        return any(target.service == service for target in targets)
 
     def _try_next(self, opening: _Opening, now: float) -> None:
         member = None
@@ -162,7 +274,7 @@
         if member is None:
             self._end_round(opening, now)
             return
-        self._try_member(opening, member, False, now)
+        self._try_member(opening, member, now)
 
     def _choose(self, opening: _Opening, service: str, now: float) -> Member | None:
         # With busy members that answer, silent ones are not worth the wait.
@@ -180,24 +292,29 @@
                 return member
         return None
 
-    def _try_member(
-        self, opening: _Opening, member: Member, is_last: bool, now: float
-    ) -> None:
+    def _try_member(self, opening: _Opening, member: Member, now: float) -> None:
         address = member.entry.address
         opening.tried.append(address)
         opening.current = address
         opening.is_accepted = False
         member.opened += 1
-        self._send_open(opening, address, is_last, now)
+        self._send_open(opening, address, now)
 
-    def _send_open(
-        self, opening: _Opening, address: Address, is_last: bool, now: float
-    ) -> None:
+    def _send_open(self, opening: _Opening, address: Address, now: float) -> None:
         rules = self._get_rules().services.get(opening.service)
         cold_rate = 0.0 if rules is None else rules.cold_rate
         service_id = compute_service_id(opening.service)
-        data = opening.segment.data
-        message = OpenFlow(opening.token, service_id, cold_rate, is_last, data)
+        response_s = self._members.estimate_response_s(opening.service)
+        urgency, _ = _build_waiting(opening).compute_rank(now, response_s)
+        waiting = self._choose_waiting(opening.service, now, response_s)
+        message = OpenFlow(
+            opening.token,
+            service_id,
+            cold_rate,
+            urgency,
+            None if waiting is None else waiting.compute_rank(now, response_s)[0],
+            opening.segment.data,
+        )
         self._outbox.send(address, message)
         self._members.expect_message(address, now)
         opening.sent_s = now
@@ -207,12 +324,11 @@
     def _end_round(self, opening: _Opening, now: float) -> None:
         """Decide after all members tried have refused or not answered."""
         settings = self._settings
-        held_s = now - opening.started_s
+        held_s = now - opening.arrived_s
         if self._members.has_busy(opening.service, now):
             opening.refusals.add(Refusal.BUSY)
-        if Refusal.BUSY in opening.refusals and held_s >= settings.busy_hold_s:
-            # A request that waited longer would be late, and delay others.
-            self._give_up(opening, "busy")
+        if Refusal.BUSY in opening.refusals:
+            self._wait(opening, now)
             return
         if not opening.refusals - _LASTING_REFUSALS:
             self._give_up(opening, "no_member")
@@ -227,6 +343,22 @@
         due_s = now + settings.round_delay_s
         self._retry_due.append((due_s, opening.token, opening.segment.flow))
 
+    def _wait(self, opening: _Opening, now: float) -> None:
+        """Let a flow wait until a busy member offers a slot."""
+        opening.current = None
+        if not self._waiting:
+            self._poll_due_s = now + self._settings.poll_s
+            for rate in self._rates.values():
+                rate.end_wait()
+        if not self._waiting.add(_build_waiting(opening)):
+            self._give_up(opening, "too_many_waiting")
+            return
+        self._get_rate(opening.service).begin_wait(now)
+
+    def _get_rate(self, service: str) -> ServiceRate:
+        window_s = self._settings.rate_window_s
+        return self._rates.setdefault(service, ServiceRate(window_s))
+
     def _expire_attempt(self, token: int, flow: bytes, now: float) -> None:
         opening = self._openings.get(flow)
         if opening is None or opening.token != token or opening.is_accepted:
@@ -244,7 +376,8 @@
         self._try_next(opening, now)
 
     def _record_accepted(self, opening: _Opening, agent: Address, now: float) -> None:
-        waited_s = now - opening.started_s
+        waited_s = now - opening.arrived_s
+        self._get_rate(opening.service).record(now)
         self._outbox.observe("open", waited_s)
         member = self._members.get(agent)
         self._outbox.log(
@@ -257,12 +390,14 @@
             utilization=round(member.compute_utilization(), 2) if member else None,
         )
 
-    def _give_up(self, opening: _Opening, reason: str) -> None:
+    def _give_up(self, opening: _Opening, reason: str, **inputs: object) -> None:
         self._end(opening)
         self._outbox.count("flow_refused", reason)
-        self._outbox.reset(opening.segment, reason, tried=len(opening.tried))
+        tried = len(opening.tried)
+        self._outbox.reset(opening.segment, reason, tried=tried, **inputs)
 
     def _end(self, opening: _Opening) -> None:
+        self._waiting.discard(opening.segment.flow)
         self._openings.pop(opening.segment.flow, None)
         self._flows_by_token.pop(opening.token, None)
 
@@ -270,3 +405,12 @@
         self._token = (self._token + 1) % TOKEN_MODULUS
         self._flows_by_token[self._token] = flow
         return self._token
+
+
+def _build_waiting(opening: _Opening) -> WaitingFlow:
+    return WaitingFlow(
+        opening.segment.flow,
+        opening.route.level,
+        opening.started_s,
+        opening.expires_s,
+    )
--- a/src/bramleystair/steering/_segments.py
+++ b/src/bramleystair/steering/_segments.py
@@ -27,6 +27,8 @@
         Whether it carries bytes of the connection.
     sequence, acknowledgement : int
         Numbers of the sender's and the receiver's bytes.
+    age_s : float
+        Time since the caller sent this first packet for the first time, at least.
     """
 
     flow: bytes
@@ -38,6 +40,7 @@
     has_payload: bool
     sequence: int
     acknowledgement: int
+    age_s: float = 0.0
 
 
 def get_service_endpoint(flow: bytes) -> bytes:
--- a/src/bramleystair/steering/_types.py
+++ b/src/bramleystair/steering/_types.py
@@ -72,7 +72,7 @@
     Parameters
     ----------
     running : int
-        Requests in progress.
+        Requests in progress, with those expected of flows just admitted.
     busy : float
         Requests in progress, averaged over about a second.
     flows : int
@@ -103,6 +103,38 @@
     weight: float
 
 
+@attrs.frozen
+class ServiceLevel:
+    """What the callers of a route expect.
+
+    Parameters
+    ----------
+    priority : int
+        Class of the route; 0 is served first.
+    objective_s : float
+        Time from a request to its response up to which it is in time.
+    deadline_s : float
+        Time after which its caller does not wait for the response any more.
+    """
+
+    priority: int = 0
+    objective_s: float = 1.0
+    deadline_s: float = 10.0
+
+
+@attrs.frozen(order=True)
+class Urgency:
+    """How soon a waiting flow is served, compared with others; the lowest one is first.
+
+    Flows that still meet their objective precede late ones: a late response is worth
+    less than one in time, and a late flow that went first would make others late as
+    well. Within both, the priority of the route decides.
+    """
+
+    is_late: bool = False
+    priority: int = 0
+
+
 @attrs.frozen
 class Route:
     """Where new flows to one service address go.
@@ -116,6 +148,7 @@
     name: str
     endpoint: bytes
     targets: tuple[Target, ...]
+    level: ServiceLevel = ServiceLevel()
 
     def choose_service(self, flow: bytes) -> str:
         """Return the service of `flow`; each balancer computes the same one."""
