Make the weights of the choice of members settings, and compare each mechanism

bramleystair-model compared limits only. Its policies now switch off one mechanism of the steering decisions each: waiting, prediction, polling, offers, memory of busy members, comparison of members, weights of speed and cold start, suspicion, limits. Defaults are as before.

--- a/src/bramleystair/model/_patterns.py
+++ b/src/bramleystair/model/_patterns.py
@@ -27,38 +27,38 @@
 
 @attrs.frozen
 class Policy:
-    """Limits that are compared.
-
-    Parameters
-    ----------
-    sample : int
-        Members compared for each new flow; 1 is a random choice.
-    max_load : float
-        Requests in progress per slot from which an agent refuses.
-    max_admitted : float
-        Requests per slot in progress or expected from which an agent refuses.
-    max_waiting : int
-        First packets that wait for busy members at a balancer.
-    """
+    """Settings of the steering decisions that are compared with the default ones."""
 
     name: str
-    sample: int = BalancerSteeringSettings().sample
-    max_load: float = AgentSteeringSettings().max_load
-    max_admitted: float = AgentSteeringSettings().max_admitted
-    max_waiting: int = BalancerSteeringSettings().max_waiting
+    balancer: BalancerSteeringSettings = BalancerSteeringSettings()
+    agent: AgentSteeringSettings = AgentSteeringSettings()
 
 
+def _change_balancer(name: str, **options: float) -> Policy:
+    return Policy(name, balancer=BalancerSteeringSettings(**options))
+
+
+def _change_agent(name: str, **options: float) -> Policy:
+    return Policy(name, agent=AgentSteeringSettings(**options))
+
+
+NO_LIMIT = 1000.0
 POLICIES = (
     Policy("default"),
-    Policy("random choice", sample=1),
-    Policy("random choice, no limit", 1, max_load=1000, max_admitted=1000),
-    Policy("no limit", max_load=1000, max_admitted=1000),
-    Policy("limit 0.8", max_load=0.8),
-    Policy("limit 1.5", max_load=1.5),
-    Policy("limit 2", max_load=2.0, max_admitted=2.0),
-    Policy("expected as in progress", max_admitted=1.0),
-    Policy("expected not counted", max_admitted=1000),
-    Policy("no waiting", max_waiting=0),
+    _change_balancer("no waiting", max_waiting=0),
+    _change_balancer("no prediction of the wait", rate_window_s=NO_LIMIT),
+    _change_balancer("no polling", poll_s=NO_LIMIT),
+    _change_balancer("no memory of busy members", round_delay_s=0.0),
+    _change_balancer("no comparison of members", sample=1),
+    _change_balancer("no weight of the speed", speed_weight=0.0),
+    _change_balancer("no penalty of cold servers", cold_penalty=0.0),
+    _change_balancer("no suspicion", suspect_s=0.0, max_suspect_s=0.0),
+    _change_agent("no offers", interest_s=0.0),
+    _change_agent("expected requests in progress", max_admitted=1.0),
+    _change_agent("expected requests not counted", max_admitted=NO_LIMIT),
+    _change_agent("limit 0.8", max_load=0.8),
+    _change_agent("limit 2", max_load=2.0, max_admitted=2.5),
+    _change_agent("no limit", max_load=NO_LIMIT, max_admitted=NO_LIMIT),
 )
 
 
@@ -187,11 +187,7 @@
             servers=servers,
             callers=groups,
             seed=seed,
-            balancer_steering=BalancerSteeringSettings(
-                sample=policy.sample, max_waiting=policy.max_waiting
-            ),
-            agent_steering=AgentSteeringSettings(
-                max_load=policy.max_load, max_admitted=policy.max_admitted
-            ),
+            balancer_steering=policy.balancer,
+            agent_steering=policy.agent,
         )
     )
--- a/src/bramleystair/steering/_balancer_settings.py
+++ b/src/bramleystair/steering/_balancer_settings.py
@@ -85,6 +85,12 @@
         Time after the last packet for which an owner is remembered.
     sample : int
         Members compared for each new flow.
+    speed_weight : float
+        Utilization up to which a server's speed decides rather than its load.
+    cold_penalty : float
+        Utilization by which the others must be busier before a cold server is chosen.
+    zone_penalty : float
+        The same for a server in another availability zone, whose traffic is priced.
     least_neighbours, most_neighbours : int
         Members per service that report their loads to a balancer: at least so many
         usable ones where there are, and at most so many of the own availability zone.
@@ -122,5 +128,8 @@
     pause_s: float = 0.75
     owner_lifetime_s: float = 60.0
     sample: int = 3
+    speed_weight: float = 0.5
+    cold_penalty: float = 0.5
+    zone_penalty: float = 0.15
     least_neighbours: int = 12
     most_neighbours: int = 32
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -8,13 +8,6 @@
 from bramleystair.steering._neighbours import select_neighbours
 from bramleystair.steering._types import Address, Load, MemberEntry, ServerState
 
-# Utilization up to which a server's speed decides rather than its load.
-SPEED_WEIGHT = 0.5
-# A cold server answers more slowly; it is chosen when the others are this much busier.
-COLD_PENALTY = 0.5
-# Traffic between zones is priced, but a busy server costs callers more.
-ZONE_PENALTY = 0.15
-
 
 class Members:
     """Members of all services.
@@ -308,15 +301,16 @@
         )
 
     def _compute_cost(self, member: Member, fastest_s: float) -> float:
+        settings = self._settings
         cost = member.compute_utilization()
         if member.entry.zone != self._zone:
-            cost += ZONE_PENALTY
+            cost += settings.zone_penalty
         load = member.load
         if load is None:
             return cost
         if load.service_s > 0 and fastest_s > 0:
             # A server half as fast as the fastest one counts as busier by the weight.
-            cost += SPEED_WEIGHT * (1 - fastest_s / load.service_s)
+            cost += settings.speed_weight * (1 - fastest_s / load.service_s)
         if load.is_cold:
-            cost += COLD_PENALTY
+            cost += settings.cold_penalty
         return cost
