Forget waiting flows whose copies do not come

Cause: a first packet may now wait for over a second. Routers that move its flow meanwhile send the copies to another balancer, where the flow may open; the first one would still place it at a second server, or reset it. Callers that have given up are recognised by the same sign, and cost a slot and a reservation each until now. Ruled out: no reset at all for flows that waited; a caller that could use its next attempt would learn that only after 1.4 s. Change: callers repeat a first packet after 0.2 and 0.6 s. A flow whose due copies have not come is not placed, and forgotten without a reset.

--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -89,6 +89,7 @@
     context.count = count
     context.resets, context.outcomes = [], []
     context.callers = 0
+    context.first_packets = []
     balancer = BalancerSteering(BalancerSteeringSettings(), random.Random(4), "zone-0")
     balancer.set_rules(make_rules(1, LEVELS))
     balancer.set_members([make_entry(n, f"zone-{n}") for n in range(count)], 50.0)
@@ -116,10 +117,20 @@
     create_balancer(context, count, load)
 
 
+def repeat_first_packets(context):
+    """Send the copies of callers that still wait at this balancer."""
+    for segment, sent_s in context.first_packets:
+        if any(abs(context.now - sent_s - delay_s) < 0.005 for delay_s in (0.2, 0.6)):
+            actions = context.balancer.handle_segment(segment, context.now)
+            record(context, actions)
+            answer_busy(context, actions)
+
+
 def arrive(context, route, age_s=0.0):
     context.callers += 1
     segment = make_segment(make_flow(route, context.callers), first=True)
     segment.age_s = age_s
+    context.first_packets.append((segment, context.now - age_s))
     actions = context.balancer.handle_segment(segment, context.now)
     record(context, actions)
     answer_busy(context, actions)
@@ -130,6 +141,12 @@
     arrive(context, route)
 
 
+@when('a caller of the route "{route}" arrives and its flow moves to another balancer')
+def arrive_moving(context, route):
+    arrive(context, route)
+    context.first_packets.clear()
+
+
 @when('another caller of the route "{route}" arrives')
 def arrive_second(context, route):
     arrive(context, route)
@@ -150,6 +167,7 @@
 def pass_time(context, seconds):
     for _ in range(round(seconds * 100)):
         context.now += 0.01
+        repeat_first_packets(context)
         report_loads(context)
         actions = context.balancer.run_timers(context.now)
         record(context, actions)
@@ -183,7 +201,7 @@
 
 @when("the balancer ends")
 def end_balancer(context):
-    record(context, context.balancer.end())
+    record(context, context.balancer.end(context.now))
 
 
 @then("no caller is refused")
@@ -200,6 +218,11 @@
     assert not list_sent(context.actions, DeclineSlot)
 
 
+@then("no member is sent a flow")
+def check_not_sent(context):
+    assert not list_sent(context.actions, OpenFlow)
+
+
 @then("the second caller goes to member {number:d}")
 def check_second(context, number):
     ((address, message),) = list_sent(context.actions, OpenFlow)
--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -57,10 +57,25 @@
     Given a balancer whose 2 members are busy
     When a third copy of a first packet arrives for the route "feed"
     And 0.9 s pass while the members stay busy
-    Then the caller is refused as expired
+    Then no caller is refused
     When member 0 offers a slot
     Then member 0 is told that nobody waits
 
+  Scenario Outline: The copies of a first packet reach another balancer
+    # Guards against a reset, or a second server, for a flow that opened through another
+    # balancer after the routers had moved it there.
+    Given a balancer whose 2 members are busy
+    When a caller of the route "feed" arrives and its flow moves to another balancer
+    And 0.35 s pass while the members stay busy
+    And <event>
+    Then no caller is refused
+    And no member is sent a flow
+
+    Examples:
+      | event                  |
+      | member 0 offers a slot |
+      | the balancer ends      |
+
   Scenario: The route is removed while callers wait
     # Guards against a flow that opens by an older configuration than the one in force.
     Given a balancer whose 2 members are busy
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -129,7 +129,7 @@
         subscribe_once(self._loop, delay_s, self._end)
 
     def _end(self) -> None:
-        self._handle(self._steering.end())
+        self._handle(self._steering.end(self._loop.clock.now()))
         self._loop.stop()
 
     def is_ready(self) -> bool:
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -211,9 +211,9 @@
             self._check_members(now)
         return self._outbox.take()
 
-    def end(self) -> list[Action]:
+    def end(self, now: float) -> list[Action]:
         """Refuse the callers that no member has taken, since this process ends."""
-        self._openings.end()
+        self._openings.end(now)
         return self._outbox.take()
 
     def _note_event(self, now: float) -> None:
--- a/src/bramleystair/steering/_balancer_settings.py
+++ b/src/bramleystair/steering/_balancer_settings.py
@@ -18,6 +18,10 @@
         Pause before the members are tried again.
     first_packet_s : float
         Time after which a caller gives up a first packet that was not answered.
+    copy_delays_s : tuple of float
+        Times after a first packet at which its caller repeats it.
+    copy_margin_s : float
+        Difference to these times that is allowed for.
     max_waiting : int
         First packets that wait for a slot at once.
     poll_s : float
@@ -100,6 +104,8 @@
     open_attempts: int = 4
     round_delay_s: float = 0.04
     first_packet_s: float = 1.4
+    copy_delays_s: tuple[float, ...] = (0.2, 0.6)
+    copy_margin_s: float = 0.1
     max_waiting: int = 1024
     poll_s: float = 0.1
     rate_window_s: float = 0.5
--- a/src/bramleystair/steering/_openings.py
+++ b/src/bramleystair/steering/_openings.py
@@ -34,6 +34,8 @@
         Time of its arrival here.
     started_s, expires_s : float
         Times at which its caller sent it first, and gives it up.
+    repeated_s : float
+        Time of its newest copy here.
     """
 
     segment: Segment
@@ -43,6 +45,7 @@
     arrived_s: float
     started_s: float
     expires_s: float
+    repeated_s: float
     sent_s: float = 0.0
     tried: list[Address] = attrs.field(factory=list)
     refusals: set[Refusal] = attrs.field(factory=set)
@@ -114,6 +117,7 @@
         opening = self._openings.get(segment.flow)
         if opening is None or opening.segment.sequence != segment.sequence:
             return False
+        opening.repeated_s = now
         if opening.is_accepted:
             # The server may not have answered; its agent decides whether to refuse.
             opening.segment = segment
@@ -136,6 +140,7 @@
             now,
             started_s,
             started_s + patience_s,
+            now,
         )
         self._openings[flow] = opening
         self._try_next(opening, now)
@@ -204,17 +209,24 @@
         if self._waiting and now >= self._poll_due_s:
             self._poll(now)
 
-    def end(self) -> None:
+    def end(self, now: float) -> None:
         """Give up all flows that no member has taken."""
         for opening in list(self._openings.values()):
-            if not opening.is_accepted:
+            if opening.is_accepted:
+                continue
+            if self._is_repeated(opening, now):
                 self._give_up(opening, "stopping")
+            else:
+                self._forget(opening, "not_repeated")
 
     def _poll(self, now: float) -> None:
         """Give up flows that wait in vain, and ask the members for another one."""
         self._poll_due_s = now + self._settings.poll_s
         for waiting in self._waiting.list_expired(now):
-            self._give_up(self._openings[waiting.flow], "expired")
+            self._forget(self._openings[waiting.flow], "expired")
+        for flow in list(self._waiting):
+            if not self._is_repeated(self._openings[flow], now):
+                self._forget(self._openings[flow], "not_repeated")
         for service in {self._openings[flow].service for flow in self._waiting}:
             self._poll_service(service, now)
 
@@ -257,9 +269,26 @@
         self, service: str, now: float, response_s: float
     ) -> WaitingFlow | None:
         """Return the most urgent flow that a member of `service` may take."""
-        return self._waiting.choose(
-            now, response_s, lambda flow: self._may_use(flow, service)
-        )
+
+        def is_suitable(flow: bytes) -> bool:
+            is_repeated = self._is_repeated(self._openings[flow], now)
+            return is_repeated and self._may_use(flow, service)
+
+        return self._waiting.choose(now, response_s, is_suitable)
+
+    def _is_repeated(self, opening: _Opening, now: float) -> bool:
+        """Return whether all copies of a first packet that are due have come here.
+
+        Otherwise its caller has given up, or its copies reach another balancer, where
+        the flow may be open by now: a second server or a reset would break it.
+        """
+        margin_s = self._settings.copy_margin_s
+        due_s = [
+            opening.started_s + delay_s
+            for delay_s in self._settings.copy_delays_s
+            if opening.started_s + delay_s <= now - margin_s
+        ]
+        return not due_s or opening.repeated_s >= due_s[-1] - margin_s
 
     def _may_use(self, flow: bytes, service: str) -> bool:
         targets = self._openings[flow].route.targets
@@ -396,6 +425,12 @@
         tried = len(opening.tried)
         self._outbox.reset(opening.segment, reason, tried=tried, **inputs)
 
+    def _forget(self, opening: _Opening, reason: str) -> None:
+        """End an attempt of which the caller expects nothing any more."""
+        self._end(opening)
+        self._outbox.count("flow_refused", reason)
+        self._outbox.log("open", opening.segment.flow, reason)
+
     def _end(self, opening: _Opening) -> None:
         self._waiting.discard(opening.segment.flow)
         self._openings.pop(opening.segment.flow, None)
