Forget a waiting flow that has opened at a member given up before

Cause: a member that answers after 60 ms counts as having refused, though its server may have taken the flow. If the others are busy, the first packet then waits on, and is placed at a second server, or reset, while the flow is open. Found by reading; the waits were too short before to meet it. Change: a later packet of the flow shows that it is open, and ends the wait; the packet is looked up as any other.

--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -199,6 +199,12 @@
     record(context, context.balancer.run_timers(context.now))
 
 
+@when("the caller completes the handshake with a server")
+def complete_handshake(context):
+    segment = make_segment(make_flow("feed", 1), sequence=2, ack=77)
+    record(context, context.balancer.handle_segment(segment, context.now))
+
+
 @when("the balancer ends")
 def end_balancer(context):
     record(context, context.balancer.end(context.now))
--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -132,3 +132,13 @@
     When a caller of the route "feed" arrives
     And the balancer ends
     Then the caller is refused as stopping
+
+  Scenario: A member that was given up had taken the flow
+    # Guards against a reset, or a second server, for a flow that opened at a member whose
+    # answer came too late for the balancer.
+    Given a balancer whose 2 members are busy
+    When a caller of the route "feed" arrives
+    And the caller completes the handshake with a server
+    And member 0 offers a slot
+    Then member 0 is told that nobody waits
+    And no caller is refused
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -305,6 +305,7 @@
             # The caller's answer may be faster than the agent's.
             self._outbox.send(member, Relay(segment.data))
             return
+        self._openings.forget_opened(segment.flow)
         if segment.is_reset:
             self._outbox.count("packet_dropped", "reset_without_owner")
             return
--- a/src/bramleystair/steering/_openings.py
+++ b/src/bramleystair/steering/_openings.py
@@ -145,6 +145,12 @@
         self._openings[flow] = opening
         self._try_next(opening, now)
 
+    def forget_opened(self, flow: bytes) -> None:
+        """End the attempt for a flow that has opened at a member given up before."""
+        opening = self._openings.get(flow)
+        if opening is not None and opening.current is None:
+            self._forget(opening, "opened_late")
+
     def apply_rules(self, rules: RoutingRules) -> None:
         """Let the flows that wait follow a changed configuration."""
         for flow in list(self._waiting):
