--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -4,15 +4,20 @@
 
 import attrs
 
+from bramleystair.steering._admission import Admission
+from bramleystair.steering._agent_flows import (
+    AgentFlow,
+    is_newest,
+    is_other_number,
+    starts_request,
+)
 from bramleystair.steering._agent_settings import AgentSteeringSettings
-from bramleystair.steering._cold_gate import ColdGate
 from bramleystair.steering._events import (
     Action,
     DeliverToCaller,
     DeliverToServer,
     ResetCaller,
 )
-from bramleystair.steering._load import LoadMeter
 from bramleystair.steering._messages import (
     FindOwner,
     FindReply,
@@ -26,13 +31,9 @@
     Subscribe,
     TryPacket,
 )
-from bramleystair.steering._offers import SlotOffers
 from bramleystair.steering._outbox import Outbox
-from bramleystair.steering._reservations import Reservations
 from bramleystair.steering._segments import (
-    SEQUENCE_MODULUS,
     Segment,
-    compute_distance,
 )
 from bramleystair.steering._types import (
     Address,
@@ -43,52 +44,10 @@
     compute_service_id,
 )
 
-# The acknowledgement of a handshake may count the opening packet or not.
-HANDSHAKE_DISTANCE = 1
 # Reports are sent at about the interval, the first one soon after the start.
 START_MARGIN_HEARTBEATS = 1.5
 
 
-@attrs.define(eq=False)
-class _Flow:
-    """A flow that the server holds or was offered.
-
-    Parameters
-    ----------
-    balancer : tuple of str and int
-        Balancer that sent its last packet.
-    token : int or None
-        Attempt that a returned first packet refuses.
-    first_sequence : int or None
-        Number of the caller's first packet, where it was seen.
-    server_sequence : int or None
-        Number of the server's reply to it, where it was seen.
-    is_certain : bool
-        Whether the server has shown that it holds the flow.
-    request_s : float or None
-        Start of the request in progress.
-    newest_sequence : int or None
-        Number of the newest packet of a request, by which copies are recognised.
-    acknowledgement : int
-        What the caller acknowledged last, near which it accepts a reset.
-    server_s : float or None
-        Time of the server's last packet.
-    """
-
-    balancer: Address | None
-    seen_s: float
-    token: int | None = None
-    first_sequence: int | None = None
-    first_s: float = 0.0
-    server_sequence: int | None = None
-    is_open: bool = False
-    is_certain: bool = False
-    request_s: float | None = None
-    newest_sequence: int | None = None
-    acknowledgement: int = 0
-    server_s: float | None = None
-
-
 @attrs.define(eq=False)
 class _Lookup:
     """A balancer's question that a returned packet would answer with no."""
@@ -136,15 +95,11 @@
         # The last server that took its leave; its late reports are ignored.
         self._removed: tuple[str, int] | None = None
         self._service_id = 0
-        self._cold_until_s = 0.0
-        self._cold_gate = ColdGate()
-        self._flows: dict[bytes, _Flow] = {}
+        self._flows: dict[bytes, AgentFlow] = {}
         self._lookups: dict[bytes, list[_Lookup]] = {}
         self._lookup_due: deque[tuple[float, bytes]] = deque()
         self._learning_until_s = now + settings.flow_lifetime_s
-        self._meter = LoadMeter(settings.busy_window_s)
-        self._reservations = Reservations(settings.request_wait_s)
-        self._offers = SlotOffers(settings.offer_wait_s, settings.interest_s)
+        self._admission = Admission(settings)
         self._server_s = now
         self._unanswered_s: float | None = None
         self._subscribers: dict[Address, float] = {}
@@ -187,7 +142,7 @@
 
     def compute_wait(self, now: float) -> float:
         """Return the seconds until `run_timers` has something to do."""
-        due_s = min(self._next_report_s, self._offers.due_s)
+        due_s = min(self._next_report_s, self._admission.due_s)
         if self._lookup_due:
             due_s = min(due_s, self._lookup_due[0][0])
         return max(0.0, due_s - now)
@@ -209,8 +164,7 @@
         if is_new and known is not None and not self._is_assumed:
             # Entries stay until the new server returns their packets.
             self._learning_until_s = now + self._settings.flow_lifetime_s
-            self._meter.reset(now)
-            self._reservations.clear()
+            self._admission.reset(now)
             self._release_former(report, now)
         elif is_new and self._has_seen_start(report):
             self._learning_until_s = now
@@ -218,7 +172,7 @@
         self.is_server_absent = False
         self._is_assumed = False
         self._service_id = compute_service_id(report.service)
-        self._cold_until_s = now + report.cold_left_s
+        self._admission.set_cold(report.cold_left_s, now)
         if is_new or report.state is not known.state:
             self._outbox.log(
                 "server_report",
@@ -245,7 +199,7 @@
             "", service, self._zone, ServerState.READY, self._settings.assumed_slots
         )
         self._service_id = compute_service_id(service)
-        self._cold_until_s = now + self._settings.assumed_cold_s
+        self._admission.set_cold(self._settings.assumed_cold_s, now)
         self._server_s = now
         self._outbox.log("server_report", b"", "assumed_ready")
         self._send_reports(now)
@@ -284,25 +238,21 @@
             self._handle_copy(sender, message, segment, flow, now)
             return self._outbox.take()
         # A slot that was offered to the sender is free for this flow.
-        self._offers.settle(sender)
+        self._admission.settle_offer(sender)
         refusal = self._check_admission(message, now)
         waiting = [message.waiting] if message.waiting is not None else []
         if refusal is Refusal.BUSY:
             waiting.append(message.urgency)
-        if waiting:
-            self._offers.add_interest(sender, min(waiting), now)
-        else:
-            self._offers.remove_interest(sender)
+        self._admission.set_waiting(sender, min(waiting, default=None), now)
         if refusal is not Refusal.NONE:
             self._refuse(sender, message.token, segment.flow, refusal, now)
             return self._outbox.take()
         if flow is not None:
             self._remove_flow(segment.flow, now)
-        self._cold_gate.record(now)
-        self._flows[segment.flow] = _Flow(
+        self._flows[segment.flow] = AgentFlow(
             sender, now, message.token, segment.sequence, now
         )
-        self._reservations.add(segment.flow, now)
+        self._admission.admit(segment.flow, now)
         if self._unanswered_s is None:
             self._unanswered_s = now
         self._deliver(segment)
@@ -312,8 +262,8 @@
 
     def handle_decline(self, sender: Address, now: float) -> list[Action]:
         """Offer a slot that a balancer has no use for to another one."""
-        self._offers.settle(sender)
-        self._offers.remove_interest(sender)
+        self._admission.settle_offer(sender)
+        self._admission.set_waiting(sender, None, now)
         self._offer_slots(now)
         return self._outbox.take()
 
@@ -342,7 +292,7 @@
         if flow is None:
             may_hold = self._may_hold_unknown(now)
             ownership = Ownership.UNSURE if may_hold else Ownership.NONE
-        elif _is_other_number(flow, message.acknowledgement):
+        elif is_other_number(flow, message.acknowledgement):
             ownership = Ownership.NONE
         elif flow.is_certain or flow.server_sequence is not None:
             ownership = Ownership.CERTAIN
@@ -381,7 +331,7 @@
             return self._outbox.take()
         flow = self._flows.get(segment.flow)
         if flow is None:
-            flow = self._flows[segment.flow] = _Flow(None, now)
+            flow = self._flows[segment.flow] = AgentFlow(None, now)
         flow.seen_s = now
         flow.server_s = now
         if segment.is_first:
@@ -391,10 +341,10 @@
             self._confirm(segment.flow)
         if segment.has_payload and flow.request_s is not None:
             self._outbox.observe("response", now - flow.request_s)
-            self._meter.end_request(flow.request_s, now)
+            self._admission.meter.end_request(flow.request_s, now)
             flow.request_s = None
         if segment.is_reset or segment.is_fin:
-            self._reservations.discard(segment.flow)
+            self._admission.discard(segment.flow)
             self._end_request(flow, now)
         self._outbox.add(DeliverToCaller(segment.flow, segment.data))
         self._offer_slots(now)
@@ -437,7 +387,7 @@
 
     def build_load(self, now: float) -> Load:
         """Return the present load."""
-        self._meter.update(now)
+        self._admission.meter.update(now)
         report = self._report
         if report is None:
             # The agent of an unknown server may be stopped because its VM goes away.
@@ -445,16 +395,16 @@
         is_accepting = (
             not self._is_stopping
             and not self.is_server_silent(now)
-            and not self._is_busy(report, now)
+            and not self._admission.is_busy(report.slots, now)
         )
         return Load(
             report.state,
             report.slots,
-            self._count_admitted(now),
-            self._meter.busy,
+            self._admission.count(now),
+            self._admission.meter.busy,
             len(self._flows),
-            self._meter.service_s,
-            now < self._cold_until_s,
+            self._admission.meter.service_s,
+            self._admission.is_cold(now),
             is_accepting,
             self._is_stopping,
         )
@@ -494,35 +444,21 @@
             return Refusal.DRAINING
         if self.is_server_silent(now):
             return Refusal.SILENT
-        if now < self._cold_until_s and not self._cold_gate.is_open(
-            message.cold_rate, now
-        ):
+        if self._admission.is_too_cold(message.cold_rate, now):
             return Refusal.COLD
-        if self._is_busy(report, now):
+        if self._admission.is_busy(report.slots, now):
             return Refusal.BUSY
         return Refusal.NONE
 
-    def _is_busy(self, report: ServerReport, now: float) -> bool:
-        settings = self._settings
-        return (
-            self._meter.running >= settings.max_load * report.slots
-            or self._count_admitted(now) >= settings.max_admitted * report.slots
-        )
-
-    def _count_admitted(self, now: float) -> int:
-        """Return the requests in progress, with those that are on their way."""
-        expected = self._reservations.count(now) + self._offers.count(now)
-        return self._meter.running + expected
-
     def _offer_slots(self, now: float) -> None:
         """Offer free slots to the balancers whose callers wait for one."""
         report = self._report
         if report is None or report.state is not ServerState.READY:
             return
-        while not self._is_busy(report, now):
-            if self._is_stopping or self.is_server_silent(now):
-                return
-            balancer = self._offers.choose(now)
+        if self._is_stopping or self.is_server_silent(now):
+            return
+        while True:
+            balancer = self._admission.keep_slot(report.slots, now)
             if balancer is None:
                 return
             self._outbox.count("slot_offered", "free")
@@ -544,7 +480,7 @@
             else:
                 flow.is_certain = False
 
-    def _release(self, key: bytes, flow: _Flow, reason: str, now: float) -> None:
+    def _release(self, key: bytes, flow: AgentFlow, reason: str, now: float) -> None:
         self._remove_flow(key, now)
         self._outbox.count("flow_released", reason)
         if not flow.acknowledgement:
@@ -557,7 +493,7 @@
         sender: Address,
         message: OpenFlow,
         segment: Segment,
-        flow: _Flow,
+        flow: AgentFlow,
         now: float,
     ) -> None:
         waited_s = now - flow.first_s
@@ -569,33 +505,32 @@
         self._deliver(segment)
         self._reply(sender, message.token, Refusal.NONE, now)
 
-    def _is_other_handshake(self, flow: _Flow, segment: Segment) -> bool:
+    def _is_other_handshake(self, flow: AgentFlow, segment: Segment) -> bool:
         """Return whether the caller completed the handshake with another server."""
         if segment.is_reset or flow.is_open or flow.server_sequence is None:
             return False
-        if _is_other_number(flow, segment.acknowledgement):
+        if is_other_number(flow, segment.acknowledgement):
             return True
         flow.is_open = True
         return False
 
-    def _learn(self, sender: Address, segment: Segment, now: float) -> _Flow:
-        flow = self._flows[segment.flow] = _Flow(sender, now, is_open=True)
+    def _learn(self, sender: Address, segment: Segment, now: float) -> AgentFlow:
+        flow = self._flows[segment.flow] = AgentFlow(sender, now, is_open=True)
         return flow
 
     def _deliver_known(
-        self, sender: Address, flow: _Flow, segment: Segment, now: float
+        self, sender: Address, flow: AgentFlow, segment: Segment, now: float
     ) -> None:
         flow.balancer = sender
         flow.seen_s = now
         flow.acknowledgement = segment.acknowledgement
-        if _starts_request(flow, segment):
+        if starts_request(flow, segment):
             flow.request_s = now
-            self._reservations.discard(segment.flow)
-            self._meter.start_request(now)
-        if _is_newest(flow, segment):
+            self._admission.start_request(segment.flow, now)
+        if is_newest(flow, segment):
             flow.newest_sequence = segment.sequence
         if segment.is_reset or segment.is_fin:
-            self._reservations.discard(segment.flow)
+            self._admission.discard(segment.flow)
             self._end_request(flow, now)
         self._deliver(segment)
 
@@ -646,13 +581,13 @@
 
     def _remove_flow(self, flow: bytes, now: float) -> None:
         known = self._flows.pop(flow, None)
-        self._reservations.discard(flow)
+        self._admission.discard(flow)
         if known is not None:
             self._end_request(known, now)
 
-    def _end_request(self, flow: _Flow, now: float) -> None:
+    def _end_request(self, flow: AgentFlow, now: float) -> None:
         if flow.request_s is not None:
-            self._meter.end_request(None, now)
+            self._admission.meter.end_request(None, now)
             flow.request_s = None
 
     def _purge(self, now: float) -> None:
@@ -697,7 +632,7 @@
     ) -> None:
         reason = refusal.name.lower()
         self._outbox.count("flow_refused", reason)
-        self._outbox.log("open", flow, reason, running=self._count_admitted(now))
+        self._outbox.log("open", flow, reason, running=self._admission.count(now))
         self._reply(sender, token, refusal, now)
 
     def _reply(self, sender: Address, token: int, refusal: Refusal, now: float) -> None:
@@ -713,25 +648,3 @@
 
 def _identify(report: ServerReport) -> tuple[str, int]:
     return report.server, report.started_ms
-
-
-def _starts_request(flow: _Flow, segment: Segment) -> bool:
-    """Return whether a packet begins a request; a copy of an answered one does not."""
-    return flow.request_s is None and _is_newest(flow, segment)
-
-
-def _is_newest(flow: _Flow, segment: Segment) -> bool:
-    if not segment.has_payload:
-        return False
-    if flow.newest_sequence is None:
-        return True
-    distance = compute_distance(flow.newest_sequence, segment.sequence)
-    return 0 < distance < SEQUENCE_MODULUS // 2
-
-
-def _is_other_number(flow: _Flow, acknowledgement: int) -> bool:
-    """Return whether a half-open flow's caller acknowledged another server's number."""
-    if flow.is_open or flow.server_sequence is None:
-        return False
-    distance = compute_distance(flow.server_sequence, acknowledgement)
-    return distance > HANDSHAKE_DISTANCE
--- a/src/bramleystair/steering/_offers.py
+++ b/src/bramleystair/steering/_offers.py
@@ -60,6 +60,11 @@
         self._offered.add(balancer, now)
         return balancer
 
+    @property
+    def has_interest(self) -> bool:
+        """Whether any balancer waits for a slot."""
+        return bool(self._interested)
+
     @property
     def due_s(self) -> float:
         """Time at which a slot that was kept may be offered to another balancer."""
