--- a/features/steering.feature
+++ b/features/steering.feature
@@ -320,6 +320,12 @@
     # rate whose rounding raises an error in an agent.
     Then a load or a cold rate of nan, inf or -1 is refused
 
+  Scenario: Urgencies are carried for all priorities, and a missing one is refused
+    # Guards against an agent that fails at a message, and against a priority above those
+    # that are carried which would read as late.
+    Then priorities of 0, 126 and 1000 are carried as 0, 126 and 126
+    And a first packet without an urgency is refused
+
   Scenario: A balancer learns that others apply a newer configuration
     # Guards against a watch that went silent without an error.
     Given a balancer with 3 members
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -639,6 +639,22 @@
             assert decode_message(encode_message(message)).is_err(), message
 
 
+@then("priorities of 0, 126 and 1000 are carried as 0, 126 and 126")
+def check_urgencies(context):
+    for priority, carried in ((0, 0), (126, 126), (1000, 126)):
+        for is_late in (False, True):
+            urgency = Urgency(is_late, priority)
+            message = OpenFlow(3, 2**60, 0.0, urgency, urgency, b"packet")
+            decoded = decode_message(encode_message(message)).unwrap()
+            assert decoded.urgency == decoded.waiting == Urgency(is_late, carried)
+
+
+@then("a first packet without an urgency is refused")
+def check_no_urgency(context):
+    message = OpenFlow(3, 2**60, 0.0, None, None, b"packet")
+    assert decode_message(encode_message(message)).is_err()
+
+
 @then("1 to {limit:d} messages are the same after they were bundled and split")
 def check_bundles(context, limit):
     context.bundles = []
