--- a/features/steps/bound_steps.py
+++ b/features/steps/bound_steps.py
@@ -1,7 +1,7 @@
 import attrs
 from behave import given, then, when
 
-from bramleystair.model._bound import Load, RequestClass, compute_bound
+from bramleystair.model._bound import RequestClass, Workload, compute_bound
 from bramleystair.model._bound_cli import print_bound
 
 WINDOW_S = 2.0
@@ -11,7 +11,7 @@
 
 @given("{rate:d} requests of {work:g} s a second for {slots:d} slots")
 def create_load(context, rate, work, slots):
-    context.load = Load((RequestClass("feed", rate, work, *LIMITS_S),), slots)
+    context.workload = Workload((RequestClass("feed", rate, work, *LIMITS_S),), slots)
 
 
 @given(
@@ -20,17 +20,17 @@
 def create_classes(context, rate, work):
     claims = RequestClass("claim", rate, work, *LIMITS_S, worth=2.0, late_worth=0.0)
     feeds = RequestClass("feed", rate, work, *LIMITS_S, late_worth=0.0)
-    context.load = Load((feeds, claims), 1)
+    context.workload = Workload((feeds, claims), 1)
 
 
 @when("the power is lost from {start:d} s to {end:d} s")
 def lose_power(context, start, end):
-    context.load = attrs.evolve(context.load, outage_s=(start, end))
+    context.workload = attrs.evolve(context.workload, outage_s=(start, end))
 
 
 @when("all servers together have {slots:d} slots")
 def set_slots(context, slots):
-    context.load = attrs.evolve(context.load, slots=slots)
+    context.workload = attrs.evolve(context.workload, slots=slots)
 
 
 @when('the bound is asked for "{text}"')
@@ -44,7 +44,7 @@
 
 
 def compute_shares(context):
-    windows = compute_bound(context.load, WINDOW_S, seed=1)
+    windows = compute_bound(context.workload, WINDOW_S, seed=1)
     return {
         number * WINDOW_S: window.earned / window.owed
         for number, window in windows.items()
--- a/src/bramleystair/model/_bound.py
+++ b/src/bramleystair/model/_bound.py
@@ -41,7 +41,7 @@
 
 
 @attrs.frozen
-class Load:
+class Workload:
     """Requests and servers whose worth is bounded.
 
     Parameters
@@ -88,7 +88,7 @@
     work_s: float
 
 
-def compute_bound(load: Load, window_s: float, seed: int) -> dict[int, Window]:
+def compute_bound(workload: Workload, window_s: float, seed: int) -> dict[int, Window]:
     """Return the worth by window, from the start on.
 
     The scheduler is greedy: of the requests that wait, it takes the one that is worth
@@ -96,38 +96,40 @@
     lost starts anew.
     """
     random = random_module.Random(seed)
-    arrivals = sorted(_draw_requests(load, random), key=lambda r: r.sent_s)
+    arrivals = sorted(_draw_requests(workload, random), key=lambda r: r.sent_s)
     windows = {
-        number: Window() for number in range(int(load.duration_s / window_s) + 1)
+        number: Window() for number in range(int(workload.duration_s / window_s) + 1)
     }
     for request in arrivals:
         windows[int(request.sent_s / window_s)].owed += request.kind.worth
-    for request, finished_s in _schedule(load, arrivals):
+    for request, finished_s in _schedule(workload, arrivals):
         window = windows[int(request.sent_s / window_s)]
         window.earned += _compute_worth(request, finished_s)
     return {number: window for number, window in windows.items() if window.owed}
 
 
-def _draw_requests(load: Load, random: random_module.Random) -> list[_Request]:
+def _draw_requests(workload: Workload, random: random_module.Random) -> list[_Request]:
     requests = []
-    for kind in load.classes:
+    for kind in workload.classes:
         now = 0.0
         while True:
-            is_burst = load.burst_s[0] <= now < load.burst_s[1]
-            rate = kind.rate * (load.burst_factor if is_burst else 1.0)
+            is_burst = workload.burst_s[0] <= now < workload.burst_s[1]
+            rate = kind.rate * (workload.burst_factor if is_burst else 1.0)
             now += random.expovariate(rate)
-            if now >= load.duration_s:
+            if now >= workload.duration_s:
                 break
             work_s = kind.work_s * random.lognormvariate(
                 -(WORK_SIGMA**2) / 2, WORK_SIGMA
             )
-            requests.append(_Request(kind, now, work_s / load.speed))
+            requests.append(_Request(kind, now, work_s / workload.speed))
     return requests
 
 
-def _schedule(load: Load, arrivals: list[_Request]) -> list[tuple[_Request, float]]:
+def _schedule(
+    workload: Workload, arrivals: list[_Request]
+) -> list[tuple[_Request, float]]:
     """Return the requests that are served, with the times of their responses."""
-    down_s, up_s = load.outage_s
+    down_s, up_s = workload.outage_s
     events = [(request.sent_s, number) for number, request in enumerate(arrivals)]
     order = itertools.count(len(arrivals))
     finishing: dict[int, _Request] = {}
@@ -148,10 +150,10 @@
             finishing.clear()
             continue
         waiting = [r for r in waiting if now <= r.sent_s + r.kind.deadline_s]
-        while waiting and len(finishing) < load.slots:
-            request = max(waiting, key=lambda r: _compute_rank(load, r, now))
+        while waiting and len(finishing) < workload.slots:
+            request = max(waiting, key=lambda r: _compute_rank(workload, r, now))
             waiting.remove(request)
-            end_s = now + _compute_work(load, request, now)
+            end_s = now + _compute_work(workload, request, now)
             if _compute_worth(request, end_s) > 0:
                 number = next(order)
                 finishing[number] = request
@@ -159,16 +161,18 @@
     return served
 
 
-def _compute_rank(load: Load, request: _Request, now: float) -> tuple[bool, float]:
-    work_s = _compute_work(load, request, now)
+def _compute_rank(
+    workload: Workload, request: _Request, now: float
+) -> tuple[bool, float]:
+    work_s = _compute_work(workload, request, now)
     worth = _compute_worth(request, now + work_s)
     return worth == request.kind.worth, worth / work_s
 
 
-def _compute_work(load: Load, request: _Request, now: float) -> float:
-    down_s, up_s = load.outage_s
-    is_cold = up_s > down_s and up_s <= now < up_s + load.cold_s
-    return request.work_s * (load.cold_factor if is_cold else 1.0)
+def _compute_work(workload: Workload, request: _Request, now: float) -> float:
+    down_s, up_s = workload.outage_s
+    is_cold = up_s > down_s and up_s <= now < up_s + workload.cold_s
+    return request.work_s * (workload.cold_factor if is_cold else 1.0)
 
 
 def _compute_worth(request: _Request, finished_s: float) -> float:
--- a/src/bramleystair/model/_bound_cli.py
+++ b/src/bramleystair/model/_bound_cli.py
@@ -4,7 +4,7 @@
 
 import defopt
 
-from bramleystair.model._bound import Load, RequestClass, compute_bound
+from bramleystair.model._bound import RequestClass, Workload, compute_bound
 
 CLASS_FIELDS = 7
 
@@ -57,7 +57,7 @@
     if not kinds:
         print("no kind of request is given", file=sys.stderr)
         return 2
-    load = Load(
+    workload = Workload(
         kinds,
         slots,
         speed,
@@ -68,7 +68,7 @@
         burst,
         burst_factor,
     )
-    windows = compute_bound(load, window_s, seed)
+    windows = compute_bound(workload, window_s, seed)
     for number, window in windows.items():
         share = window.earned / window.owed
         if share < 1:
--- a/src/bramleystair/model/_patterns.py
+++ b/src/bramleystair/model/_patterns.py
@@ -90,12 +90,7 @@
 def run_crash(policy: Policy, seed: int) -> Fleet:
     """Lose two of five servers for a few seconds."""
     fleet = _build(policy, seed, (FAST,) * 5, CallerSettings(callers=160))
-    fleet.run_until(10)
-    for server in fleet.servers[:2]:
-        server.crash()
-    fleet.run_until(14)
-    for server in fleet.servers[:2]:
-        server.restart()
+    _crash_two_servers(fleet, 10, 14)
     fleet.run_until(DURATION_S)
     return fleet
 
@@ -108,12 +103,7 @@
         attrs.evolve(CLAIMS, callers=58, start_s=10, end_s=15),
         attrs.evolve(FEEDS, callers=204, start_s=10, end_s=15),
     )
-    fleet.run_until(9)
-    for server in fleet.servers[:2]:
-        server.crash()
-    fleet.run_until(15)
-    for server in fleet.servers[:2]:
-        server.restart()
+    _crash_two_servers(fleet, 9, 15)
     fleet.run_until(DURATION_S)
     return fleet
 
@@ -158,6 +148,15 @@
     return Result(pattern, policy.name, seed, *counts, report.broken_flows)
 
 
+def _crash_two_servers(fleet: Fleet, start_s: float, end_s: float) -> None:
+    fleet.run_until(start_s)
+    for server in fleet.servers[:2]:
+        server.crash()
+    fleet.run_until(end_s)
+    for server in fleet.servers[:2]:
+        server.restart()
+
+
 def _build_two_classes(policy: Policy, seed: int, *extra: CallerSettings) -> Fleet:
     """Return a fleet whose callers hold long flows or open one for each request."""
     return _build(
