Give flows that precede others twice the limits of a server

Cause: requests on open flows pass no admission. Change: an agent notes the priorities of the first packets that it gets. One that can be in time, and precedes another route of the last minute, meets twice the limits, when it opens and when a slot is offered.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -49,3 +49,32 @@
     Given an agent whose idle server has 2 slots
     When a caller is admitted and ends its flow
     Then the agent reports 0 requests in progress
+
+  Scenario Outline: Requests on open flows fill the slots
+    # Guards against a class with a flow for each request that starves behind another one:
+    # requests on open flows pass no admission, so that a slot hardly ever gets free.
+    Given an agent whose idle server has 2 slots
+    When first packets of the priorities 1 and 2 have come
+    And <running> requests on open flows run
+    Then a first packet of the priority <priority> that is <state> is <outcome>
+
+    Examples:
+      | running | priority | state   | outcome |
+      | 2       | 1        | in time | taken   |
+      | 2       | 2        | in time | busy    |
+      | 2       | 1        | late    | busy    |
+      | 4       | 1        | in time | busy    |
+
+  Scenario: Only one class of requests has come
+    # Guards against longer queues at the server where no class waits behind another one.
+    Given an agent whose idle server has 2 slots
+    When 2 requests on open flows run
+    Then a first packet of the priority 1 that is in time is busy
+
+  Scenario: A slot is offered to a class that precedes others
+    Given an agent whose idle server has 2 slots
+    When first packets of the priorities 1 and 2 have come
+    And 4 requests on open flows run
+    And a first packet of the priority 1 is refused as busy
+    And one of the requests on open flows ends
+    Then its balancer is offered a slot
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -4,6 +4,7 @@
 from steering_samples import FLOW, make_segment
 
 from bramleystair.steering import (
+    OfferSlot,
     OpenFlow,
     OpenReply,
     Refusal,
@@ -17,14 +18,15 @@
 
 BALANCER = ("10.0.0.1", 7)
 AGENT = ("10.0.1.1", 8)
+UNKNOWN = Urgency()
 
 
 def make_flow(number):
     return bytes((number,)) + FLOW[1:]
 
 
-def open_flow(context, number):
-    message = OpenFlow(number, compute_service_id("web"), 0.0, Urgency(), None, b"")
+def open_flow(context, number, urgency=UNKNOWN):
+    message = OpenFlow(number, compute_service_id("web"), 0.0, urgency, None, b"")
     segment = make_segment(make_flow(number), first=True, sequence=500)
     return context.agent.handle_open(BALANCER, message, segment, context.now)
 
@@ -114,6 +116,50 @@
     context.agent.handle_decline(BALANCER, context.now)
 
 
+@when("first packets of the priorities 1 and 2 have come")
+def open_priorities(context):
+    for priority in (1, 2):
+        flow = 100 + priority
+        assert list_refusals(open_flow(context, flow, Urgency(False, priority)))
+        answer = make_segment(make_flow(flow), first=True, sequence=900, ack=501)
+        context.agent.handle_server_segment(answer, context.now)
+    # The flows send no request, so that all slots are free again.
+    context.now += 0.2
+
+
+@when("{count:d} requests on open flows run")
+def run_requests(context, count):
+    for number in range(count):
+        request = make_segment(make_flow(200 + number), sequence=9, ack=5, size=40)
+        context.agent.handle_relay(BALANCER, request, context.now)
+
+
+@when("a first packet of the priority 1 is refused as busy")
+def refuse_urgent(context):
+    refusals = list_refusals(open_flow(context, 110, Urgency(False, 1)))
+    assert refusals == [Refusal.BUSY]
+
+
+@when("one of the requests on open flows ends")
+def end_request(context):
+    response = make_segment(make_flow(200), sequence=5, ack=49, size=90)
+    context.actions = context.agent.handle_server_segment(response, context.now)
+
+
+@then("its balancer is offered a slot")
+def check_offer(context):
+    sent = [a for a in context.actions if isinstance(a, SendMessage)]
+    offered = [a.address for a in sent if isinstance(a.message, OfferSlot)]
+    assert offered == [BALANCER], context.actions
+
+
+@then("a first packet of the priority {priority:d} that is {state} is {outcome}")
+def check_class(context, priority, state, outcome):
+    urgency = Urgency(state == "late", priority)
+    expected = Refusal.NONE if outcome == "taken" else Refusal[outcome.upper()]
+    assert list_refusals(open_flow(context, 120, urgency)) == [expected]
+
+
 @then("{taken:d} of them are taken and {refused:d} are refused as busy")
 def check_refusals(context, taken, refused):
     counts = Counter(list_refusals(context.actions))
--- a/src/bramleystair/model/_patterns.py
+++ b/src/bramleystair/model/_patterns.py
@@ -56,6 +56,7 @@
     _change_agent("no offers", interest_s=0.0),
     _change_agent("expected requests in progress", max_admitted=1.0),
     _change_agent("expected requests not counted", max_admitted=NO_LIMIT),
+    _change_agent("no share for urgent flows", urgent_share=1.0),
     _change_agent("limit 0.8", max_load=0.8),
     _change_agent("limit 2", max_load=2.0, max_admitted=2.5),
     _change_agent("no limit", max_load=NO_LIMIT, max_admitted=NO_LIMIT),
--- a/src/bramleystair/steering/_admission.py
+++ b/src/bramleystair/steering/_admission.py
@@ -24,6 +24,8 @@
         self._offers = SlotOffers(settings.offer_wait_s, settings.interest_s)
         self._cold_gate = ColdGate()
         self._cold_until_s = 0.0
+        # Time at which a flow of each priority came last.
+        self._priorities_s: dict[int, float] = {}
 
     @property
     def due_s(self) -> float:
@@ -47,12 +49,27 @@
         """Return whether a cold server has got the flows of this second."""
         return self.is_cold(now) and not self._cold_gate.is_open(rate, now)
 
-    def is_busy(self, slots: int, now: float) -> bool:
-        """Return whether no slot is free for another flow."""
+    def record_urgency(self, urgency: Urgency, now: float) -> None:
+        """Note that a flow of this urgency came, whether it is taken or not."""
+        self._priorities_s[urgency.priority] = now
+
+    def is_busy(self, slots: int, now: float, urgency: Urgency | None = None) -> bool:
+        """Return whether no slot is free for another flow, of `urgency` if known."""
         settings = self._settings
+        share = settings.urgent_share if self._precedes_others(urgency, now) else 1.0
         return (
-            self.meter.running >= settings.max_load * slots
-            or self.count(now) >= settings.max_admitted * slots
+            self.meter.running >= share * settings.max_load * slots
+            or self.count(now) >= share * settings.max_admitted * slots
+        )
+
+    def _precedes_others(self, urgency: Urgency | None, now: float) -> bool:
+        """Return whether flows of a lower priority use the server as well."""
+        if urgency is None or urgency.is_late:
+            return False
+        oldest_s = now - self._settings.flow_lifetime_s
+        return any(
+            priority > urgency.priority and seen_s >= oldest_s
+            for priority, seen_s in self._priorities_s.items()
         )
 
     def count(self, now: float) -> int:
@@ -89,6 +106,7 @@
 
     def keep_slot(self, slots: int, now: float) -> Address | None:
         """Keep a free slot for a balancer and return it; None without either."""
-        if not self._offers.has_interest or self.is_busy(slots, now):
+        urgency = self._offers.get_urgency(now)
+        if urgency is None or self.is_busy(slots, now, urgency):
             return None
         return self._offers.choose(now)
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -239,6 +239,7 @@
             return self._outbox.take()
         # A slot that was offered to the sender is free for this flow.
         self._admission.settle_offer(sender)
+        self._admission.record_urgency(message.urgency, now)
         refusal = self._check_admission(message, now)
         waiting = [message.waiting] if message.waiting is not None else []
         if refusal is Refusal.BUSY:
@@ -446,7 +447,7 @@
             return Refusal.SILENT
         if self._admission.is_too_cold(message.cold_rate, now):
             return Refusal.COLD
-        if self._admission.is_busy(report.slots, now):
+        if self._admission.is_busy(report.slots, now, message.urgency):
             return Refusal.BUSY
         return Refusal.NONE
 
--- a/src/bramleystair/steering/_agent_settings.py
+++ b/src/bramleystair/steering/_agent_settings.py
@@ -33,6 +33,10 @@
         trips between availability zones.
     interest_s : float
         Time for which a balancer that was refused is offered slots.
+    urgent_share : float
+        Factor of these limits for flows that can be in time and precede those of other
+        routes. Requests on open flows pass no admission, so a class that opens a flow
+        for each request would hardly ever find a slot free.
     report_period_s : float
         Interval between load reports, at least.
     report_gap_s : float
@@ -61,6 +65,7 @@
     silent_heartbeats: float = 2.5
     max_load: float = 1.0
     max_admitted: float = 1.5
+    urgent_share: float = 2.0
     request_wait_s: float = 0.1
     offer_wait_s: float = 0.03
     interest_s: float = 0.5
--- a/src/bramleystair/steering/_offers.py
+++ b/src/bramleystair/steering/_offers.py
@@ -60,10 +60,10 @@
         self._offered.add(balancer, now)
         return balancer
 
-    @property
-    def has_interest(self) -> bool:
-        """Whether any balancer waits for a slot."""
-        return bool(self._interested)
+    def get_urgency(self, now: float) -> Urgency | None:
+        """Return the urgency of the most urgent flow that waits, or None."""
+        live = [i.urgency for i in self._interested.values() if i.expires_s > now]
+        return min(live, default=None)
 
     @property
     def due_s(self) -> float:
