Share the token's modulus and the begin of a round

The modulus stood in two modules, and two places cleared the same fields of a first packet to try all members again. Behaviour is the same; the features of waiting, steering, admission, power_loss, fuzz, neighbours, adapter and nodes pass.

--- a/src/bramleystair/steering/_agent_flows.py
+++ b/src/bramleystair/steering/_agent_flows.py
@@ -59,6 +59,7 @@
 
 
 def is_newest(flow: AgentFlow, segment: Segment) -> bool:
+    """Return whether a packet carries payload beyond all that came before."""
     if not segment.has_payload:
         return False
     if flow.newest_sequence is None:
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -11,6 +11,7 @@
 from bramleystair.steering._lookups import OwnerLookups
 from bramleystair.steering._members import Members
 from bramleystair.steering._messages import (
+    TOKEN_MODULUS,
     DeclineSlot,
     FindReply,
     LoadReport,
@@ -20,7 +21,7 @@
     Relay,
     Subscribe,
 )
-from bramleystair.steering._openings import TOKEN_MODULUS, Openings
+from bramleystair.steering._openings import Openings
 from bramleystair.steering._outbox import Outbox
 from bramleystair.steering._segments import Segment, get_service_endpoint
 from bramleystair.steering._types import (
--- a/src/bramleystair/steering/_lookups.py
+++ b/src/bramleystair/steering/_lookups.py
@@ -9,6 +9,7 @@
 from bramleystair.steering._events import ConfirmMembers
 from bramleystair.steering._members import Members
 from bramleystair.steering._messages import (
+    TOKEN_MODULUS,
     FindOwner,
     FindReply,
     Ownership,
@@ -19,7 +20,6 @@
 from bramleystair.steering._segments import Segment
 from bramleystair.steering._types import Address, Route
 
-TOKEN_MODULUS = 2**32
 # IP and UDP headers, and one question in a bundle.
 HEADER_BYTES = 28
 QUESTION_BYTES = 22
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -15,6 +15,9 @@
 from bramleystair.errors import StepError
 from bramleystair.steering._types import Load, ServerState, Urgency
 
+# Tokens are sent as 32 bits.
+TOKEN_MODULUS = 2**32
+
 
 class Refusal(enum.IntEnum):
     """Why an agent did not take a new flow."""
--- a/src/bramleystair/steering/_openings.py
+++ b/src/bramleystair/steering/_openings.py
@@ -8,7 +8,12 @@
 from bramleystair.steering._balancer_settings import BalancerSteeringSettings
 from bramleystair.steering._member import Member
 from bramleystair.steering._members import Members
-from bramleystair.steering._messages import OpenFlow, OpenReply, Refusal
+from bramleystair.steering._messages import (
+    TOKEN_MODULUS,
+    OpenFlow,
+    OpenReply,
+    Refusal,
+)
 from bramleystair.steering._outbox import Outbox
 from bramleystair.steering._segments import Segment, get_service_endpoint
 from bramleystair.steering._types import (
@@ -19,7 +24,6 @@
 )
 from bramleystair.steering._waiting import ServiceRate, WaitingFlow, WaitingFlows
 
-TOKEN_MODULUS = 2**32
 # A later attempt at the same member would be refused for the same reason.
 _LASTING_REFUSALS = frozenset({Refusal.WRONG_SERVICE, Refusal.DRAINING})
 
@@ -266,9 +270,7 @@
         """End the wait of a flow, so that all members may be tried."""
         self._waiting.discard(flow)
         opening = self._openings[flow]
-        opening.tried.clear()
-        opening.refusals.clear()
-        opening.current = None
+        _begin_round(opening)
         return opening
 
     def _choose_waiting(
@@ -372,9 +374,7 @@
             self._give_up(opening, "not_accepted")
             return
         # Agents that restart know their servers again within a heartbeat.
-        opening.tried.clear()
-        opening.current = None
-        opening.refusals.clear()
+        _begin_round(opening)
         due_s = now + settings.round_delay_s
         self._retry_due.append((due_s, opening.token, opening.segment.flow))
 
@@ -448,6 +448,13 @@
         return self._token
 
 
+def _begin_round(opening: _Opening) -> None:
+    """Let all members be tried again."""
+    opening.tried.clear()
+    opening.refusals.clear()
+    opening.current = None
+
+
 def _build_waiting(opening: _Opening) -> WaitingFlow:
     return WaitingFlow(
         opening.segment.flow,
