Log the epoch of the store and what a listing lacks

Cause: neither the logs nor the metrics told whether an agent had written its object again, which objects a balancer lost with a listing, or that the store had gone back at all, so the three hypotheses on the resets could not be told apart. Change: the store client records the epoch that the store sends with each response (StoreEpoch); a rise is logged and counted as store_restored. A mirror logs the objects that a new listing lacks or has in an older version, and a publisher what the store holds. Nothing is decided by them yet.

--- a/features/steps/mirror_steps.py
+++ b/features/steps/mirror_steps.py
@@ -12,6 +12,7 @@
     Publisher,
     RetryQueue,
     StoredItem,
+    StoreEpoch,
     StoreFailure,
 )
 from bramleystair.timers import ManualClock, TimerService
@@ -51,6 +52,7 @@
     catch_up_calls: int = 0
     refused: int = 0
     is_unresponsive: bool = False
+    epoch: StoreEpoch = attrs.field(factory=StoreEpoch)
 
     def list_items(self, kind, after):
         if self.delayed_listing is not None:
--- a/features/steps/nodes_steps.py
+++ b/features/steps/nodes_steps.py
@@ -13,7 +13,7 @@
     HttpServer,
 )
 from bramleystair.loop import EventLoop
-from bramleystair.mirror import Mirror, RetryQueue, StoredItem
+from bramleystair.mirror import Mirror, RetryQueue, StoredItem, StoreEpoch
 from bramleystair.nodes._decision_log import DecisionLog
 from bramleystair.nodes._snapshots import SnapshotClient, SnapshotServer
 from bramleystair.nodes._start import _NonBlockingStream
@@ -162,6 +162,9 @@
 class UnresponsiveStore:
     """Store client that never answers."""
 
+    def __init__(self):
+        self.epoch = StoreEpoch()
+
     def list_items(self, kind, after):
         from concurrent.futures import Future
 
--- a/features/steps/reload_steps.py
+++ b/features/steps/reload_steps.py
@@ -9,6 +9,7 @@
 
 from bramleystair.errors import StepError
 from bramleystair.loop import EventLoop
+from bramleystair.mirror import StoreEpoch
 from bramleystair.nodes import NodeSettings
 from bramleystair.nodes._agent import AgentNode
 from bramleystair.nodes._balancer import BalancerNode
@@ -27,6 +28,7 @@
     """Store client that never answers; records its address and counts listings."""
 
     def __init__(self):
+        self.epoch = StoreEpoch()
         self.address = None
         self.listings = 0
 
--- a/src/bramleystair/http/_client.py
+++ b/src/bramleystair/http/_client.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+from collections.abc import Mapping
 from concurrent.futures import Future
 
 import attrs
@@ -25,10 +26,17 @@
 
 @attrs.frozen
 class HttpResponse:
-    """A complete response."""
+    """A complete response.
+
+    Parameters
+    ----------
+    headers : mapping of bytes to bytes
+        Headers by lower-case name.
+    """
 
     status: int
     body: bytes
+    headers: Mapping[bytes, bytes] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -109,6 +117,7 @@
         self._timer: TimerSubscription | None = None
         self._outgoing = b""
         self._status = 0
+        self._headers: Mapping[bytes, bytes] = {}
         self._body: list[bytes] = []
         self.is_open = True
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -171,6 +180,7 @@
             match event:
                 case h11.Response():
                     self._status, self._body = event.status_code, []
+                    self._headers = dict(event.headers)
                 case h11.Data():
                     self._body.append(bytes(event.data))
                 case h11.EndOfMessage():
@@ -185,7 +195,7 @@
     def _complete(self) -> None:
         future, self._future = self._future, None
         self._timer.cancel()
-        response = HttpResponse(self._status, b"".join(self._body))
+        response = HttpResponse(self._status, b"".join(self._body), self._headers)
         if (
             self._parser.our_state is h11.DONE
             and self._parser.their_state is h11.DONE
--- a/src/bramleystair/mirror/__init__.py
+++ b/src/bramleystair/mirror/__init__.py
@@ -1,5 +1,6 @@
 """Local copies of the platform's objects, and publishing of a node's own object."""
 
+from bramleystair.mirror._epoch import StoreEpoch
 from bramleystair.mirror._mirror import Mirror
 from bramleystair.mirror._publisher import Publisher
 from bramleystair.mirror._retries import RetryQueue
@@ -20,6 +21,7 @@
     "ObjectStore",
     "Publisher",
     "RetryQueue",
+    "StoreEpoch",
     "StoreFailure",
     "StoredItem",
 ]
--- a/src/bramleystair/mirror/_mirror.py
+++ b/src/bramleystair/mirror/_mirror.py
@@ -218,6 +218,7 @@
     def _finish_listing(self) -> None:
         self._record_success()
         self._revision = self._listing_revision
+        self._log_losses()
         is_changed = self._listed_items != self._items or not self.is_complete
         self._items, self._listed_items = self._listed_items, {}
         self.is_complete = True
@@ -226,6 +227,27 @@
         self._schedule_confirmation()
         self._watch()
 
+    def _log_losses(self) -> None:
+        """Log which objects of the copy a listing lacks or has an older version of."""
+        listed = self._listed_items
+        missing = [name for name in self._items if name not in listed]
+        older = [
+            name
+            for name, item in self._items.items()
+            if name in listed and listed[name].revision < item.revision
+        ]
+        if missing or older:
+            log.info(
+                "%s: objects missing or older in the listing",
+                self._kind,
+                extra={
+                    "missing": sorted(missing),
+                    "older": sorted(older),
+                    "revision": self._listing_revision,
+                    "epoch": self._store.epoch.current,
+                },
+            )
+
     def _watch(self) -> None:
         generation, sent_s = self._generation, self._timers.clock.now()
         self._pause_timer = None
--- a/src/bramleystair/mirror/_publisher.py
+++ b/src/bramleystair/mirror/_publisher.py
@@ -119,6 +119,15 @@
         if self._backoff.failures:
             log.info("%s: store is reachable", self._name)
         self._backoff.reset()
+        log.info(
+            "%s: object stored" if item else "%s: no object stored",
+            self._name,
+            extra={
+                "revision": item.revision if item else None,
+                "epoch": self._store.epoch.current,
+                "is_current": (item.value if item else None) == self._desired,
+            },
+        )
         self._is_stored_known = True
         self._stored = item
 
--- a/src/bramleystair/mirror/_types.py
+++ b/src/bramleystair/mirror/_types.py
@@ -7,6 +7,7 @@
 import attrs
 
 from bramleystair.errors import StepError
+from bramleystair.mirror._epoch import StoreEpoch
 
 
 class FailureKind(enum.StrEnum):
@@ -83,7 +84,15 @@
 
 
 class ObjectStore(Protocol):
-    """Asynchronous store calls; each future completes on the event loop's thread."""
+    """Asynchronous store calls; each future completes on the event loop's thread.
+
+    Attributes
+    ----------
+    epoch : StoreEpoch
+        Epoch of the latest response, recorded before the call's future completes.
+    """
+
+    epoch: StoreEpoch
 
     def set_address(self, address: tuple[str, int]) -> None:
         """Send all further calls to another address."""
--- a/src/bramleystair/nodes/_node.py
+++ b/src/bramleystair/nodes/_node.py
@@ -63,6 +63,7 @@
         self._codec = codec
         self._store = store
         self.metrics = Metrics({"node": settings.name})
+        store.epoch.subscribe(lambda: self.metrics.count("store_restored"))
         self._decision_log = DecisionLog(loop.clock.now)
         self._is_stopping = False
         self._timer: TimerSubscription | None = None
--- a/src/bramleystair/platform/_store.py
+++ b/src/bramleystair/platform/_store.py
@@ -14,6 +14,7 @@
     FailureKind,
     Listing,
     StoredItem,
+    StoreEpoch,
     StoreFailure,
 )
 
@@ -25,6 +26,8 @@
 # new listing. Shorter watches cost more calls.
 WATCH_WAIT_S = 18.0
 WATCH_MARGIN_S = 2.0
+# Rises by one each time that the store returns from an older copy.
+EPOCH_HEADER = b"store-era"
 _KINDS_BY_STATUS = {
     404: FailureKind.NOT_FOUND,
     409: FailureKind.CONFLICT,
@@ -48,6 +51,7 @@
     def __init__(self, loop: EventLoop, address: tuple[str, int]) -> None:
         self._loop = loop
         self._client = HttpClient(loop, address)
+        self.epoch = StoreEpoch()
 
     def set_address(self, address: tuple[str, int]) -> None:
         """Send further calls to another address."""
@@ -102,12 +106,20 @@
         step = f"{method} {target}"
 
         def complete(done: Future) -> None:
-            result.set_result(_parse_response(step, done.result(), parse))
+            response = done.result()
+            if isinstance(response, HttpResponse):
+                self._record_epoch(response)
+            result.set_result(_parse_response(step, response, parse))
 
         call = self._client.call(method, OBJECTS_PATH + target, body, timeout_s)
         call.add_done_callback(complete)
         return result
 
+    def _record_epoch(self, response: HttpResponse) -> None:
+        text = response.headers.get(EPOCH_HEADER, b"")
+        if text.isdigit():
+            self.epoch.record(int(text))
+
 
 def _build_body(name: str, value: Any, revision: int | None) -> bytes:
     meta: dict[str, Any] = {"Name": name}
