Reproduce what a restored platform breaks for nodes and operators

Cause: found by looking for the same class of fault in the mode with the project's own store. Change: the stand-in of the platform returns to an earlier state on request (restore_age_s at /control), with versions, cursors and leases, and sends its epoch.

--- a/features/steps/platform_link_steps.py
+++ b/features/steps/platform_link_steps.py
@@ -28,10 +28,12 @@
     context.url = "http://{}:{}".format(*server.bind_addr)
     context.received = set()
     context.changed = threading.Condition()
-    link = PlatformLink(context.url, Metrics({}), record_changes(context), random)
+    context.metrics = Metrics({})
+    link = PlatformLink(context.url, context.metrics, record_changes(context), random)
     link.start()
     link.set_watch(True)
     context.add_cleanup(link.close)
+    context.link = link
     # Wait until both watch calls are pending, so that the writes below can end them.
     wait_until(context, lambda: context.application.calls["watch"] == 2)
 
--- a/src/bramleystair/standins/_platform.py
+++ b/src/bramleystair/standins/_platform.py
@@ -17,6 +17,7 @@
 DEFAULT_LOG_LENGTH = 10_000
 WORKERS = 64
 CONNECTION_KEY = "bramleystair.connection"
+EPOCH_HEADER = "Store-Epoch"
 
 
 @attrs.define
@@ -58,6 +59,17 @@
     version: int = 0
 
 
+@attrs.frozen
+class _Undo:
+    """State of an object before a write at `time_s`."""
+
+    time_s: float
+    key: str
+    item: dict[str, object] | None
+    version: int
+    lease_expiry_s: float | None
+
+
 class PlatformStore:
     """Versioned objects with leases and a bounded log of changes.
 
@@ -83,8 +95,29 @@
             maxlen=log_length
         )
         self._cursor = 0
+        self.epoch = 0
+        self._undo_log: collections.deque[_Undo] = collections.deque(maxlen=log_length)
         self._changed = threading.Condition()
 
+    def restore(self, age_s: float) -> None:
+        """Return to the state of `age_s` seconds ago, as after a loss of data.
+
+        Versions and cursors go back as well and are assigned again.
+        """
+        with self._changed:
+            cutoff_s = self._now() - age_s
+            while self._undo_log and self._undo_log[-1].time_s > cutoff_s:
+                self._undo(self._undo_log.pop())
+            self.epoch += 1
+            self._changed.notify_all()
+
+    def _undo(self, undo: _Undo) -> None:
+        self._cursor -= 1
+        self._log.pop()
+        self._versions[undo.key] = undo.version
+        _set_or_remove(self._objects, undo.key, undo.item)
+        _set_or_remove(self._lease_expiries, undo.key, undo.lease_expiry_s)
+
     def list_objects(self, prefix: str) -> dict[str, object]:
         """Return the objects under `prefix` and the current cursor."""
         with self._changed:
@@ -126,9 +159,13 @@
     def watch(self, prefix: str, since: int, timeout_s: float) -> dict[str, object]:
         """Return the changes under `prefix` after `since`; wait for the first one."""
         with self._changed:
+            epoch = self.epoch
             self._changed.wait_for(
-                lambda: self._list_changes(prefix, since), min(timeout_s, MAX_WATCH_S)
+                lambda: epoch != self.epoch or self._list_changes(prefix, since),
+                min(timeout_s, MAX_WATCH_S),
             )
+            if epoch != self.epoch:
+                raise RequestError(410, "cursor expired")
             changes = self._list_changes(prefix, since)
             return {"objects": changes, "cursor": self._cursor}
 
@@ -151,7 +188,17 @@
             raise RequestError(409, "version differs", present)
 
     def _write(self, key: str, document: dict[str, object]) -> dict[str, object]:
-        version = self._versions.get(key, 0) + 1
+        previous_version = self._versions.get(key, 0)
+        self._undo_log.append(
+            _Undo(
+                self._now(),
+                key,
+                self._objects.get(key),
+                previous_version,
+                self._lease_expiries.get(key),
+            )
+        )
+        version = previous_version + 1
         self._versions[key] = version
         self._cursor += 1
         self._objects[key] = {**document, "key": key, "version": version}
@@ -221,8 +268,11 @@
             return _build_response(
                 {"faults": attrs.asdict(self.faults)} | self._count()
             )
+        values = dict(request.get_json())
+        if "restore_age_s" in values:
+            self.store.restore(values.pop("restore_age_s"))
         try:
-            self.faults = attrs.evolve(self.faults, **request.get_json())
+            self.faults = attrs.evolve(self.faults, **values)
         except TypeError as error:
             return _build_response({"reason": str(error)}, 400)
         return _build_response({"faults": attrs.asdict(self.faults)})
@@ -243,6 +293,7 @@
         if is_limited:
             return _build_response({"reason": "rate limit"}, 429, {"Retry-After": "1"})
         response = _handle_store_call(self.store, request)
+        response.headers[EPOCH_HEADER] = str(self.store.epoch)
         return self._apply_faults(request, response)
 
     def _is_rate_limited(self) -> bool:
@@ -318,6 +369,13 @@
         return {**super().get_environ(), CONNECTION_KEY: self.req.conn}
 
 
+def _set_or_remove(values: dict, key: str, value: object | None) -> None:
+    if value is None:
+        values.pop(key, None)
+    else:
+        values[key] = value
+
+
 def _handle_store_call(store: PlatformStore, request: Request) -> Response:
     try:
         return _build_response(_call_store(store, request))
