Order objects by the epoch in which they were written

What callers saw: nothing yet; an operator's accepted table or zone mark would not have been in force after a restoration of the platform. Cause: replicas order objects by the version that the platform assigns. A restored platform assigns versions again, and a new table with the version of a lost one was ignored. Evidence: "A table that is written after a restoration is in force" failed before. Change: the client learns the platform's epoch from each response and records it in what it writes; in replicas, the epoch is the high part of the version. An object of the copy keeps its earlier epoch, so what the platform has lost stays in force until it is written again. A write whose response shows a later epoch than it records is repeated once. Versions of a platform that was never restored, and the messages between nodes, are unchanged.

--- a/features/restored_platform.feature
+++ b/features/restored_platform.feature
@@ -4,7 +4,6 @@
   against accepted changes that are not in force or revert, and against wrong reports of
   writes.
 
-  @known_red
   Scenario: A table that is written after a restoration is in force
     # Guards against nodes that ignore a version because they hold a lost one.
     Given a balancer that holds table "feed" with the weights 1, 2 and 3 in turn
--- a/src/bramleystair/operators/_session.py
+++ b/src/bramleystair/operators/_session.py
@@ -76,7 +76,9 @@
         )
         if result.is_ok():
             version = result.unwrap().version
-            written = PlatformObject(key, version, nonce, note, body=body)
+            written = PlatformObject(
+                key, version, nonce, note, body=body, epoch=self.client.epoch
+            )
             pushed = self.push(written, balancers)
             return WriteReport(key, WriteOutcome.ACCEPTED, version, pushed_to=pushed)
         error = result.unwrap_err()
--- a/src/bramleystair/standins/_platform.py
+++ b/src/bramleystair/standins/_platform.py
@@ -12,12 +12,13 @@
 from cheroot import wsgi
 from werkzeug.wrappers import Request, Response
 
+from bramleystair.store import EPOCH_HEADER
+
 MAX_VALUE_BYTES = 1_000_000
 MAX_WATCH_S = 60.0
 DEFAULT_LOG_LENGTH = 10_000
 WORKERS = 64
 CONNECTION_KEY = "bramleystair.connection"
-EPOCH_HEADER = "Store-Epoch"
 
 
 @attrs.define
@@ -177,7 +178,8 @@
             self._delete(key)
 
     def _delete(self, key: str) -> dict[str, object]:
-        answer = self._write(key, {"body": "", "is_deleted": True})
+        tombstone = {"body": "", "is_deleted": True, "epoch": self.epoch}
+        answer = self._write(key, tombstone)
         del self._objects[key]
         self._lease_expiries.pop(key, None)
         return answer
--- a/src/bramleystair/store/__init__.py
+++ b/src/bramleystair/store/__init__.py
@@ -1,6 +1,6 @@
 """Client of the platform, the operator's versioned object store."""
 
-from bramleystair.store._client import PlatformClient, RetryPolicy
+from bramleystair.store._client import EPOCH_HEADER, PlatformClient, RetryPolicy
 from bramleystair.store._types import (
     Accepted,
     Changes,
@@ -10,9 +10,12 @@
     PlatformObject,
     WriteNote,
     WriteRecord,
+    combine_version,
+    format_version,
 )
 
 __all__ = [
+    "EPOCH_HEADER",
     "Accepted",
     "Changes",
     "ErrorKind",
@@ -23,4 +26,6 @@
     "RetryPolicy",
     "WriteNote",
     "WriteRecord",
+    "combine_version",
+    "format_version",
 ]
--- a/src/bramleystair/store/_client.py
+++ b/src/bramleystair/store/_client.py
@@ -5,7 +5,7 @@
 import random
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from urllib.parse import quote
 
 import attrs
@@ -30,6 +30,8 @@
 # Added to the timeout of a watch to cover the network round trip.
 WATCH_TIMEOUT_MARGIN_S = 2.0
 EMPTY_NOTE = WriteNote()
+# Number of times that the platform was restored from an older copy.
+EPOCH_HEADER = "Store-Epoch"
 RETRYABLE_KINDS = frozenset(
     {ErrorKind.RATE_LIMITED, ErrorKind.UNREACHABLE, ErrorKind.MALFORMED}
 )
@@ -92,6 +94,10 @@
     ----------
     calls : Counter of (str, str)
         Number of attempts by method and outcome, including watches.
+    epoch : int
+        Highest epoch of the platform that a response has shown. It rises each time that
+        the platform is restored from an older copy, and versions and cursors of
+        different epochs must not be compared.
     """
 
     def __init__(
@@ -106,6 +112,7 @@
     ) -> None:
         self.base_url = base_url.rstrip("/")
         self.calls: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.epoch = 0
         self._session = session or _create_session()
         self._timeout_s = timeout_s
         self._retry = retry or RetryPolicy()
@@ -126,19 +133,26 @@
         )
 
     def watch(
-        self, prefix: str, since: int, timeout_s: float
+        self, prefix: str, since: int, timeout_s: float, epoch: int = 0
     ) -> Result[Changes, PlatformError]:
         """Return the changes after the cursor `since`, waiting up to `timeout_s`.
 
-        After CURSOR_EXPIRED, the objects have to be listed again. A watch is not
+        After CURSOR_EXPIRED, the objects have to be listed again; this includes a
+        cursor of an `epoch` other than the platform's present one. A watch is not
         retried here, because only the code that calls it knows whether the changes are
         still needed.
         """
         query = {"prefix": prefix, "since": since, "timeout_s": timeout_s}
         limit_s = timeout_s + self._timeout_s + WATCH_TIMEOUT_MARGIN_S
-        return self._call(
+        result = self._call(
             "watch", "GET", "/watch", Changes, params=query, timeout_s=limit_s
         )
+        if result.is_ok() and result.unwrap().epoch != epoch:
+            detail = f"the cursor is from epoch {epoch} of the platform"
+            return Err(
+                PlatformError("watch", self.base_url, detail, ErrorKind.CURSOR_EXPIRED)
+            )
+        return result
 
     def put_object(
         self,
@@ -154,6 +168,7 @@
         """Write once without retries; see `put_verified` for the parameters."""
         document = {"nonce": nonce, "note": attrs.asdict(note), "body": body}
         document["history"] = _build_history(if_match, previous)
+        document["epoch"] = self.epoch
         document["lease_s"] = lease_s
         return self._call(
             "put",
@@ -199,22 +214,26 @@
         Result of Accepted or PlatformError
             A refused write had no effect. With UNKNOWN_OUTCOME, the write may have
             taken effect or may still do so.
+
+        Notes
+        -----
+        The object records the epoch that this client knows, so that replicas prefer it
+        to what the platform has lost. If the response shows a later one, the object is
+        written once more.
         """
         nonce = nonce or uuid.uuid4().hex
+        epoch = self.epoch
         write = functools.partial(
-            self.put_object,
-            key,
-            body,
-            if_match=if_match,
-            nonce=nonce,
-            note=note,
-            previous=previous,
-            lease_s=lease_s,
+            self.put_object, key, body, nonce=nonce, note=note, lease_s=lease_s
         )
         self._credit_retry_budget()
         is_uncertain = False
         for attempt in range(self._retry.attempts):
-            result = write()
+            result = write(if_match=if_match, previous=previous)
+            if result.is_ok() and self.epoch != epoch:
+                return _combine_results(
+                    key, result, write(if_match=result.unwrap().version)
+                )
             if result.is_ok():
                 return result
             error = result.unwrap_err()
@@ -327,6 +346,7 @@
                 PlatformError(step, self.base_url, detail, ErrorKind.UNREACHABLE)
             )
         else:
+            self.epoch = max(self.epoch, _parse_number(response.headers, EPOCH_HEADER))
             result = self._parse_response(step, response, kind)
         outcome = "ok" if result.is_ok() else str(result.unwrap_err().kind)
         self.calls[name, outcome] += 1
@@ -352,12 +372,14 @@
         if status != 200:
             return Err(self._build_malformed_error(step, f"unexpected status {status}"))
         result = parse_response(data, kind)
+        if kind in (Listing, Changes):
+            result = result.map(lambda value: attrs.evolve(value, epoch=self.epoch))
         return result.map_err(lambda detail: self._build_malformed_error(step, detail))
 
     def _parse_refusal(self, step: str, response: requests.Response) -> PlatformError:
         kind = ERROR_KINDS_BY_STATUS.get(response.status_code, ErrorKind.REFUSED)
         detail = f"refused with status {response.status_code}"
-        retry_after_s = _parse_retry_after(response.headers.get("Retry-After", ""))
+        retry_after_s = float(_parse_number(response.headers, "Retry-After"))
         return PlatformError(step, self.base_url, detail, kind, retry_after_s)
 
     def _build_malformed_error(self, step: str, detail: str) -> PlatformError:
@@ -406,5 +428,19 @@
     return PlatformError("put " + key, "platform", detail, ErrorKind.UNKNOWN_OUTCOME)
 
 
-def _parse_retry_after(text: str) -> float:
-    return float(text) if text.isascii() and text.isdigit() else 0.0
+def _combine_results(
+    key: str, first: Result[Accepted, PlatformError], second: Result
+) -> Result[Accepted, PlatformError]:
+    """Return the result of an accepted write that was repeated in a later epoch."""
+    if second.is_ok():
+        return second
+    if second.unwrap_err().kind is ErrorKind.CONFLICT:
+        # Another writer has read and replaced the object since.
+        return first
+    return Err(_build_unknown_outcome_error(key, second.unwrap_err()))
+
+
+def _parse_number(headers: Mapping[str, str], name: str) -> int:
+    """Return the number in a header; 0 if it is missing or malformed."""
+    text = headers.get(name, "")
+    return int(text) if text.isascii() and text.isdigit() else 0
--- a/src/bramleystair/store/_types.py
+++ b/src/bramleystair/store/_types.py
@@ -12,6 +12,10 @@
 # Number of earlier writes kept in an object. A write without a response can be verified
 # as long as fewer later writes exist.
 HISTORY_LENGTH = 8
+# A version in a replica consists of the epoch in the high bits and the version that the
+# platform assigned in the low ones, which leaves room for 2**23 epochs in 63 bits.
+VERSION_BITS = 40
+MAX_EPOCH = 2**23 - 1
 
 
 class ErrorKind(enum.StrEnum):
@@ -98,6 +102,8 @@
         Content as JSON text; empty in a tombstone.
     is_deleted : bool
         Whether this is the tombstone of a deleted object.
+    epoch : int
+        Epoch of the platform in which the object was written, as its writer knew it.
     """
 
     key: str
@@ -107,6 +113,7 @@
     history: tuple[WriteRecord, ...] = ()
     body: str = ""
     is_deleted: bool = False
+    epoch: int = 0
 
     @property
     def record(self) -> WriteRecord:
@@ -122,23 +129,38 @@
 
     def to_stored_object(self) -> StoredObject:
         """Return the object in the form that nodes store and exchange."""
-        return StoredObject(self.key, self.version, self.nonce, self.body.encode())
+        version = combine_version(self.epoch, self.version)
+        return StoredObject(self.key, version, self.nonce, self.body.encode())
 
 
 @attrs.frozen
 class Listing:
-    """Objects under a prefix and the cursor from which to watch them."""
+    """Objects under a prefix and the cursor from which to watch them.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the platform, in which the cursor is valid.
+    """
 
     objects: tuple[PlatformObject, ...]
     cursor: int
+    epoch: int = 0
 
 
 @attrs.frozen
 class Changes:
-    """Changes after a cursor, oldest first, and the next cursor."""
+    """Changes after a cursor, oldest first, and the next cursor.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the platform, in which the cursor is valid.
+    """
 
     objects: tuple[PlatformObject, ...]
     cursor: int
+    epoch: int = 0
 
 
 @attrs.frozen
@@ -148,6 +170,24 @@
     version: int
 
 
+def combine_version(epoch: int, version: int) -> int:
+    """Return the version by which replicas order an object written in `epoch`.
+
+    A platform that was restored from an older copy assigns versions again. What is
+    written after that replaces what was lost, while an object of the copy does not. An
+    epoch out of range, which no client writes, counts as 0.
+    """
+    if not 0 <= epoch <= MAX_EPOCH:
+        epoch = 0
+    return (epoch << VERSION_BITS) + version
+
+
+def format_version(combined: int) -> str:
+    """Return a combined version as text, with its epoch unless that is 0."""
+    epoch, version = divmod(combined, 1 << VERSION_BITS)
+    return f"{version} of epoch {epoch}" if epoch else str(version)
+
+
 def parse_response(data: object, kind: type) -> Result[object, str]:
     """Return `data` as `kind`, or a description of the mismatch."""
     try:
