Forget the store's epoch and verify the object at another address

What callers saw: nothing yet; after a change of the store's address, a node would have refused all responses of a store with a lower epoch, and no agent would have published itself there. Cause: the epoch and the object that a node believes to be stored are those of one store. Evidence: "An agent publishes itself at another store with an earlier epoch" failed before. Change: the client forgets the epoch with the address and does not use responses of the earlier address; the agent writes its object again.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -39,3 +39,12 @@
     Given a store and a balancer
     When the store sends its previous epoch after a new one
     Then the call fails as outdated
+
+  Scenario: An agent publishes itself at another store with an earlier epoch
+    # Guards against a node that refuses all responses after a change of the address, and
+    # against an agent that the new store does not know.
+    Given a store and a balancer
+    And an agent with a server that joined early
+    And the store was restored
+    When the agent's settings name another store
+    Then the other store lists the agent within 3 s
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -24,6 +24,7 @@
 # A subnet of its own for each process, so that concurrent runs do not collide.
 NETWORK = f"127.{211 + os.getpid() % 40}"
 STORE = (f"{NETWORK}.2.1", standin_settings.STORE_PORT)
+OTHER_STORE = (f"{NETWORK}.2.2", standin_settings.STORE_PORT)
 BALANCER_IP, CALLER_IP = f"{NETWORK}.3.1", f"{NETWORK}.5.1"
 CALLER_PORT = 2001
 
@@ -79,12 +80,17 @@
     assert run_for(context, 5, context.balancer.is_ready)
 
 
-@given("a store and a balancer")
-def start_store_and_balancer(context):
-    server, context.objects = create_store_server(*STORE)
+def start_store(context, address):
+    server, objects = create_store_server(*address)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     context.add_cleanup(server.server_close)
     context.add_cleanup(server.shutdown)
+    return objects
+
+
+@given("a store and a balancer")
+def start_store_and_balancer(context):
+    context.objects = start_store(context, STORE)
     configuration = standin_settings.build_configuration(1)
     context.objects.write(CONFIG_KIND, "main", configuration, None, True)
     context.loop = EventLoop(MonotonicClock())
@@ -216,3 +222,22 @@
 @then("the call fails as outdated")
 def check_outdated(context):
     assert context.result.kind is FailureKind.OUTDATED, context.result
+
+
+@given("the store was restored")
+def restore_unchanged(context):
+    store = context.agents["early"]._store
+    context.objects.restore(0.0, 0.2)
+    assert run_for(context, 5, lambda: store.epoch.current == 2)
+
+
+@when("the agent's settings name another store")
+def change_store(context):
+    context.objects = start_store(context, OTHER_STORE)
+    agent = context.agents["early"]
+    agent.apply_settings(attrs.evolve(agent._settings, store_address=OTHER_STORE))
+
+
+@then("the other store lists the agent within {seconds:d} s")
+def check_listed(context, seconds):
+    assert run_for(context, seconds, lambda: count_members(context) == 1)
--- a/src/bramleystair/mirror/_epoch.py
+++ b/src/bramleystair/mirror/_epoch.py
@@ -35,6 +35,10 @@
         """
         self._callbacks.append(callback)
 
+    def forget(self) -> None:
+        """Forget the epoch, since another store counts its own."""
+        self.current = None
+
     def record(self, epoch: int) -> bool:
         """Record the epoch of a response before the response is used.
 
--- a/src/bramleystair/mirror/_publisher.py
+++ b/src/bramleystair/mirror/_publisher.py
@@ -78,16 +78,20 @@
         self._has_called = True
         self.publish(None)
 
-    def _handle_restoration(self) -> None:
-        """Write again now, and once more after delayed writes have been executed."""
-        self._verify()
-        self._timers.subscribe_once(LATE_WRITE_S, lambda _: self._verify())
+    def verify(self) -> None:
+        """Write the desired content again, since the store may have lost it.
 
-    def _verify(self) -> None:
+        Has no effect before the first call of `publish` with content, or of `remove`.
+        """
         if self._has_called:
             self._is_stored_known = False
             self._reconcile()
 
+    def _handle_restoration(self) -> None:
+        """Write again now, and once more after delayed writes have been executed."""
+        self.verify()
+        self._timers.subscribe_once(LATE_WRITE_S, lambda _: self.verify())
+
     def _reconcile(self) -> None:
         if self._is_call_pending or self.is_settled:
             return
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -143,6 +143,7 @@
         self._steering.set_timing(settings.heartbeat_s, settings.flow_lifetime_s)
         if "store_address" in change.applied:
             self._epoch_watch.restart()
+            self._publisher.verify()
 
     def _compute_wait(self, now: float) -> float:
         return self._steering.compute_wait(now)
--- a/src/bramleystair/platform/_store.py
+++ b/src/bramleystair/platform/_store.py
@@ -57,6 +57,7 @@
         """Send further calls to another address."""
         self._client.close()
         self._client = HttpClient(self._loop, address)
+        self.epoch.forget()
 
     def list_items(self, kind: str, after: str) -> Future:
         """Request the page after the name `after`; Listing or StoreFailure."""
@@ -104,17 +105,20 @@
     ) -> Future:
         result: Future = Future()
         step = f"{method} {target}"
+        client = self._client
 
         def complete(done: Future) -> None:
             response = done.result()
-            if isinstance(response, HttpResponse) and not self._is_current(response):
-                detail = "response from before the store was restored"
+            if isinstance(response, HttpResponse) and not (
+                client is self._client and self._is_current(response)
+            ):
+                detail = "response of an earlier epoch or address of the store"
                 failure = StoreFailure(step, "store", detail, FailureKind.OUTDATED)
                 result.set_result(failure)
                 return
             result.set_result(_parse_response(step, response, parse))
 
-        call = self._client.call(method, OBJECTS_PATH + target, body, timeout_s)
+        call = client.call(method, OBJECTS_PATH + target, body, timeout_s)
         call.add_done_callback(complete)
         return result
 
