Restore the store and the platform in the soak and the replay

Cause: neither test returned to an older copy, so both missed the faults of the incident. Change: the soak has the fault restore_store, after which its operator writes the configuration again; it excuses no reset. The replay has the event restored at the platform, the generator plays it in pairs with all other faults (136 pairs instead of 120), and a trace restores it twice. The check for late changes compares the content as well: with a version assigned again, a node that held other content passed. Result: the trace fails with late_changes when versions of two epochs are compared, and passes otherwise.

--- a/features/replay.feature
+++ b/features/replay.feature
@@ -49,6 +49,7 @@
       | platform-outage-hour-tres-lunas              |
       | region-cut-mia-duong                         |
       | region-cut-tres-lunas                        |
+      | platform-restored-tres-lunas                 |
       | request-storm-mia-duong                      |
       | request-storm-tres-lunas                     |
       | server-death-mia-duong                       |
@@ -85,7 +86,7 @@
       | 12    | 7    |
 
   Scenario: Generated histories cover every pair of faults
-    Then 120 histories contain each of the 120 pairs of faults once
+    Then 136 histories contain each of the 136 pairs of faults once
 
   Scenario: The same seed gives the same result
     When the trace "drain-mia-duong" is replayed
@@ -104,6 +105,7 @@
       | cold-start-tres-lunas    | cold agents admit every flow      | over_cold_curve   |
       | request-storm-mia-duong  | agents start every request        | over_cap          |
       | zone-out-in-out-platform-down-mia-duong | a replica accepts older versions  | version_reverted  |
+      | platform-restored-tres-lunas | versions of two epochs are compared | late_changes |
       | server-death-mia-duong   | an expectation cannot be met      | opened_flows      |
 
   Scenario Outline: A malformed trace is rejected
--- a/features/steps/replay_steps.py
+++ b/features/steps/replay_steps.py
@@ -8,7 +8,14 @@
 
 from bramleystair.flows import Admission
 from bramleystair.flows._owner_lookup import OwnerLookup
-from bramleystair.replay import Event, Expectation, read_trace, run_trace, write_trace
+from bramleystair.replay import (
+    Event,
+    Expectation,
+    _platform_model,
+    read_trace,
+    run_trace,
+    write_trace,
+)
 from bramleystair.replay._histories import PAIRS, generate_histories
 from bramleystair.replay._nodes import AgentNode
 from bramleystair.replicas import ObjectStore
@@ -48,6 +55,9 @@
     "a replica accepts older versions": [
         (ObjectStore, "get_version", return_no_version)
     ],
+    "versions of two epochs are compared": [
+        (_platform_model, "combine_version", lambda epoch, version: version)
+    ],
 }
 # Delayed duplicates of messages carry older versions.
 DELAYED_DUPLICATES = Event(
--- a/src/bramleystair/replay/_histories.py
+++ b/src/bramleystair/replay/_histories.py
@@ -103,6 +103,15 @@
             Event(back_s, "platform", "up"),
         ]
 
+    def restore_platform(self, at_s: float) -> list[Event]:
+        back_s = at_s + self.rng.uniform(0.5, 5)
+        age = {"age_s": self.rng.uniform(2, 15)}
+        return [
+            Event(at_s, "platform", "down"),
+            Event(back_s, "platform", "restored", age),
+            Event(back_s, "platform", "up"),
+        ]
+
     def partition_zone(self, at_s: float) -> list[Event]:
         zones = {"zones": [self.choose_zone()]}
         back_s = at_s + self.rng.uniform(2, 30)
@@ -153,6 +162,7 @@
     "zone_out_in": _FaultGenerator.take_zone_out_and_in,
     "zone_out_in_out": _FaultGenerator.take_zone_out_in_out,
     "platform_outage": _FaultGenerator.stop_platform,
+    "platform_restored": _FaultGenerator.restore_platform,
     "zone_cut": _FaultGenerator.partition_zone,
     "agent_paused": _FaultGenerator.pause_agent,
     "balancer_paused": _FaultGenerator.pause_balancer,
--- a/src/bramleystair/replay/_platform_model.py
+++ b/src/bramleystair/replay/_platform_model.py
@@ -3,13 +3,29 @@
 import random
 from collections.abc import Callable
 
+import attrs
+
 from bramleystair.replay._scheduler import EventScheduler
-from bramleystair.tables import build_key, encode_object
+from bramleystair.store import combine_version
+from bramleystair.tables import TABLE_PREFIX, ZONE_PREFIX, build_key, encode_object
 from bramleystair.wire import StoredObject
 
 WATCH_DELAY_S = 0.05
 # Interval after which a failed renewal is retried, as the platform client does.
 RENEW_RETRY_S = 5.0
+# Time after which an operator writes again what a restored platform has lost.
+REWRITE_DELAY_S = 1.0
+OPERATOR_PREFIXES = (TABLE_PREFIX, ZONE_PREFIX)
+
+
+@attrs.frozen
+class _Undo:
+    """State of an object before a write at `time_s`."""
+
+    time_s: float
+    key: str
+    item: StoredObject | None
+    lease_s: float | None
 
 
 class PlatformModel:
@@ -40,14 +56,39 @@
         self._report = report
         self._leases: dict[str, float] = {}
         self._version = 0
+        self._epoch = 0
+        self._undo_log: list[_Undo] = []
+
+    def restore(self, age_s: float) -> None:
+        """Return to the state of `age_s` seconds ago, and assign versions again.
+
+        The operator writes the lost objects again, unless they have changed since.
+        """
+        lost: dict[str, StoredObject] = {}
+        cutoff_s = self._scheduler.now - age_s
+        while self._undo_log and self._undo_log[-1].time_s > cutoff_s:
+            undo = self._undo_log.pop()
+            lost.setdefault(undo.key, self.objects[undo.key])
+            self._version -= 1
+            _set_or_remove(self.objects, undo.key, undo.item)
+            _set_or_remove(self._leases, undo.key, undo.lease_s)
+        self._epoch += 1
+        for key, item in lost.items():
+            if key.startswith(OPERATOR_PREFIXES):
+                present = self.objects.get(key)
+                self._scheduler.schedule(REWRITE_DELAY_S, self._rewrite, item, present)
+        self._report_all()
+
+    def _rewrite(self, lost: StoredObject, present: StoredObject | None) -> None:
+        if self.objects.get(lost.key) is present:
+            self.write(lost.key, lost.body)
 
     def set_available(self, is_available: bool) -> None:
         """Start or end an outage; at its end, every watcher receives all objects."""
         self.is_available = is_available
         if is_available:
             self._expire_leases()
-            for watcher in list(self.watchers):
-                self._notify(watcher, tuple(self.objects.values()))
+            self._report_all()
 
     def set_watch(self, name: str, is_wanted: bool) -> None:
         """Start or stop the watch of a balancer; a new watch receives all objects."""
@@ -58,8 +99,12 @@
 
     def write(self, key: str, body: bytes) -> StoredObject:
         """Store an object under a new version and report it to the watchers."""
+        now = self._scheduler.now
+        self._undo_log.append(
+            _Undo(now, key, self.objects.get(key), self._leases.get(key))
+        )
         self._version += 1
-        item = StoredObject(key, self._version, "", body)
+        item = StoredObject(key, combine_version(self._epoch, self._version), "", body)
         self.objects[key] = item
         for watcher in list(self.watchers):
             self._notify(watcher, (item,))
@@ -94,6 +139,10 @@
                 del self._leases[key]
                 self.write(key, b"")
 
+    def _report_all(self) -> None:
+        for watcher in list(self.watchers):
+            self._notify(watcher, tuple(self.objects.values()))
+
     def _notify(self, watcher: str, objects: tuple[StoredObject, ...]) -> None:
         delay_s = self._rng.random() * WATCH_DELAY_S
         self._scheduler.schedule(delay_s, self._deliver, watcher, objects)
@@ -102,3 +151,10 @@
         # A response in transit is lost when an outage begins.
         if self.is_available and watcher in self.watchers:
             self._report(watcher, objects)
+
+
+def _set_or_remove(values: dict, key: str, value: object | None) -> None:
+    if value is None:
+        values.pop(key, None)
+    else:
+        values[key] = value
--- a/src/bramleystair/replay/_simulation.py
+++ b/src/bramleystair/replay/_simulation.py
@@ -30,7 +30,9 @@
     Table,
     ZoneMark,
     build_key,
+    decode_object,
     encode_object,
+    replace_version,
 )
 from bramleystair.views import View
 from bramleystair.wire import Forward, Message, Objects, StoredObject
@@ -254,6 +256,8 @@
                 self.platform.set_available(True)
             case "platform", "lose_answers":
                 self.platform.responses_to_lose = int(event.values["count"])
+            case "platform", "restored":
+                self.platform.restore(float(event.values["age_s"]))
             case "network", _:
                 self._apply_network(event)
             case "callers", _:
@@ -435,16 +439,25 @@
         return stored
 
     def _check_propagation(self, stored: StoredObject, accepted_s: float) -> None:
-        """Record a violation for each node that lacks an accepted change."""
+        """Record a violation for each node that lacks an accepted change.
+
+        The content is compared as well, since a restored platform may assign a version
+        again, unless the object was written again since.
+        """
         prefix, _, name = stored.key.partition("/")
         collection = "tables" if prefix == "table" else "zones"
+        is_latest = self.platform.objects.get(stored.key) is stored
+        written = decode_object(stored.key, stored.body).unwrap()
         for node in (*self.balancers.values(), *self.agents.values()):
             if node.started_s > accepted_s - RECOVERY_S or self._is_recovering(node):
                 continue
             if collection == "tables" and not self._needs_table(node, name):
                 continue
             held = getattr(node.view, collection).get(name)
-            if held is None or held.version < stored.version:
+            is_held = held is not None and held.version >= stored.version
+            if is_held and is_latest:
+                is_held = held == replace_version(written, held.version)
+            if not is_held:
                 detail = f"{node.name} lacks {stored.key} version {stored.version}"
                 self.measures.record_violation("late_changes", detail)
 
--- a/src/bramleystair/soak/_faults.py
+++ b/src/bramleystair/soak/_faults.py
@@ -18,6 +18,7 @@
     "pause_agent",
     "kill_server",
     "pause_store",
+    "restore_store",
     "proxy",
     "configuration",
     "reload",
@@ -26,6 +27,10 @@
 PLANNED_FAULTS = frozenset({"stop_balancer", "stop_agent", "configuration", "reload"})
 
 
+# Bounds of the age of the copy from which the store returns.
+RESTORED_AGE_S = (1.0, 8.0)
+
+
 @attrs.frozen
 class Fault:
     """Fault injected into a program between `start_s` and `end_s`."""
@@ -69,6 +74,9 @@
         case "pause_store":
             target = "store"
             _pause(fleet, target, duration_s)
+        case "restore_store":
+            target = "store"
+            fleet.restore_store(source.uniform(*RESTORED_AGE_S), duration_s)
         case "proxy":
             target = source.choice(list(fleet.proxies))
             proxy = fleet.proxies[target]
--- a/src/bramleystair/soak/_fleet.py
+++ b/src/bramleystair/soak/_fleet.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -15,13 +16,17 @@
 from bramleystair.platform._main import SETTINGS_PATH_VARIABLE
 from bramleystair.platform._store import OBJECTS_PATH
 from bramleystair.platform.standins import _settings
+from bramleystair.platform.standins._store import CONTROL_PATH
 from bramleystair.soak._proxy import Proxy
 from bramleystair.standins import try_call, wait_until
 
 ROOT = Path(__file__).resolve().parents[3]
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 8.0
+STORE_CALL_TIMEOUT_S = 5.0
+STORE_RETRY_DELAY_S = 0.05
 BALANCERS, SERVERS, CALLERS = 3, 4, 30
+NOT_FOUND = 404
 
 
 @attrs.define
@@ -81,6 +86,7 @@
         subnet = 10 + os.getpid() % 200
         self._network = f"127.{subnet}"
         self.version = 0
+        self._configuration_lock = threading.Lock()
         self.proxies: dict[str, Proxy] = {}
         self.programs: dict[str, Program] = {}
         self._folder = folder
@@ -123,15 +129,48 @@
 
     def change_configuration(self) -> None:
         """Write the next version of the configuration to the store."""
-        self.version += 1
+        with self._configuration_lock:
+            self.version += 1
+            self._write_configuration()
+
+    def restore_store(self, age_s: float, away_s: float) -> None:
+        """Return the store to its state of `age_s` seconds ago, after `away_s`.
+
+        Like the operator, write the present configuration again.
+        """
+        values = {"age_s": age_s, "away_s": away_s}
+        self._call_store("POST", CONTROL_PATH, values)
+        time.sleep(away_s)
+        with self._configuration_lock:
+            self._write_configuration()
+
+    def _write_configuration(self) -> None:
+        path = OBJECTS_PATH + CONFIG_KIND
         spec = _settings.build_configuration(self.version)
-        method = "POST" if self.version == 1 else "PUT"
-        name = "" if self.version == 1 else "/main"
-        connection = http.client.HTTPConnection(*self._store, timeout=5)
-        body = json.dumps({"meta": {"Name": "main"}, "spec": spec})
-        connection.request(method, f"{OBJECTS_PATH}{CONFIG_KIND}{name}", body)
-        connection.getresponse().read()
-        connection.close()
+        document = {"meta": {"Name": "main"}, "spec": spec}
+        if self._call_store("PUT", f"{path}/main", document) == NOT_FOUND:
+            self._call_store("POST", path, document)
+
+    def _call_store(self, method: str, path: str, document: dict) -> int:
+        """Repeat a call until it gets a response, and return the response's status."""
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        while True:
+            connection = http.client.HTTPConnection(
+                *self._store, timeout=STORE_CALL_TIMEOUT_S
+            )
+            try:
+                connection.request(method, path, json.dumps(document))
+                response = connection.getresponse()
+                response.read()
+                return response.status
+            except (OSError, http.client.HTTPException):
+                # Expected while the store is away or paused; a longer failure ends
+                # the run.
+                if time.monotonic() > deadline_s:
+                    raise
+                time.sleep(STORE_RETRY_DELAY_S)
+            finally:
+                connection.close()
 
     def _wait_for_store(self) -> None:
         url = f"http://{self._store[0]}:{self._store[1]}{OBJECTS_PATH}{CONFIG_KIND}"
