--- a/features/steps/restored_platform_steps.py
+++ b/features/steps/restored_platform_steps.py
@@ -84,7 +84,7 @@
     application.faults.outage = True
     application.faults.lose_rate = 1.0
     with store._changed:
-        lost_s = next(u.time_s for u in store._undo_log if u.key == lost_key)
+        lost_s = store._undo_log.find_last_write(lost_key)
     store.restore(store._now() - lost_s + 5e-4)
     assert lost_key not in store._objects
     write(store)
--- a/src/bramleystair/replay/_platform_model.py
+++ b/src/bramleystair/replay/_platform_model.py
@@ -3,11 +3,10 @@
 import random
 from collections.abc import Callable
 
-import attrs
-
 from bramleystair.replay._scheduler import EventScheduler
 from bramleystair.store import combine_version
 from bramleystair.tables import TABLE_PREFIX, ZONE_PREFIX, build_key, encode_object
+from bramleystair.undo_log import UndoLog
 from bramleystair.wire import StoredObject
 
 WATCH_DELAY_S = 0.05
@@ -18,16 +17,6 @@
 OPERATOR_PREFIXES = (TABLE_PREFIX, ZONE_PREFIX)
 
 
-@attrs.frozen
-class _Undo:
-    """State of an object before a write at `time_s`."""
-
-    time_s: float
-    key: str
-    item: StoredObject | None
-    lease_s: float | None
-
-
 class PlatformModel:
     """Versioned object store that reports changes to watchers while it is available.
 
@@ -57,21 +46,20 @@
         self._leases: dict[str, float] = {}
         self._version = 0
         self._epoch = 0
-        self._undo_log: list[_Undo] = []
+        self._undo_log = UndoLog()
 
     def restore(self, age_s: float) -> None:
         """Return to the state of `age_s` seconds ago, and assign versions again.
 
         The operator writes the lost objects again, unless they have changed since.
         """
-        lost: dict[str, StoredObject] = {}
         cutoff_s = self._scheduler.now - age_s
-        while self._undo_log and self._undo_log[-1].time_s > cutoff_s:
-            undo = self._undo_log.pop()
-            lost.setdefault(undo.key, self.objects[undo.key])
-            self._version -= 1
-            _set_or_remove(self.objects, undo.key, undo.item)
-            _set_or_remove(self._leases, undo.key, undo.lease_s)
+        reverted = self._undo_log.revert(cutoff_s, self.objects, self._leases)
+        self._version -= len(reverted)
+        # The newest write comes first, so that it is kept.
+        lost: dict[str, StoredObject] = {}
+        for key, item in reverted:
+            lost.setdefault(key, item)
         self._epoch += 1
         for key, item in lost.items():
             if key.startswith(OPERATOR_PREFIXES):
@@ -99,10 +87,7 @@
 
     def write(self, key: str, body: bytes) -> StoredObject:
         """Store an object under a new version and report it to the watchers."""
-        now = self._scheduler.now
-        self._undo_log.append(
-            _Undo(now, key, self.objects.get(key), self._leases.get(key))
-        )
+        self._undo_log.record(self._scheduler.now, key, self.objects, self._leases)
         self._version += 1
         item = StoredObject(key, combine_version(self._epoch, self._version), "", body)
         self.objects[key] = item
@@ -151,10 +136,3 @@
         # A response in transit is lost when an outage begins.
         if self.is_available and watcher in self.watchers:
             self._report(watcher, objects)
-
-
-def _set_or_remove(values: dict, key: str, value: object | None) -> None:
-    if value is None:
-        values.pop(key, None)
-    else:
-        values[key] = value
--- a/src/bramleystair/standins/_platform.py
+++ b/src/bramleystair/standins/_platform.py
@@ -13,6 +13,7 @@
 from werkzeug.wrappers import Request, Response
 
 from bramleystair.store import EPOCH_HEADER
+from bramleystair.undo_log import UndoLog
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_WATCH_S = 60.0
@@ -60,17 +61,6 @@
     version: int = 0
 
 
-@attrs.frozen
-class _Undo:
-    """State of an object before a write at `time_s`."""
-
-    time_s: float
-    key: str
-    item: dict[str, object] | None
-    version: int
-    lease_expiry_s: float | None
-
-
 class PlatformStore:
     """Versioned objects with leases and a bounded log of changes.
 
@@ -97,7 +87,7 @@
         )
         self._cursor = 0
         self.epoch = 0
-        self._undo_log: collections.deque[_Undo] = collections.deque(maxlen=log_length)
+        self._undo_log = UndoLog(log_length)
         self._changed = threading.Condition()
 
     def restore(self, age_s: float) -> None:
@@ -106,19 +96,16 @@
         Versions and cursors go back as well and are assigned again.
         """
         with self._changed:
-            cutoff_s = self._now() - age_s
-            while self._undo_log and self._undo_log[-1].time_s > cutoff_s:
-                self._undo(self._undo_log.pop())
+            reverted = self._undo_log.revert(
+                self._now() - age_s, self._objects, self._lease_expiries
+            )
+            for key, _ in reverted:
+                self._versions[key] -= 1
+                self._cursor -= 1
+                self._log.pop()
             self.epoch += 1
             self._changed.notify_all()
 
-    def _undo(self, undo: _Undo) -> None:
-        self._cursor -= 1
-        self._log.pop()
-        self._versions[undo.key] = undo.version
-        _set_or_remove(self._objects, undo.key, undo.item)
-        _set_or_remove(self._lease_expiries, undo.key, undo.lease_expiry_s)
-
     def list_objects(self, prefix: str) -> dict[str, object]:
         """Return the objects under `prefix` and the current cursor."""
         with self._changed:
@@ -190,17 +177,8 @@
             raise RequestError(409, "version differs", present)
 
     def _write(self, key: str, document: dict[str, object]) -> dict[str, object]:
-        previous_version = self._versions.get(key, 0)
-        self._undo_log.append(
-            _Undo(
-                self._now(),
-                key,
-                self._objects.get(key),
-                previous_version,
-                self._lease_expiries.get(key),
-            )
-        )
-        version = previous_version + 1
+        self._undo_log.record(self._now(), key, self._objects, self._lease_expiries)
+        version = self._versions.get(key, 0) + 1
         self._versions[key] = version
         self._cursor += 1
         self._objects[key] = {**document, "key": key, "version": version}
@@ -371,13 +349,6 @@
         return {**super().get_environ(), CONNECTION_KEY: self.req.conn}
 
 
-def _set_or_remove(values: dict, key: str, value: object | None) -> None:
-    if value is None:
-        values.pop(key, None)
-    else:
-        values[key] = value
-
-
 def _handle_store_call(store: PlatformStore, request: Request) -> Response:
     try:
         return _build_response(_call_store(store, request))
