--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -4,6 +4,7 @@
 
 import attrs
 from behave import given, then, when
+from nodes_steps import run_until
 
 from bramleystair.loop import EventLoop
 from bramleystair.metrics import Metrics
@@ -60,12 +61,8 @@
         self.socket.send(data, (BALANCER_IP, standin_settings.PACKET_PORT))
 
 
-def run_for(context, seconds, condition=lambda: False):
-    end_s = time.monotonic() + seconds
-    while time.monotonic() < end_s and not condition():
-        context.loop.timers.subscribe_once(0.02, lambda _: None)
-        context.loop.run_once()
-    return condition()
+def run_for(context, seconds):
+    run_until(context, lambda: False, seconds)
 
 
 def read_settings(name, ip, is_agent):
@@ -77,7 +74,7 @@
     settings = read_settings("balancer", BALANCER_IP, False)
     context.balancer = _build_balancer(context.loop, settings)
     context.balancer.start()
-    assert run_for(context, 5, context.balancer.is_ready)
+    assert run_until(context, context.balancer.is_ready, 5)
 
 
 def start_store(context, address):
@@ -117,7 +114,7 @@
     agent.start()
     count = len(context.agents)
     members = context.balancer._members
-    assert run_for(context, 5, lambda: len(members.items) == count)
+    assert run_until(context, lambda: len(members.items) == count, 5)
 
 
 @given("a caller with an open flow at the late server")
@@ -128,7 +125,7 @@
         context.loop, socket_address, lambda *a: context.caller.handle(*a), Metrics()
     )
     context.add_cleanup(context.caller.socket.close)
-    # The early server drains for the balancer's choice; its flows are not affected.
+    # The early agent refuses new flows meanwhile, so that the late one gets the flow.
     early = context.agents["early"]
     early._steering._is_stopping = True
     assert run_until_open(context)
@@ -140,7 +137,7 @@
 def run_until_open(context):
     for _ in range(10):
         context.caller.send(SYN)
-        if run_for(context, RETRANSMISSION_S, lambda: context.caller.acknowledgement):
+        if run_until(context, lambda: context.caller.acknowledgement, RETRANSMISSION_S):
             return True
     return False
 
@@ -171,10 +168,10 @@
         count = len(context.caller.answers)
         while time.monotonic() < end_s + 2:
             context.caller.send(ACK, f"request-{context.requests}".encode())
-            if run_for(
+            if run_until(
                 context,
-                RETRANSMISSION_S,
                 lambda count=count: len(context.caller.answers) > count,
+                RETRANSMISSION_S,
             ):
                 break
 
@@ -194,8 +191,8 @@
     context.left_s = time.monotonic()
     run_for(context, 0.1)
     call = context.servers["late"].deregister()
-    assert run_for(context, 2, call.done)
-    assert run_for(context, 2, lambda: count_members(context) == 1)
+    assert run_until(context, call.done, 2)
+    assert run_until(context, lambda: count_members(context) == 1, 2)
 
 
 def count_members(context):
@@ -215,7 +212,7 @@
     for epoch in (2, 1):
         context.objects.epoch = epoch
         call = store.list_items(MEMBER_KIND, "")
-        assert run_for(context, 2, call.done)
+        assert run_until(context, call.done, 2)
     context.result = call.result()
 
 
@@ -228,7 +225,7 @@
 def restore_unchanged(context):
     store = context.agents["early"]._store
     context.objects.restore(0.0, 0.2)
-    assert run_for(context, 5, lambda: store.epoch.current == 2)
+    assert run_until(context, lambda: store.epoch.current == 2, 5)
 
 
 @when("the agent's settings name another store")
@@ -240,4 +237,4 @@
 
 @then("the other store lists the agent within {seconds:d} s")
 def check_listed(context, seconds):
-    assert run_for(context, seconds, lambda: count_members(context) == 1)
+    assert run_until(context, lambda: count_members(context) == 1, seconds)
--- a/src/bramleystair/soak/_fleet.py
+++ b/src/bramleystair/soak/_fleet.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from bramleystair.logs import get_logger
 from bramleystair.platform._configuration import CONFIG_KIND
 from bramleystair.platform._main import SETTINGS_PATH_VARIABLE
 from bramleystair.platform._store import OBJECTS_PATH
@@ -20,6 +21,8 @@
 from bramleystair.soak._proxy import Proxy
 from bramleystair.standins import try_call, wait_until
 
+log = get_logger("soak")
+
 ROOT = Path(__file__).resolve().parents[3]
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 8.0
@@ -163,11 +166,12 @@
                 response = connection.getresponse()
                 response.read()
                 return response.status
-            except (OSError, http.client.HTTPException):
+            except (OSError, http.client.HTTPException) as error:
                 # Expected while the store is away or paused; a longer failure ends
                 # the run.
                 if time.monotonic() > deadline_s:
                     raise
+                log.debug("%s %s: no response (%r), retrying", method, path, error)
                 time.sleep(STORE_RETRY_DELAY_S)
             finally:
                 connection.close()
