Review: two flows of one port are mixed up at a lookup

Callers of open flows are reset by a server that is not theirs when balancers are restarted as planned, if an earlier flow from the same port had ended at that server within 60 s.

Cause: agents track a flow by addresses and ports for 60 s after its last packet and keep it as certain after its end, so that two agents claim it.

--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -99,17 +99,19 @@
         self._flows = {}
         self._socket = reactor.open_udp(address, self._handle)
 
-    def open_flow(self, on_event, deadline_s=3.0):
-        """Open a flow from a new port; only on the thread of the reactor.
+    def open_flow(self, on_event, deadline_s=3.0, port=None):
+        """Open a flow, from a new port by default; only on the thread of the reactor.
 
         `on_event` is called with the flow and `opened`, `answer`, `reset`, `not_opened`
         or `expired`.
         """
-        if self._port >= LAST_PORT:
-            raise RuntimeError("no port is left")
-        self._port += 1
-        flow = ClientFlow(self, (self.host, self._port), on_event, deadline_s)
-        self._flows[self._port] = flow
+        if port is None:
+            if self._port >= LAST_PORT:
+                raise RuntimeError("no port is left")
+            self._port += 1
+            port = self._port
+        flow = ClientFlow(self, (self.host, port), on_event, deadline_s)
+        self._flows[port] = flow
         flow.start()
         return flow
 
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -183,8 +183,10 @@
 
     def _handle_first_packet(self, key, flow, packet, datagram):
         if flow is not None and flow.first_seq != packet.seq:
-            self._send(mark_bounced(datagram))
-            return
+            if not flow.has_ended:
+                self._send(mark_bounced(datagram))
+                return
+            flow = None
         if flow is None:
             seq = random.randrange(2**20, MODULUS)
             flow = self.flows[key] = _Flow(packet.seq, seq)
@@ -210,6 +212,7 @@
             if packet.flags & FIN:
                 self._reply(key, ACK, flow.seq, packet.seq + 1)
             elif packet.data:
+                self._record("reset_sent", server=self.id, flow=_format(key))
                 self._reply(key, RST, packet.ack, 0)
             return
         is_new = packet.seq == flow.expected
