--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -194,6 +194,11 @@
                 self._report("opened")
         elif packet.data and self.is_open:
             self._handle_data(packet)
+        elif packet.flags & FIN and self.is_open and packet.seq == self._ack:
+            self.has_ended = True
+            self._ack = (self._ack + 1) % MODULUS
+            self._send(ACK | FIN, self._seq, self._ack)
+            self._report("closed_by_server")
 
     def _handle_data(self, packet):
         if packet.seq == self._ack:
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -16,7 +16,6 @@
 from pathlib import Path
 
 from standins.client import Clients, Router
-from standins.proxy import Link
 from standins.reactor import Reactor
 from standins.server import Server
 from standins.store import Store
@@ -97,6 +96,7 @@
         self._record = record
         self._restart_delay_s = restart_delay_s
         self._is_closed = False
+        self._lock = threading.Lock()
         self.process = None
         self._start()
         self._thread = threading.Thread(target=self._supervise, daemon=True)
@@ -109,10 +109,11 @@
 
     def close(self):
         """End the process for good."""
-        self._is_closed = True
-        if self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
+        with self._lock:
+            self._is_closed = True
+            if self.process.poll() is None:
+                self.process.send_signal(signal.SIGCONT)
+                self.process.kill()
         self._thread.join(STOP_TIMEOUT_S)
         self._log.close()
 
@@ -139,9 +140,10 @@
                 return
             self._record("node_ended", node=self.name, status=status)
             time.sleep(self._restart_delay_s)
-            if self._is_closed:
-                return
-            self._start()
+            with self._lock:
+                if self._is_closed:
+                    return
+                self._start()
 
 
 class Fleet:
@@ -171,7 +173,6 @@
         self.reactor = Reactor()
         self.nodes = {}
         self.servers = {}
-        self._paths = []
         self.router = None
         self._balancers = []
         self._agents = {}
@@ -200,14 +201,6 @@
         seeds = [b["packets"][0] for b in self._balancers[:3]]
         self._start_node(name, "agent", ip, zone, seeds, extra)
 
-    def add_path(self, machine):
-        """Return a path to the `Control` address of a machine; see `Link`."""
-        ip = self._agents[machine][0]
-        address = (f"{self._network}.5.{len(self._paths) + 1}", self._ports["control"])
-        path = Link(address, (ip, self._ports["control"]))
-        self._paths.append(path)
-        return path
-
     def add_server(self, machine, **options):
         """Start the server of a machine."""
         ip, zone, service = self._agents[machine]
@@ -278,8 +271,6 @@
             node.close()
         for server in self.servers.values():
             server.close()
-        for path in self._paths:
-            path.close()
         if self.router is not None:
             self.router.close()
         self.store.close()
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -24,6 +24,8 @@
 RETRANSMISSION_S = 0.2
 MAX_RETRANSMISSION_S = 1.6
 MAX_RETRANSMISSIONS = 8
+# `idle_close_ms` of the site's services.
+IDLE_CLOSE_S = 12.0
 
 
 class _Flow:
@@ -36,6 +38,7 @@
         self.seq = (seq + 1) % MODULUS
         self.is_open = False
         self.has_ended = False
+        self.last_packet_s = time.monotonic()
         self.unacknowledged = None
 
 
@@ -63,8 +66,6 @@
         self._born = int(time.time() * 1000) + options.get("born_offset_ms", 0)
         self.state = "ready"
         self.flows = {}
-        # Whether the links of the server are cut.
-        self.is_cut = options.get("is_cut", False)
         self._stopped = threading.Event()
         self._wake = threading.Event()
         self._connection = None
@@ -74,22 +75,6 @@
         self._thread = threading.Thread(target=self._send_heartbeats, daemon=True)
         self._thread.start()
 
-    def drain(self):
-        """Report `draining` at once."""
-        self.state = "draining"
-        self._wake.set()
-
-    def deregister(self):
-        """Stop the heartbeats and send the shutdown report; return whether it is acked.
-
-        The server keeps its connection to the agent, which is in use already.
-        """
-        self._stop_heartbeats()
-        path = f"/bramleystair/Instances.Deregister/{self.id}"
-        is_acknowledged = self._call(path, {"born": self._born})
-        self._record("deregister", server=self.id, is_acknowledged=is_acknowledged)
-        return is_acknowledged
-
     def close(self):
         """End the server."""
         self._stop_heartbeats()
@@ -166,8 +151,6 @@
             return is_closed and self._call(path, body)
 
     def _handle(self, datagram, _):
-        if self.is_cut:
-            return
         packet = decode(datagram)
         if packet is None or not packet.is_authentic or packet.flags & BOUNCED:
             self._record("forged", server=self.id)
@@ -191,6 +174,7 @@
             seq = random.randrange(2**20, MODULUS)
             flow = self.flows[key] = _Flow(packet.seq, seq)
             self._record("accepted", server=self.id, flow=_format(key))
+            self._reactor.call_later(IDLE_CLOSE_S, lambda: self._close_idle(key, flow))
         self._reply(key, SYN | ACK, flow.first_own_seq, flow.first_seq + 1)
 
     def _is_of_flow(self, key, flow, packet):
@@ -202,7 +186,21 @@
             self._record("opened", server=self.id, flow=_format(key))
         return True
 
+    def _close_idle(self, key, flow):
+        """End a flow that has been idle for `IDLE_CLOSE_S`."""
+        if flow.has_ended or self._stopped.is_set():
+            return
+        left_s = flow.last_packet_s + IDLE_CLOSE_S - time.monotonic()
+        if left_s > 0:
+            self._reactor.call_later(left_s, lambda: self._close_idle(key, flow))
+            return
+        flow.has_ended = True
+        self._record("closed_idle", server=self.id, flow=_format(key))
+        self._reply(key, ACK | FIN, flow.seq, flow.expected)
+        flow.seq = (flow.seq + 1) % MODULUS
+
     def _handle_packet(self, key, flow, packet):
+        flow.last_packet_s = time.monotonic()
         if packet.flags & RST:
             flow.has_ended = True
             return
@@ -255,7 +253,7 @@
         self._send(encode(service, client, flags, seq, ack, data))
 
     def _send(self, datagram):
-        if self.is_cut or self._stopped.is_set():
+        if self._stopped.is_set():
             return
         try:
             self._socket.sendto(datagram, self._options["outbound"])
