Find changes whose response the store has lost

The store had lost its responses for 2 s, to one balancer or to all.

Cause: a mirror's watch waits for 18 s, and a lost response on a connection that stays open looks the same as no change. Only the timeout of 20 s showed it. The second path of the configuration, through the other balancers, cannot help when all of them miss the change.

Change: a check, a stale read with a wait of 2 s, runs beside the watch. The watch of members, a stale read already, waits for 4 s instead of 18 s. A change that both calls return is reported once.

--- a/features/mirror.feature
+++ b/features/mirror.feature
@@ -96,6 +96,58 @@
     And the store's clock advances by 3 s
     Then the mirror holds a, b and c
 
+  Scenario Outline: A change whose response was lost arrives within 4 s
+    # Guards against an evacuated zone or an old configuration that stays in use until the
+    # watch times out: its connection stays open, so nothing else shows the loss.
+    Given a store with members a and b
+    And a mirror of the members that checks its <reads> watch every 2 s
+    When <phase> s pass at the mirror
+    And the store loses its responses for <loss> s
+    And <delay> s pass at the mirror
+    And c is added to the store
+    Then it holds a, b and c at most 4.0 s after the loss
+
+    Examples:
+      | reads   | phase | loss | delay |
+      | current | 0.5   | 0.1  | 0.05  |
+      | current | 0.5   | 2.0  | 0.1   |
+      | current | 1.9   | 2.0  | 0.2   |
+      | current | 1.9   | 2.0  | 1.9   |
+      | current | 7.3   | 4.5  | 0.5   |
+      | current | 7.3   | 4.5  | 4.4   |
+      | current | 17.9  | 2.0  | 0.3   |
+      | stale   | 0.5   | 0.1  | 0.05  |
+      | stale   | 1.9   | 2.0  | 1.9   |
+      | stale   | 7.3   | 4.5  | 4.4   |
+
+  Scenario: A check replaces a watch whose response was lost
+    # Guards against a mirror that relies on its checks once the watch is dead.
+    Given a store with members a and b
+    And a mirror of the members that checks its current watch every 2 s
+    When 0.5 s pass at the mirror
+    And the response to the watch is lost while c is added
+    Then it holds a, b and c at most 0.1 s after the change
+    When 0.6 s pass at the mirror
+    And d is added to the store
+    Then it holds a, b, c and d at most 0.1 s after the change
+
+  Scenario: A change that the watch and the check return is reported once
+    # Guards against work that is done twice for each change.
+    Given a store with members a and b
+    And a mirror of the members that checks its current watch every 2 s
+    When 0.5 s pass at the mirror
+    And c is added to the store
+    And c is deleted from the store
+    And 5.0 s pass at the mirror
+    Then it reported 3 changes of the copy
+
+  Scenario: Checks are stale reads
+    # Guards against a price of the checks above a tenth of that of other calls.
+    Given a store with members a and b
+    And a mirror of the members that checks its current watch every 2 s
+    When 60.0 s pass at the mirror
+    Then the store got 4 watches, and at most 31 stale ones
+
   Scenario: A retried call without a response does not block the other retries
     # Guards against mirrors that wait for a watch which completes after many seconds.
     Given a retry queue with two calls, the first of which gets no response
--- a/features/steps/mirror_steps.py
+++ b/features/steps/mirror_steps.py
@@ -15,6 +15,7 @@
     StoreEpoch,
     StoreFailure,
 )
+from bramleystair.mirror._mirror import FETCH_WAIT_S
 from bramleystair.timers import ManualClock, TimerService
 
 KIND, NAME = "members", "m"
@@ -42,6 +43,8 @@
     oldest_revision: int = 0
     is_up: bool = True
     pending_watches: list = attrs.field(factory=list)
+    # For each watch, whether it was a stale read.
+    watches: list = attrs.field(factory=list)
     writes: int = 0
     lost_write: str = ""
     write_delay_s: float = 0.0
@@ -52,6 +55,8 @@
     catch_up_calls: int = 0
     refused: int = 0
     is_unresponsive: bool = False
+    # Time until which responses are lost on connections that stay open.
+    lost_until_s: float = 0.0
     epoch: StoreEpoch = attrs.field(factory=StoreEpoch)
     # Number sent with each response; `epoch` records it at the client.
     current_epoch: int = 1
@@ -83,6 +88,7 @@
         return self.respond(Listing(items, self.revision, len(names) > self.page_size))
 
     def watch(self, kind, revision, wait_s=None, allow_stale=False):
+        self.watches.append(allow_stale)
         if not self.is_up:
             return self.refuse()
         if not self.oldest_revision <= revision <= self.revision:
@@ -93,13 +99,37 @@
         self.catch_up_calls += wait_s is not None
         if self.is_unresponsive:
             return self.time_out_later(20.0 if wait_s is None else 1.5)
-        events = self.get_events(revision)
-        if events or wait_s is not None:
-            return self.respond(Changes(events, self.revision))
+        return self.start_watch(revision, wait_s)
+
+    def start_watch(self, revision, wait_s):
         future = Future()
+        timeout_s = 20.0 if wait_s is None else wait_s + 1.5
+
+        def time_out(_):
+            if not future.done():
+                future.set_result(fail())
+
+        self.timers.subscribe_once(timeout_s, time_out)
         self.pending_watches.append((revision, future))
+        if self.get_events(revision) or wait_s == FETCH_WAIT_S:
+            self.answer_watch(revision, future)
+        else:
+            self.timers.subscribe_once(
+                18.0 if wait_s is None else wait_s,
+                lambda _: self.answer_watch(revision, future),
+            )
         return future
 
+    def answer_watch(self, revision, future):
+        """Answer a pending watch, or lose the response."""
+        if (revision, future) not in self.pending_watches:
+            return
+        self.pending_watches.remove((revision, future))
+        if self.timers.clock.now() < self.lost_until_s or future.done():
+            return
+        self.epoch.record(self.current_epoch)
+        future.set_result(Changes(self.get_events(revision), self.revision))
+
     def time_out_later(self, timeout_s):
         future = Future()
         self.timers.subscribe_once(timeout_s, lambda _: future.set_result(fail()))
@@ -164,10 +194,8 @@
         return None if value is None else item
 
     def answer_watches(self):
-        pending_watches, self.pending_watches = self.pending_watches, []
-        for revision, future in pending_watches:
-            self.epoch.record(self.current_epoch)
-            future.set_result(Changes(self.get_events(revision), self.revision))
+        for revision, future in list(self.pending_watches):
+            self.answer_watch(revision, future)
 
 
 def create_store(context, **options):
@@ -202,8 +230,57 @@
     context.mirror.start()
 
 
-def create_mirror(context, take):
-    return Mirror(context.store, KIND, context.timers, context.retries, take)
+def create_mirror(context, take, **options):
+    return Mirror(context.store, KIND, context.timers, context.retries, take, **options)
+
+
+@given("a mirror of the members that checks its {reads} watch every {period:d} s")
+def start_checking_mirror(context, reads, period):
+    context.copies = []
+    context.retries = RetryQueue(context.timers, random.Random(1))
+    context.mirror = create_mirror(
+        context,
+        context.copies.append,
+        allow_stale=reads == "stale",
+        check_period_s=period,
+    )
+    context.mirror.start()
+
+
+@when("the store loses its responses for {seconds:f} s")
+def lose_responses(context, seconds):
+    context.store.lost_until_s = context.clock.now() + seconds
+
+
+@when("the response to the watch is lost while {name} is added")
+def lose_watch_response(context, name):
+    (_, future), *_ = context.store.pending_watches
+    context.store.pending_watches = [
+        entry for entry in context.store.pending_watches if entry[1] is not future
+    ]
+    context.store.put(name, {"name": name})
+
+
+@then("it holds {names} at most {limit:f} s after the {start}")
+def check_change_delay(context, names, limit, start):
+    changed_s = context.clock.now()
+    start_s = max(changed_s, context.store.lost_until_s)
+    expected = names.replace(" and ", ", ").split(", ")
+    while sorted(context.mirror.items) != expected:
+        assert context.clock.now() < start_s + limit, sorted(context.mirror.items)
+        advance(context, 0.01)
+
+
+@then("it reported {count:d} changes of the copy")
+def check_change_count(context, count):
+    assert len(context.copies) == count, context.copies
+
+
+@then("the store got {fresh:d} watches, and at most {stale:d} stale ones")
+def check_watch_calls(context, fresh, stale):
+    calls = context.store.watches
+    assert calls.count(False) == fresh, calls
+    assert 0 < calls.count(True) <= stale, calls
 
 
 @when("the store stops responding and the mirror's watch times out")
--- a/src/bramleystair/mirror/_mirror.py
+++ b/src/bramleystair/mirror/_mirror.py
@@ -25,6 +25,9 @@
 # How long the store may wait for new changes in a call that only fetches earlier ones:
 # practically not at all.
 FETCH_WAIT_S = 0.001
+# Time after which a watch that has not returned a change known from a check counts as
+# lost. Normally, both return it within milliseconds.
+WATCH_GRACE_S = 0.5
 # Minimum interval between calls for confirmations. Confirmations requested within it
 # share a call; it is short because callers wait for the confirmation.
 CONFIRMATION_INTERVAL_S = 0.15
@@ -33,6 +36,11 @@
 class Mirror:
     """Maintain a local copy of the objects of one kind.
 
+    The watch may wait for many seconds, and nothing shows that its response was lost
+    on a connection that stays open. A second watch with a short wait, the check, finds
+    such changes; as a stale read, it costs the store a tenth of other calls. If the
+    check fails, both watches are abandoned and the mirror catches up.
+
     The copy remains available while the store is unreachable. If the store no longer
     has the history since the last update, the objects are listed again. After the store
     was restored from an older copy, objects that it lacks are kept for
@@ -55,7 +63,9 @@
         made in the meantime.
     allow_stale : bool
         Whether the copy may be a few seconds behind, which reduces the load on the
-        store.
+        store. The watch then serves as the check as well.
+    check_period_s : float or None
+        Maximum wait of a check; None disables checks.
     """
 
     def __init__(
@@ -67,6 +77,7 @@
         on_change: Callable[[dict[str, StoredItem]], None],
         batch_delay_s: float = 0.0,
         allow_stale: bool = False,
+        check_period_s: float | None = None,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -76,6 +87,7 @@
         self._on_change = on_change
         self._batch_delay_s = batch_delay_s
         self._allow_stale = allow_stale
+        self._check_period_s = check_period_s
         self._is_confirming = False
         self._last_confirmation_s = float("-inf")
         self._is_started = False
@@ -89,9 +101,13 @@
         self._retained: dict[str, StoredItem] = {}
         self._retention_timer: TimerSubscription | None = None
         # `_revision` comes from the store. `_generation` counts the starts of this
-        # mirror, so that responses to calls made before a restart are ignored.
+        # mirror and its failures, so that responses to calls made before are ignored.
         self._revision = 0
         self._generation = 0
+        # Number of watch calls, so that only the response to the last one is used, and
+        # whether it is pending.
+        self._watch_count = 0
+        self._is_watch_pending = False
         self._pause_timer: TimerSubscription | None = None
         # Callbacks with the times at which they were requested.
         self._pending_confirmations: list[tuple[float, Callable[[], None]]] = []
@@ -116,11 +132,16 @@
         confirmations are kept; `on_change` is called if the listing differs.
         """
         self._is_started = True
+        self._abandon_calls()
+        self._list("")
+
+    def _abandon_calls(self) -> None:
+        """Ignore the responses to pending calls, and cancel delayed calls."""
         self._generation += 1
+        self._is_watch_pending = False
         if self._pause_timer is not None:
             self._pause_timer.cancel()
             self._pause_timer = None
-        self._list("")
 
     @property
     def items(self) -> dict[str, StoredItem]:
@@ -254,7 +275,7 @@
         if is_changed:
             self._on_change(self._items)
         self._schedule_confirmation()
-        self._watch()
+        self._start_watches()
 
     def _update_retained(self, listed: dict[str, StoredItem]) -> None:
         """Retain the objects that a listing lacks if the copy is provisional.
@@ -307,14 +328,63 @@
                 },
             )
 
+    def _start_watches(self) -> None:
+        self._watch()
+        if self._check_period_s is not None and not self._allow_stale:
+            self._check()
+
     def _watch(self) -> None:
         generation, sent_s = self._generation, self._timers.clock.now()
         self._pause_timer = None
-        future = self._store.watch(self._kind, self._revision, None, self._allow_stale)
+        self._watch_count += 1
+        self._is_watch_pending = True
+        count = self._watch_count
+        wait_s = self._check_period_s if self._allow_stale else None
+        future = self._store.watch(
+            self._kind, self._revision, wait_s, self._allow_stale
+        )
+
+        def handle(done: Future) -> None:
+            if count == self._watch_count:
+                self._handle_changes(done, generation, sent_s)
+
+        future.add_done_callback(handle)
+
+    def _check(self) -> None:
+        """Look for changes that the watch should have returned."""
+        generation, sent_s = self._generation, self._timers.clock.now()
+        future = self._store.watch(
+            self._kind, self._revision, self._check_period_s, True
+        )
         future.add_done_callback(
-            lambda done: self._handle_changes(done, generation, sent_s)
+            lambda done: self._handle_check(done, generation, sent_s)
         )
 
+    def _handle_check(self, future: Future, generation: int, sent_s: float) -> None:
+        if generation != self._generation:
+            return
+        match future.result():
+            case Changes(events, revision):
+                self._record_success()
+                is_changed = self._apply_changes(events, revision)
+                if is_changed and self._is_watch_pending:
+                    self._expect_watch_response()
+                elapsed_s = self._timers.clock.now() - sent_s
+                self._schedule(max(0.0, MIN_WATCH_INTERVAL_S - elapsed_s), self._check)
+            case StoreFailure() as failure:
+                self._handle_watch_failure(failure)
+
+    def _expect_watch_response(self) -> None:
+        """Replace the watch unless it returns the change found by a check."""
+        count = self._watch_count
+
+        def replace() -> None:
+            if count == self._watch_count and self._is_watch_pending:
+                log.warning("%s: watch did not return a change", self._kind)
+                self._watch()
+
+        self._schedule(WATCH_GRACE_S, replace)
+
     def _resume_watch(self) -> None:
         """Fetch the changes since the last response, then watch again.
 
@@ -331,9 +401,10 @@
             case Changes(events, revision):
                 self._record_success()
                 self._apply_changes(events, revision)
-                self._watch()
-            case _:
-                self._handle_changes(future, generation, sent_s)
+                self._schedule_confirmation()
+                self._start_watches()
+            case StoreFailure() as failure:
+                self._handle_watch_failure(failure)
 
     def _watch_later(self, delay_s: float) -> None:
         if self._pause_timer is not None:
@@ -346,16 +417,10 @@
     def _handle_changes(self, future: Future, generation: int, sent_s: float) -> None:
         if generation != self._generation:
             return
+        self._is_watch_pending = False
         match future.result():
-            case StoreFailure(kind=FailureKind.HISTORY_LOST):
-                log.warning(
-                    "%s: history lost at revision %d; listing again",
-                    self._kind,
-                    self._revision,
-                )
-                self._list("")
             case StoreFailure() as failure:
-                self._retry(failure, self._resume_watch)
+                self._handle_watch_failure(failure)
             case Changes(events, revision):
                 self._record_success()
                 if self._apply_changes(events, revision):
@@ -364,10 +429,26 @@
                 elapsed_s = self._timers.clock.now() - sent_s
                 self._watch_later(MIN_WATCH_INTERVAL_S - elapsed_s)
 
+    def _handle_watch_failure(self, failure: StoreFailure) -> None:
+        """Abandon the watch and the check, and catch up.
+
+        The other call is most likely on a dead connection as well.
+        """
+        self._abandon_calls()
+        if failure.kind is FailureKind.HISTORY_LOST:
+            log.warning(
+                "%s: history lost at revision %d; listing again",
+                self._kind,
+                self._revision,
+            )
+            self._list("")
+            return
+        self._retry(failure, self._resume_watch)
+
     def _apply_changes(
         self, events: tuple[tuple[StoredItem, bool], ...], revision: int
     ) -> bool:
-        """Apply the events of a response and return whether there were any.
+        """Apply the events of a response and return whether the copy has changed.
 
         A response older than the copy is ignored, since it may contain an object
         without the event that deleted it.
@@ -375,24 +456,34 @@
         if revision < self._revision:
             return False
         self._revision = revision
-        if events:
-            self._apply_events(events)
-        return bool(events)
+        return self._apply_events(events)
 
-    def _apply_events(self, events: tuple[tuple[StoredItem, bool], ...]) -> None:
+    def _apply_events(self, events: tuple[tuple[StoredItem, bool], ...]) -> bool:
         items = dict(self._items)
+        is_changed = False
         for item, is_deleted in events:
             # The revision of a retained object is from an earlier epoch.
             is_retained = self._retained.pop(item.name, None) is not None
-            known = None if is_retained else items.get(item.name)
-            if known is not None and known.revision > item.revision:
+            known = items.get(item.name)
+            if known is None:
+                is_outdated = is_deleted
+            else:
+                # The check and the watch return the same events.
+                is_outdated = not is_retained and (
+                    known.revision > item.revision
+                    or (known.revision == item.revision and not is_deleted)
+                )
+            if is_outdated:
                 continue
+            is_changed = True
             if is_deleted:
-                items.pop(item.name, None)
+                del items[item.name]
             else:
                 items[item.name] = item
-        self._items = items
-        self._on_change(items)
+        if is_changed:
+            self._items = items
+            self._on_change(items)
+        return is_changed
 
     def _record_success(self) -> None:
         self._is_outage_logged = False
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -43,6 +43,11 @@
 # take longer, since agents refuse flows that their servers must not get.
 OPERATOR_BATCH_DELAY_S = 0.4
 MEMBER_BATCH_DELAY_S = 1.0
+# Waits of the checks for changes whose response was lost. With the timeout of a call, a
+# change by the operator is in force within 4 s even if the store's responses are lost.
+# The list of members may be older, as agents decide on each flow.
+OPERATOR_CHECK_PERIOD_S = 2.0
+MEMBER_CHECK_PERIOD_S = 4.0
 # A working watch delivers a change within the delay above. If other nodes have had a
 # newer configuration (the routing rules) for this long, the watch has stalled and the
 # configuration is listed again.
@@ -100,7 +105,13 @@
         timers = loop.timers
         retries = RetryQueue(timers, random)
         self._rules = Mirror(
-            store, rules_kind, timers, retries, self._set_rules, OPERATOR_BATCH_DELAY_S
+            store,
+            rules_kind,
+            timers,
+            retries,
+            self._set_rules,
+            OPERATOR_BATCH_DELAY_S,
+            check_period_s=OPERATOR_CHECK_PERIOD_S,
         )
         self._evacuations = Mirror(
             store,
@@ -109,6 +120,7 @@
             retries,
             self._set_evacuations,
             OPERATOR_BATCH_DELAY_S,
+            check_period_s=OPERATOR_CHECK_PERIOD_S,
         )
         # The list of members may be some seconds old: this only delays flows, since the
         # agents decide on each flow. Before a flow is reset, the list is confirmed as
@@ -121,6 +133,7 @@
             self._set_members,
             MEMBER_BATCH_DELAY_S,
             allow_stale=True,
+            check_period_s=MEMBER_CHECK_PERIOD_S,
         )
         self._mirrors = {
             "rules": self._rules,
--- a/src/bramleystair/platform/_store.py
+++ b/src/bramleystair/platform/_store.py
@@ -71,10 +71,10 @@
 
         The result is Changes or StoreFailure.
         """
-        timeout_s = CALL_TIMEOUT_S
         if wait_s is None:
-            wait_s = WATCH_WAIT_S
-            timeout_s = WATCH_WAIT_S + WATCH_MARGIN_S
+            wait_s, timeout_s = WATCH_WAIT_S, WATCH_WAIT_S + WATCH_MARGIN_S
+        else:
+            timeout_s = wait_s + CALL_TIMEOUT_S
         target = f"{kind}?Watch={revision}&WaitMs={math.ceil(wait_s * 1000)}"
         if allow_stale:
             target += "&StaleRead=1"
--- a/src/bramleystair/platform/standins/_store.py
+++ b/src/bramleystair/platform/standins/_store.py
@@ -1,7 +1,8 @@
 """Stand-in for the platform's store: objects, revisions and watches in memory.
 
 `POST /control` with `age_s` and `away_s` makes the store close all connections for
-`away_s` seconds and return with its state of `age_s` seconds ago.
+`away_s` seconds and return with its state of `age_s` seconds ago. With `lose_s`, it
+executes calls for so many seconds without a response.
 """
 
 import json
@@ -40,12 +41,25 @@
         self.items: dict[str, dict[str, Any]] = {}
         self.history: list[_Change] = []
         self._away_until_s = 0.0
+        self._losing_until_s = 0.0
 
     @property
     def is_away(self) -> bool:
         """Whether calls get no response."""
         return time.monotonic() < self._away_until_s
 
+    @property
+    def is_losing_responses(self) -> bool:
+        """Whether calls are executed without a response."""
+        return time.monotonic() < self._losing_until_s
+
+    def lose_responses(self, seconds: float) -> None:
+        """Execute calls without a response for some seconds.
+
+        The connections stay open, and those with a lost response return nothing more.
+        """
+        self._losing_until_s = time.monotonic() + seconds
+
     def restore(self, age_s: float, away_s: float) -> None:
         """Return to the state of `age_s` seconds ago after an absence of `away_s`."""
         with self.changed:
@@ -122,6 +136,7 @@
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     objects: ObjectTable
+    has_lost_response = False
 
     def do_GET(self) -> None:  # noqa: N802
         """List or watch the objects of a kind."""
@@ -133,11 +148,14 @@
             self._send_json(*self.objects.list_items(kind))
 
     def do_POST(self) -> None:  # noqa: N802
-        """Create an object, or restore the store."""
+        """Create an object, or inject a fault."""
         kind, _, _ = self._parse_target()
         body = self._read_body()
         if self.path == CONTROL_PATH:
-            self.objects.restore(body["age_s"], body["away_s"])
+            if "lose_s" in body:
+                self.objects.lose_responses(body["lose_s"])
+            else:
+                self.objects.restore(body["age_s"], body["away_s"])
             self._send_response(200, {})
             return
         name = body["meta"]["Name"]
@@ -171,6 +189,9 @@
         if self.objects.is_away:
             self.close_connection = True
             return
+        if self.has_lost_response or self.objects.is_losing_responses:
+            self.has_lost_response = True
+            return
         self._send_response(status, document)
 
     def _send_response(self, status: int, document: Any) -> None:
