Do not reset a flow before the members are confirmed

Cause: a lookup without an owner waits 2 s for the confirmation that no member is missing, and then reset the flow anyway (`no_owner_known`). One lost response takes 1.5 s to notice.

Change: the lookup ends like one that a member left unanswered. The next retransmission starts another one, which ends with a reset once the members are confirmed. A caller whose server is gone waits for its own deadline meanwhile.

The scenario "A flow without an owner is reset after a timeout while the store is unreachable" asked for the reset that broke these flows. It is replaced by one that stays without a confirmation for 10 s: no reset in that time, a reset after the confirmation. It failed before the change.

--- a/features/steering.feature
+++ b/features/steering.feature
@@ -121,12 +121,18 @@
     And the list of members is confirmed
     Then the caller is reset by the balancer
 
-  Scenario: A flow without an owner is reset after a timeout while the store is unreachable
-    # Guards against callers that wait until the end of an outage of the store.
+  Scenario: A flow without a known owner is not reset before the members are confirmed
+    # Guards against resets of live flows: while the store's responses are lost, a member
+    # that has joined since may own the flow.
     Given a balancer with 3 members whose list of members is outdated
     When a packet of an unknown flow reaches the balancer
     And all members reply that they do not hold the flow
-    And 3 s pass at the balancer
+    And for 10 s all members report their loads
+    Then the caller is not reset by the balancer
+    When a packet of an unknown flow reaches the balancer
+    And all members reply that they do not hold the flow
+    Then the caller is not reset by the balancer
+    When the list of members is confirmed
     Then the caller is reset by the balancer
 
   Scenario: A flow is not reset while a restored store may lack its owner's agent
--- a/src/bramleystair/steering/_balancer_settings.py
+++ b/src/bramleystair/steering/_balancer_settings.py
@@ -57,7 +57,8 @@
         again.
     confirm_timeout_s : float
         Timeout for the confirmation that no other member may own a flow, while the
-        store is unavailable; callers retransmit a packet several times in this period.
+        store is unavailable. The flow is then left alone, and a retransmission of its
+        caller starts another lookup.
     subscribe_period_s : float
         Minimum interval between subscriptions to load reports.
     subscribe_gap_s : float
--- a/src/bramleystair/steering/_lookups.py
+++ b/src/bramleystair/steering/_lookups.py
@@ -148,11 +148,9 @@
                 continue
             if flow in self._lookups:
                 self._handle_timeout(lookup, now)
-            elif self._members.may_be_incomplete(now):
-                self._end_unanswered(lookup, now)
             else:
-                self._remove(lookup, now)
-                self._reset_caller(lookup)
+                # A member unknown to this balancer may own the flow.
+                self._end_unanswered(lookup, now, "unconfirmed")
         if self._queued_packets and now >= self._next_start_s:
             self._start_queued(now)
 
@@ -358,7 +356,7 @@
     def _end_without_owner(self, lookup: _Lookup, now: float) -> None:
         is_incomplete = self._members.may_be_incomplete(now)
         if lookup.unresponsive_count or not len(self._members) or is_incomplete:
-            self._end_unanswered(lookup, now)
+            self._end_unanswered(lookup, now, "unanswered")
             return
         flow = lookup.segment.flow
         self._remove(lookup, now)
@@ -370,19 +368,20 @@
         self._schedule(lookup, now + self._settings.confirm_timeout_s)
         self._outbox.add(ConfirmMembers())
 
-    def _end_unanswered(self, lookup: _Lookup, now: float) -> None:
+    def _end_unanswered(self, lookup: _Lookup, now: float, outcome: str) -> None:
         """End a lookup without a reset: a member that did not answer may be the owner.
 
-        A retransmission of the caller starts the next lookup.
+        So may one that this balancer does not know. A retransmission of the caller
+        starts the next lookup.
         """
         flow = lookup.segment.flow
         self._remove(lookup, now)
         self._backoff_until_s[flow] = now + self._settings.lookup_pause_s
-        self._outbox.count("lookup_ended", "unanswered")
+        self._outbox.count("lookup_ended", outcome)
         self._outbox.log(
             "lookup",
             flow,
-            "unanswered",
+            outcome,
             silent=lookup.unresponsive_count,
             members_incomplete=self._members.may_be_incomplete(now),
         )
@@ -393,10 +392,8 @@
         } - lookup.queried_or_excluded
 
     def _reset_caller(self, lookup: _Lookup) -> None:
-        # Without the confirmation, a member unknown to this balancer may be the owner.
-        reason = "no_owner" if lookup.are_members_confirmed else "no_owner_known"
-        self._outbox.count("lookup_ended", reason)
-        self._outbox.reset_caller(lookup.segment, reason)
+        self._outbox.count("lookup_ended", "no_owner")
+        self._outbox.reset_caller(lookup.segment, "no_owner")
 
     def _count_outstanding(self, lookup: _Lookup, now: float) -> int:
         """Return the number of outstanding members that are not lost."""
