Let balancers tell agents that the store was restored

Cause: agents learn of the restoration from the response to a watch of 18 s. If it is lost on a connection that stays open, the agent writes again only after up to 20 s, while balancers keep its entry for 3 s.

Evidence: the new scenario in restored_store.feature, with the real nodes, ended with a reset of the flow; the store listed one of two members until the end.

Change: for 3 s after it has noticed the restoration, a balancer sends the epoch after each subscription. An agent with an earlier epoch asks the store, and writes again if the store's response confirms it.

Result: the scenario holds; without a restoration, no message and no call is added.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -24,6 +24,19 @@
       | away | delay |
       | 0.5  | 0.0   |
 
+  Scenario: An open flow survives a restoration that the store did not tell its agent
+    # Guards against an agent that writes again only when its watch times out, long after
+    # balancers have dropped it: the response to the watch was lost.
+    Given a store and a balancer
+    And an agent with a server that joined early
+    And an agent with a server that joined late
+    And a caller with an open flow at the late server
+    When the responses to the agents' watches are lost for 0.3 s
+    And the store returns after 0.5 s from a copy from before the late server joined
+    And the balancer is replaced 5.0 s later
+    And the caller sends requests on its flow for 3 s
+    Then its requests are answered and its flow is not reset
+
   Scenario: A server that left before the restoration is not listed again
     # Guards against a deletion that the restored store has lost.
     Given a store and a balancer
--- a/features/steering.feature
+++ b/features/steering.feature
@@ -148,6 +148,15 @@
     And all members reply that they do not hold the flow
     Then the caller is reset by the balancer
 
+  Scenario: Agents are told that the store was restored
+    # Guards against an agent whose response of the store was lost, and against messages
+    # that do not end.
+    Given a balancer with 3 members
+    When for 2 s all members report their loads
+    And members may be missing for 3 s
+    And for 10 s all members report their loads
+    Then each member is told the epoch at least 3 times, at most 8 times
+
   Scenario Outline: A lookup that waits for a confirmation ends if the store is restored
     Given a balancer with 3 members whose list of members is outdated
     When a packet of an unknown flow reaches the balancer
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -22,6 +22,7 @@
     SendMessage,
     ServerReport,
     ServerState,
+    StoreRestored,
     Subscribe,
     Target,
     Urgency,
@@ -108,6 +109,7 @@
                 ReturnPacket(data),
                 Subscribe(rng.choice((0, 2**63))),
                 LoadReport(load, rng.choice((0, 2**63))),
+                StoreRestored(rng.choice((0, 2**63))),
                 OfferSlot(),
                 DeclineSlot(),
             )
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -10,7 +10,7 @@
 from bramleystair.metrics import Metrics
 from bramleystair.mirror import FailureKind
 from bramleystair.nodes._datagrams import DatagramSocket
-from bramleystair.nodes._settings import MEMBER_KIND
+from bramleystair.nodes._settings import EPOCH_KIND, MEMBER_KIND
 from bramleystair.platform import _settings
 from bramleystair.platform._configuration import CONFIG_KIND
 from bramleystair.platform._main import _build_agent, _build_balancer
@@ -151,6 +151,11 @@
     run_for(context, away)
 
 
+@when("the responses to the agents' watches are lost for {seconds:f} s")
+def lose_epoch_responses(context, seconds):
+    context.objects.lose_responses(seconds, EPOCH_KIND)
+
+
 @when("the balancer is replaced {delay:f} s later")
 def replace_balancer(context, delay):
     run_for(context, delay)
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -29,6 +29,7 @@
     ServerReport,
     ServerState,
     ServiceLimits,
+    StoreRestored,
     Subscribe,
     Target,
     Urgency,
@@ -47,6 +48,8 @@
 AGENT = ("10.0.1.1", 8)
 FIRST_SEQUENCE = 500
 
+RESTORED_EPOCH = 2
+
 
 def make_report(state=ServerState.READY, sequence=10, started_ms=1000, server="i-1"):
     return ServerReport(server, "web", "z", state, 2, 0.0, sequence, started_ms)
@@ -305,7 +308,24 @@
 
 @when("members may be missing for {seconds:d} s")
 def expect_more_members(context, seconds):
-    context.balancer.expect_more_members(context.now + seconds)
+    record_actions(
+        context,
+        context.balancer.handle_restoration(
+            RESTORED_EPOCH, context.now + seconds, context.now
+        ),
+    )
+
+
+@then("each member is told the epoch at least {count:d} times, at most {limit:d} times")
+def check_told(context, count, limit):
+    told = [
+        action.address
+        for action in context.all_actions
+        if isinstance(action, SendMessage)
+        and action.message == StoreRestored(RESTORED_EPOCH)
+    ]
+    for number in range(context.count):
+        assert count <= told.count(get_member(number)) <= limit, told
 
 
 @when("a fourth member is added and the list of members is confirmed")
@@ -621,6 +641,7 @@
     ReturnPacket(b"packet"),
     Subscribe(12),
     LoadReport(Load(ServerState.DRAINING, is_accepting=False), 12),
+    StoreRestored(2),
     OfferSlot(),
     DeclineSlot(),
 )
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -36,6 +36,7 @@
     OpenFlow,
     Relay,
     ServerReport,
+    StoreRestored,
     Subscribe,
     encode_entry,
 )
@@ -51,6 +52,9 @@
 HEALTH_RETRY_DELAY_S = 0.1
 HEALTH_TIMEOUT_S = 0.3
 HEALTHY_STATUS = 200
+# Minimum interval between calls that ask the store for its epoch because balancers know
+# a later one; the timeout of a call.
+EPOCH_CHECK_INTERVAL_S = 1.5
 
 ReportParser = Callable[[HttpRequest], Result[ServerReport | str, StepError]]
 
@@ -109,6 +113,7 @@
             lambda items: None,
             allow_stale=True,
         )
+        self._next_epoch_check_s = float("-inf")
 
     def start(self) -> None:
         """Start the timers, the health check of the server and the store's watch."""
@@ -169,6 +174,9 @@
             return self._steering.handle_lookup(sender, message, now)
         if isinstance(message, DeclineSlot):
             return self._steering.handle_decline(sender, now)
+        if isinstance(message, StoreRestored):
+            self._check_epoch(message.epoch, now)
+            return ()
         if not isinstance(message, Relay | OpenFlow | LookupProbe):
             self.metrics.count("message_dropped", "unexpected")
             return ()
@@ -184,6 +192,24 @@
             case LookupProbe():
                 return self._steering.handle_lookup_probe(sender, message, segment, now)
 
+    def _check_epoch(self, epoch: int, now: float) -> None:
+        """Ask the store for its epoch if a balancer knows a later one.
+
+        The response that should have shown it was lost. If the epoch has risen, the
+        publisher writes again.
+        """
+        known = self._store.epoch.current
+        if known is not None and epoch <= known:
+            return
+        if now < self._next_epoch_check_s:
+            return
+        self._next_epoch_check_s = now + EPOCH_CHECK_INTERVAL_S
+        log.info(
+            "a balancer knows a later epoch of the store",
+            extra={"epoch": epoch, "known_epoch": known},
+        )
+        self._epoch_watch.restart()
+
     def _check_health(self, attempts_left: int) -> None:
         """Check the server's health until it passes or the server has reported."""
         if attempts_left == 0 or self._steering.has_report or self._is_stopping:
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -228,8 +228,12 @@
         self._execute(self._steering.handle_members_confirmed(now))
 
     def _handle_restoration(self) -> None:
-        until_s = self._loop.clock.now() + REWRITE_TIMEOUT_S
-        self._steering.expect_more_members(until_s)
+        now = self._loop.clock.now()
+        self._execute(
+            self._steering.handle_restoration(
+                self._store.epoch.current, now + REWRITE_TIMEOUT_S, now
+            )
+        )
 
     def _handle_packet_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
         segment = self._codec.decode_inbound(data)
--- a/src/bramleystair/platform/standins/_store.py
+++ b/src/bramleystair/platform/standins/_store.py
@@ -42,23 +42,25 @@
         self.history: list[_Change] = []
         self._away_until_s = 0.0
         self._losing_until_s = 0.0
+        self._losing_kind: str | None = None
 
     @property
     def is_away(self) -> bool:
         """Whether calls get no response."""
         return time.monotonic() < self._away_until_s
 
-    @property
-    def is_losing_responses(self) -> bool:
-        """Whether calls are executed without a response."""
-        return time.monotonic() < self._losing_until_s
+    def is_losing_responses(self, kind: str) -> bool:
+        """Return whether calls for `kind` are executed without a response."""
+        is_affected = self._losing_kind in (None, kind)
+        return is_affected and time.monotonic() < self._losing_until_s
 
-    def lose_responses(self, seconds: float) -> None:
-        """Execute calls without a response for some seconds.
+    def lose_responses(self, seconds: float, kind: str | None = None) -> None:
+        """Execute calls, or those for one kind, without a response for some seconds.
 
         The connections stay open, and those with a lost response return nothing more.
         """
         self._losing_until_s = time.monotonic() + seconds
+        self._losing_kind = kind
 
     def restore(self, age_s: float, away_s: float) -> None:
         """Return to the state of `age_s` seconds ago after an absence of `away_s`."""
@@ -186,12 +188,13 @@
         return json.loads(self.rfile.read(int(self.headers["Content-Length"])))
 
     def _send_json(self, status: int, document: Any) -> None:
+        kind, _, _ = self._parse_target()
+        if self.has_lost_response or self.objects.is_losing_responses(kind):
+            self.has_lost_response = True
+            return
         if self.objects.is_away:
             self.close_connection = True
             return
-        if self.has_lost_response or self.objects.is_losing_responses:
-            self.has_lost_response = True
-            return
         self._send_response(status, document)
 
     def _send_response(self, status: int, document: Any) -> None:
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -22,6 +22,7 @@
     OfferSlot,
     OpenReply,
     Relay,
+    StoreRestored,
     Subscribe,
 )
 from bramleystair.steering._openings import FlowOpener
@@ -108,6 +109,9 @@
         self._has_members = False
         self._has_evacuated_zones = False
         self.newest_rules_version = 0
+        # Message that each subscription is followed by until the given time.
+        self._restoration = StoreRestored(0)
+        self._announced_until_s = float("-inf")
 
     def set_owner_lifetime(self, seconds: float) -> None:
         """Change the time for which the owner of an idle flow is cached."""
@@ -162,9 +166,20 @@
         self._has_members = True
         self.members.update(entries, now)
 
-    def expect_more_members(self, until_s: float) -> None:
-        """Record that members may be missing until then; see `Members.expect_more`."""
+    def handle_restoration(
+        self, epoch: int, until_s: float, now: float
+    ) -> list[Action]:
+        """Expect more members until then, and tell agents of the store's new epoch.
+
+        An agent whose response of the store was lost does not know that its entry may
+        be lost as well.
+        """
         self.members.expect_more(until_s)
+        self._restoration = StoreRestored(epoch)
+        self._announced_until_s = until_s
+        for member in self.members.list_subscribed():
+            self._subscribe(member.entry.address, now)
+        return self._outbox.take()
 
     def set_evacuated_zones(self, zones: Collection[str]) -> None:
         """Set the availability zones in which no new flows are placed."""
@@ -246,7 +261,7 @@
         self._next_check_s = now + self._settings.check_s
         self.members.refresh_neighbours(now)
         for address in self.members.list_probe_targets(now):
-            self._outbox.send(address, self._build_subscription())
+            self._subscribe(address, now)
         self._release_lost_flows(now)
 
     def _process_startup_buffer(self, now: float) -> None:
@@ -337,14 +352,14 @@
     def _subscribe_to_owner(self, address: Address, now: float) -> None:
         """Subscribe to a flow owner's load reports, which show that it is alive."""
         if self.members.mark_owner_subscribed(address, now):
-            self._outbox.send(address, self._build_subscription())
+            self._subscribe(address, now)
 
     def _renew_subscriptions(self, now: float) -> None:
         self._next_subscription_s = now + self.members.compute_subscription_period()
         # Members that have not answered a request are sent subscriptions until they
         # answer; otherwise one lost datagram would make them count as lost for good.
         for member in self.members.list_expected_senders():
-            self._outbox.send(member.entry.address, self._build_subscription())
+            self._subscribe(member.entry.address, now)
         if now - self._last_purge_s < self._settings.owner_lifetime_s / 4:
             return
         self._last_purge_s = now
@@ -354,8 +369,11 @@
             del self._owners[flow]
         self.members.retain_owners({o.address for o in self._owners.values()}, now)
 
-    def _build_subscription(self) -> Subscribe:
-        return Subscribe(0 if self._rules is None else self._rules.version)
+    def _subscribe(self, address: Address, now: float) -> None:
+        version = 0 if self._rules is None else self._rules.version
+        self._outbox.send(address, Subscribe(version))
+        if now < self._announced_until_s:
+            self._outbox.send(address, self._restoration)
 
     def _release_lost_flows(self, now: float) -> None:
         """Reset the flows of newly lost members, unless this balancer is isolated."""
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -162,6 +162,19 @@
     rules_version: int = 0
 
 
+@attrs.define
+class StoreRestored:
+    """Tell an agent that the store was restored from an older copy.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the store at the sender.
+    """
+
+    epoch: int
+
+
 @attrs.define
 class OfferSlot:
     """Offer a reserved slot of a server to a balancer that found the server busy."""
@@ -182,6 +195,7 @@
     | ReturnPacket
     | Subscribe
     | LoadReport
+    | StoreRestored
     | OfferSlot
     | DeclineSlot
 )
@@ -193,6 +207,7 @@
 _LOOKUP_REPLY = struct.Struct("!BIB")
 _SUBSCRIBE = struct.Struct("!BQ")
 _LOAD_REPORT = struct.Struct("!BQ")
+_STORE_RESTORED = struct.Struct("!BQ")
 _LOAD = struct.Struct("!BHHfHf???")
 _STATES = tuple(ServerState)
 # First byte of each encoded message.
@@ -209,7 +224,7 @@
 ) = range(1, 10)
 # First byte of a datagram of several short messages, each preceded by its length.
 BUNDLE = 10
-OFFER_SLOT, DECLINE_SLOT = 11, 12
+OFFER_SLOT, DECLINE_SLOT, STORE_RESTORED = 11, 12, 13
 _MAX_U16 = 0xFFFF
 # An urgency is encoded in one byte: a bit for late flows, and the priority.
 _LATE, _MAX_PRIORITY, _NO_URGENCY = 0x80, 0x7E, 0xFF
@@ -238,6 +253,8 @@
             return _SUBSCRIBE.pack(SUBSCRIBE, rules_version)
         case LoadReport(load, rules_version):
             return _LOAD_REPORT.pack(LOAD_REPORT, rules_version) + _encode_load(load)
+        case StoreRestored(epoch):
+            return _STORE_RESTORED.pack(STORE_RESTORED, epoch)
         case OfferSlot():
             return bytes((OFFER_SLOT,))
         case DeclineSlot():
@@ -316,6 +333,8 @@
     if kind == LOAD_REPORT:
         version = _LOAD_REPORT.unpack_from(data)[1]
         return LoadReport(_decode_load(data, _LOAD_REPORT.size), version)
+    if kind == STORE_RESTORED:
+        return StoreRestored(_STORE_RESTORED.unpack(data)[1])
     if data == bytes((OFFER_SLOT,)):
         return OfferSlot()
     if data == bytes((DECLINE_SLOT,)):
