Find changes whose response the platform has lost within 10 s

A table that an operator had applied was not in force after 15 s, but up to 42 s later, if the platform's responses to all watching balancers were lost on connections that stayed open.

Cause: a watch waits for 30 s and times out after 37 s, and the first retry follows a pause of up to 5 s.

Change: watches wait for 5 s and time out after 9 s; the first retry follows within 1 s, as a single lost response is more likely than an outage.

--- a/features/steps/platform_link_steps.py
+++ b/features/steps/platform_link_steps.py
@@ -1,6 +1,7 @@
 import concurrent.futures
 import random
 import threading
+import time
 
 from behave import given, then, when
 
@@ -13,7 +14,7 @@
 )
 from bramleystair.store import PlatformClient
 
-WAIT_S = 30.0
+WAIT_S = 45.0
 
 
 @given("a platform with a connected node")
@@ -25,6 +26,7 @@
     pool.submit(server.serve)
     context.add_cleanup(pool.shutdown)
     context.add_cleanup(server.stop)
+    context.add_cleanup(context.application.close)
     context.url = "http://{}:{}".format(*server.bind_addr)
     context.received = set()
     context.changed = threading.Condition()
@@ -70,6 +72,20 @@
     wait_until(context, lambda: f"table/{name}" in context.received)
 
 
+@when('table "{name}" is written and the response to its watch is lost')
+def lose_watch_response(context, name):
+    context.application.faults.withhold_watches = 1
+    PlatformClient(context.url).put_object(f"table/{name}", "{}").unwrap()
+    context.written_s = time.monotonic()
+
+
+@then('the node receives table "{name}" within {limit:d} s')
+def check_received_in_time(context, name, limit):
+    check_received(context, name)
+    elapsed_s = time.monotonic() - context.written_s
+    assert elapsed_s <= limit, elapsed_s
+
+
 @then("the platform counted at most {count:d} calls of the node")
 def check_calls(context, count):
     calls = context.application.calls
--- a/src/bramleystair/bench/_capacity_page.py
+++ b/src/bramleystair/bench/_capacity_page.py
@@ -13,6 +13,7 @@
 from bramleystair.bench._processes import RATE_NODES
 from bramleystair.bench._report import fill_template, format_table
 from bramleystair.bench._slope_data import PARTS, read_slopes
+from bramleystair.daemons import WATCH_S
 
 # The page is rendered on machines without a display.
 mpl.use("agg")
@@ -27,7 +28,6 @@
 UPGRADE_WINDOW_S = 3600
 LIST_PERIOD_S = 3600
 PLOT_COLUMNS = 4
-WATCH_TIMEOUT_S = 30
 # Objects held by an agent of one service with four members. The 15 zone marks are
 # counted as balancer announcements, of which it holds four.
 OBJECTS_PER_AGENT = {"table": 1, "agent": 4, "liveness": 4, "balancer": 19}
@@ -168,7 +168,7 @@
         """Return the watch calls per second that time-outs and changes cause."""
         prefixes = 2
         changes = self.sizes.changes_per_day / DAY_S
-        return self.compute_watches() * (prefixes / WATCH_TIMEOUT_S + changes)
+        return self.compute_watches() * (prefixes / WATCH_S + changes)
 
 
 def find_limit(is_within) -> float:
@@ -581,7 +581,7 @@
             / 1e6
         ),
         "writes_limit": str(model.sizes.platform_writes_per_s),
-        "watch_s": str(WATCH_TIMEOUT_S),
+        "watch_s": f"{WATCH_S:.0f}",
     }
 
 
--- a/src/bramleystair/daemons/__init__.py
+++ b/src/bramleystair/daemons/__init__.py
@@ -1,7 +1,7 @@
 """Components shared by the balancer and agent processes."""
 
 from bramleystair.daemons._messenger import Messenger
-from bramleystair.daemons._platform_link import PlatformLink
+from bramleystair.daemons._platform_link import WATCH_S, PlatformLink
 from bramleystair.daemons._start import (
     create_incarnation,
     find_seeds,
@@ -12,6 +12,7 @@
 
 __all__ = [
     "Messenger",
+    "WATCH_S",
     "PlatformLink",
     "ThreadGroup",
     "create_incarnation",
--- a/src/bramleystair/daemons/_platform_link.py
+++ b/src/bramleystair/daemons/_platform_link.py
@@ -24,7 +24,11 @@
     encode_object,
 )
 
-WATCH_S = 30.0
+# A lost response on a connection that stays open shows only when the watch times out.
+# With these limits, the change is known after 10 s at the latest, which leaves 5 s to
+# spread it. Only a few balancers of each zone watch.
+WATCH_S = 5.0
+WATCH_RESPONSE_TIMEOUT_S = 2.0
 # Random delays, so that nodes do not all reconnect at once after a platform outage.
 RETRY_MIN_S = 1.0
 RETRY_MAX_S = 5.0
@@ -113,7 +117,7 @@
                 self._pause()
 
     def _run_watch(self, prefix: str) -> None:
-        client = PlatformClient(self._url)
+        client = PlatformClient(self._url, timeout_s=WATCH_RESPONSE_TIMEOUT_S)
         last: Listing | Changes | None = None
         wait_s = WATCH_S
         while self._wait_for(lambda: self._is_watcher):
@@ -127,12 +131,14 @@
                 self._deliver_changes(last)
                 wait_s = WATCH_S
                 continue
+            # A single lost response is likely, so the first retry does not wait for an
+            # outage to end.
+            is_repeated, wait_s = wait_s == 0.0, 0.0
             # The response to a call that does not wait shows at once whether the
             # platform was restored during the failure.
-            wait_s = 0.0
             if result.unwrap_err().kind is ErrorKind.CURSOR_EXPIRED:
                 last = None
-            self._handle_failure("watch", result)
+            self._handle_failure("watch", result, is_repeated)
 
     def _deliver_changes(self, response: Listing | Changes) -> None:
         objects = tuple(item.to_stored_object() for item in response.objects)
@@ -191,14 +197,18 @@
                 if self._renewal is pending:
                     self._renewal = None
 
-    def _handle_failure(self, step: str, result: Result) -> None:
+    def _handle_failure(
+        self, step: str, result: Result, is_repeated: bool = True
+    ) -> None:
         error = result.unwrap_err()
         self._metrics.count("platform_failed", f"{step}_{error.kind}")
         log.warning("%s", error)
-        self._pause()
+        self._pause(is_repeated)
 
-    def _pause(self) -> None:
-        delay_s = self._random.uniform(RETRY_MIN_S, RETRY_MAX_S)
+    def _pause(self, is_repeated: bool = True) -> None:
+        delay_s = self._random.uniform(0.0, RETRY_MIN_S)
+        if is_repeated:
+            delay_s = self._random.uniform(RETRY_MIN_S, RETRY_MAX_S)
         with self._changed:
             self._changed.wait_for(lambda: not self._is_open, delay_s)
 
--- a/src/bramleystair/standins/_platform.py
+++ b/src/bramleystair/standins/_platform.py
@@ -20,6 +20,8 @@
 DEFAULT_LOG_LENGTH = 10_000
 WORKERS = 64
 CONNECTION_KEY = "bramleystair.connection"
+# Longer than the timeouts of all clients.
+WITHHELD_S = 60.0
 
 
 @attrs.define
@@ -37,6 +39,8 @@
     lose_rate, rubbish_rate : float
         Fraction of calls that are executed without a response, or whose response is
         invalid.
+    withhold_watches : int
+        Number of upcoming watches that get no response on a connection that stays open.
     rubbish : int
         Number of upcoming responses that are not JSON.
     rate_limit_per_s : float
@@ -47,6 +51,7 @@
     delay_s: float = 0.0
     lose_answers: int = 0
     lose_rate: float = 0.0
+    withhold_watches: int = 0
     rubbish: int = 0
     rubbish_rate: float = 0.0
     rate_limit_per_s: float = 0.0
@@ -227,6 +232,7 @@
         self._now = now
         self._wait = wait
         self._lock = threading.Lock()
+        self._closing = threading.Event()
         self._second = 0
         self._calls_in_second = 0
 
@@ -243,6 +249,10 @@
             response = Response(status=503)
         return response(environ, start_response)
 
+    def close(self) -> None:
+        """End the calls whose responses are withheld."""
+        self._closing.set()
+
     def _handle_control(self, request: Request) -> Response:
         if request.method != "POST":
             return _build_response(
@@ -274,8 +284,18 @@
             return _build_response({"reason": "rate limit"}, 429, {"Retry-After": "1"})
         response = _handle_store_call(self.store, request)
         response.headers[EPOCH_HEADER] = str(self.store.epoch)
+        if kind == "watch" and self._take_withheld_watch():
+            self._closing.wait(WITHHELD_S)
+            return None
         return self._apply_faults(request, response)
 
+    def _take_withheld_watch(self) -> bool:
+        with self._lock:
+            if self.faults.withhold_watches <= 0:
+                return False
+            self.faults.withhold_watches -= 1
+            return True
+
     def _is_rate_limited(self) -> bool:
         if not self.faults.rate_limit_per_s:
             return False
