Give the steps on lost responses of mirrors a text of their own

Two steps of the same text were defined for mirrors and for nodes, so that ten examples of mirror.feature, added together with the checks of mirrors, ran the step for nodes and ended with an error. They pass with a step of their own; their assertions are unchanged.

--- a/features/mirror.feature
+++ b/features/mirror.feature
@@ -102,7 +102,7 @@
     Given a store with members a and b
     And a mirror of the members that checks its <reads> watch every 2 s
     When <phase> s pass at the mirror
-    And the store loses its responses for <loss> s
+    And responses to the mirror are lost for <loss> s
     And <delay> s pass at the mirror
     And c is added to the store
     Then it holds a, b and c at most 4.0 s after the loss
--- a/features/steps/mirror_steps.py
+++ b/features/steps/mirror_steps.py
@@ -247,7 +247,7 @@
     context.mirror.start()
 
 
-@when("the store loses its responses for {seconds:f} s")
+@when("responses to the mirror are lost for {seconds:f} s")
 def lose_responses(context, seconds):
     context.store.lost_until_s = context.clock.now() + seconds
 
