Read each object of the store on its own

A balancer or agent would have stopped following the members, the evacuated zones or the configuration for good because of one odd object: nested deeply, with a number of thousands of digits, or with damaged text.

Cause: a response was parsed as a whole. A RecursionError was not expected and ended the chain of calls of the mirror silently, as it was raised while a call completed; other errors refused each response that contained the object.

Change: where a response cannot be parsed, its parts are read one by one without recursion, and unreadable ones become null. Each object of a list is checked on its own; unreadable ones are counted and logged. A mirror lists again after a response that cannot be read, and an error of its handler no longer ends its watch.

--- a/features/steps/lost_responses_steps.py
+++ b/features/steps/lost_responses_steps.py
@@ -56,7 +56,7 @@
     agent.start()
     assert run_until(
         context,
-        lambda: all(len(b._members.items) == number for b in context.balancers),
+        lambda: all(len(b._steering.members) == number for b in context.balancers),
         START_LIMIT_S,
     )
 
--- a/features/steps/mirror_steps.py
+++ b/features/steps/mirror_steps.py
@@ -4,6 +4,7 @@
 import attrs
 from behave import given, then, when
 
+from bramleystair.metrics import Metrics
 from bramleystair.mirror import (
     Changes,
     FailureKind,
@@ -231,7 +232,16 @@
 
 
 def create_mirror(context, take, **options):
-    return Mirror(context.store, KIND, context.timers, context.retries, take, **options)
+    context.metrics = Metrics({})
+    return Mirror(
+        context.store,
+        KIND,
+        context.timers,
+        context.retries,
+        context.metrics,
+        take,
+        **options,
+    )
 
 
 @given("a mirror of the members that checks its {reads} watch every {period:d} s")
--- a/features/steps/nodes_steps.py
+++ b/features/steps/nodes_steps.py
@@ -13,6 +13,7 @@
     HttpServer,
 )
 from bramleystair.loop import EventLoop
+from bramleystair.metrics import Metrics
 from bramleystair.mirror import Mirror, RetryQueue, StoredItem, StoreEpoch
 from bramleystair.nodes._decision_log import DecisionLog
 from bramleystair.nodes._snapshots import SnapshotClient, SnapshotServer
@@ -179,6 +180,7 @@
             name,
             context.loop.timers,
             RetryQueue(context.loop.timers, random.Random(1)),
+            Metrics({}),
             lambda items: None,
         )
     if members:
--- a/src/bramleystair/mirror/_mirror.py
+++ b/src/bramleystair/mirror/_mirror.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
+from bramleystair.errors import StepError
 from bramleystair.logs import get_logger
+from bramleystair.metrics import Metrics
 from bramleystair.mirror._epoch import REWRITE_TIMEOUT_S
 from bramleystair.mirror._retries import RetryQueue
 from bramleystair.mirror._types import (
@@ -56,6 +58,8 @@
         Runs delayed calls.
     retries : RetryQueue
         Repeats failed calls; shared by all mirrors of a node.
+    metrics : Metrics
+        Counts objects that cannot be read, and failures of `on_change`.
     on_change : callable
         Called after each change with the copy, a dict of StoredItem by name.
     batch_delay_s : float
@@ -74,6 +78,7 @@
         kind: str,
         timers: TimerService,
         retries: RetryQueue,
+        metrics: Metrics,
         on_change: Callable[[dict[str, StoredItem]], None],
         batch_delay_s: float = 0.0,
         allow_stale: bool = False,
@@ -83,6 +88,7 @@
         self._kind = kind
         self._timers = timers
         self._retries = retries
+        self._metrics = metrics
         self._is_outage_logged = False
         self._on_change = on_change
         self._batch_delay_s = batch_delay_s
@@ -159,7 +165,7 @@
         self._items = items
         self.is_complete = True
         self._is_copy_provisional = True
-        self._on_change(items)
+        self._report_change()
 
     def restart(self) -> None:
         """Abandon the pending watch, which may be on a dead connection, and relist.
@@ -219,8 +225,8 @@
     ) -> None:
         self._is_confirming = False
         match future.result():
-            case Changes(events, revision) if generation == self._generation:
-                self._apply_changes(events, revision)
+            case Changes() as changes if generation == self._generation:
+                self._apply_changes(changes)
                 self._run_confirmations(sent_s)
                 self._schedule_confirmation()
             case StoreFailure() as failure if generation == self._generation:
@@ -251,16 +257,21 @@
         match future.result():
             case StoreFailure() as failure:
                 self._retry(failure, lambda: self._list(""))
-            case Listing(items, revision, has_more):
+            case Listing(items, revision, has_more, errors):
+                self._record_errors(errors)
                 if not self._listed_items:
                     # The watch starts at the revision of the first page, so that
                     # changes made while later pages are fetched are not missed.
                     self._listing_revision = revision
                 self._listed_items.update((item.name, item) for item in items)
-                if has_more and items:
+                if not has_more:
+                    self._finish_listing()
+                elif items:
                     self._list(items[-1].name)
-                    return
-                self._finish_listing()
+                else:
+                    detail = "no object of a page can be read"
+                    failure = StoreFailure("list objects", "store", detail)
+                    self._retry(failure, lambda: self._list(""))
 
     def _finish_listing(self) -> None:
         self._record_success()
@@ -273,10 +284,23 @@
         self._items = items
         self.is_complete = True
         if is_changed:
-            self._on_change(self._items)
+            self._report_change()
         self._schedule_confirmation()
         self._start_watches()
 
+    def _record_errors(self, errors: tuple[StepError, ...]) -> None:
+        for error in errors:
+            self._metrics.count("object_ignored", "unreadable")
+            log.warning("%s: object ignored: %s", self._kind, error)
+
+    def _report_change(self) -> None:
+        """Call `on_change`, whose failure must not end the watch."""
+        try:
+            self._on_change(self._items)
+        except Exception:
+            self._metrics.count("handler_failed", "change")
+            log.exception("%s: error while handling a change", self._kind)
+
     def _update_retained(self, listed: dict[str, StoredItem]) -> None:
         """Retain the objects that a listing lacks if the copy is provisional.
 
@@ -305,7 +329,7 @@
             extra={"missing": sorted(retained)},
         )
         self._items = {n: item for n, item in self._items.items() if n not in retained}
-        self._on_change(self._items)
+        self._report_change()
 
     def _log_losses(self) -> None:
         """Log which objects of the copy a listing lacks or has an older version of."""
@@ -364,9 +388,9 @@
         if generation != self._generation:
             return
         match future.result():
-            case Changes(events, revision):
+            case Changes() as changes:
                 self._record_success()
-                is_changed = self._apply_changes(events, revision)
+                is_changed = self._apply_changes(changes)
                 if is_changed and self._is_watch_pending:
                     self._expect_watch_response()
                 elapsed_s = self._timers.clock.now() - sent_s
@@ -398,9 +422,9 @@
         if generation != self._generation:
             return
         match future.result():
-            case Changes(events, revision):
+            case Changes() as changes:
                 self._record_success()
-                self._apply_changes(events, revision)
+                self._apply_changes(changes)
                 self._schedule_confirmation()
                 self._start_watches()
             case StoreFailure() as failure:
@@ -421,9 +445,9 @@
         match future.result():
             case StoreFailure() as failure:
                 self._handle_watch_failure(failure)
-            case Changes(events, revision):
+            case Changes() as changes:
                 self._record_success()
-                if self._apply_changes(events, revision):
+                if self._apply_changes(changes):
                     self._watch_later(self._batch_delay_s)
                     return
                 elapsed_s = self._timers.clock.now() - sent_s
@@ -443,20 +467,23 @@
             )
             self._list("")
             return
+        if failure.kind is FailureKind.MALFORMED:
+            # The history may contain what the list of objects no longer does.
+            self._retry(failure, lambda: self._list(""))
+            return
         self._retry(failure, self._resume_watch)
 
-    def _apply_changes(
-        self, events: tuple[tuple[StoredItem, bool], ...], revision: int
-    ) -> bool:
+    def _apply_changes(self, changes: Changes) -> bool:
         """Apply the events of a response and return whether the copy has changed.
 
         A response older than the copy is ignored, since it may contain an object
         without the event that deleted it.
         """
-        if revision < self._revision:
+        if changes.revision < self._revision:
             return False
-        self._revision = revision
-        return self._apply_events(events)
+        self._revision = changes.revision
+        self._record_errors(changes.errors)
+        return self._apply_events(changes.events)
 
     def _apply_events(self, events: tuple[tuple[StoredItem, bool], ...]) -> bool:
         items = dict(self._items)
@@ -482,7 +509,7 @@
                 items[item.name] = item
         if is_changed:
             self._items = items
-            self._on_change(items)
+            self._report_change()
         return is_changed
 
     def _record_success(self) -> None:
--- a/src/bramleystair/mirror/_types.py
+++ b/src/bramleystair/mirror/_types.py
@@ -49,11 +49,14 @@
         Store revision at which the page was read.
     has_more : bool
         Whether there are further objects after this page.
+    errors : tuple of StepError
+        Objects that cannot be read and are missing in `items`.
     """
 
     items: tuple[StoredItem, ...]
     revision: int
     has_more: bool = False
+    errors: tuple[StepError, ...] = ()
 
 
 @attrs.frozen
@@ -64,10 +67,13 @@
     ----------
     events : tuple of (StoredItem, bool)
         Changed objects in the order of their changes, each with whether it was deleted.
+    errors : tuple of StepError
+        Changes that cannot be read and are missing in `events`.
     """
 
     events: tuple[tuple[StoredItem, bool], ...]
     revision: int
+    errors: tuple[StepError, ...] = ()
 
 
 @attrs.frozen
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -110,6 +110,7 @@
             EPOCH_KIND,
             loop.timers,
             RetryQueue(loop.timers, random),
+            self.metrics,
             lambda items: None,
             allow_stale=True,
         )
--- a/src/bramleystair/platform/_store.py
+++ b/src/bramleystair/platform/_store.py
@@ -7,6 +7,14 @@
 from typing import Any
 from urllib.parse import quote
 
+from bramleystair.documents import (
+    DECODE_ERRORS,
+    is_too_deep,
+    load_document,
+    read_int,
+    read_text,
+)
+from bramleystair.errors import StepError
 from bramleystair.http import HttpClient, HttpFailure, HttpResponse
 from bramleystair.loop import EventLoop
 from bramleystair.mirror import (
@@ -28,6 +36,9 @@
 WATCH_MARGIN_S = 2.0
 # Rises by one each time that the store returns from an older copy.
 EPOCH_HEADER = b"store-era"
+MAX_EPOCH_DIGITS = 18
+# Levels of nesting above the content of an object in a list, and in the changes.
+DOCUMENT_LEVELS = 4
 _KINDS_BY_STATUS = {
     404: FailureKind.NOT_FOUND,
     409: FailureKind.CONFLICT,
@@ -125,7 +136,8 @@
     def _is_current(self, response: HttpResponse) -> bool:
         """Record the epoch of a response and return whether it is the latest one."""
         text = response.headers.get(EPOCH_HEADER, b"")
-        return not text.isdigit() or self.epoch.record(int(text))
+        is_number = text.isdigit() and len(text) <= MAX_EPOCH_DIGITS
+        return not is_number or self.epoch.record(int(text))
 
 
 def _build_body(name: str, value: Any, revision: int | None) -> bytes:
@@ -142,8 +154,8 @@
         return StoreFailure(step, "store", response.detail)
     if response.status in (200, 201, 204):
         try:
-            return parse(json.loads(response.body or b"null"))
-        except (KeyError, TypeError, ValueError) as error:
+            return parse(_load_body(response))
+        except DECODE_ERRORS as error:
             detail = f"malformed response: {error!r}"
             return StoreFailure(step, "store", detail, FailureKind.MALFORMED)
     kind = _KINDS_BY_STATUS.get(response.status, FailureKind.UNREACHABLE)
@@ -151,26 +163,53 @@
     if kind is not FailureKind.CONFLICT:
         return StoreFailure(step, "store", detail, kind)
     try:
-        present = _parse_item(json.loads(response.body))
-    except (KeyError, TypeError, ValueError):
-        detail += " without the stored object"
+        present = _parse_item(_load_body(response))
+    except DECODE_ERRORS as error:
+        detail += f" without the stored object: {error!r}"
         return StoreFailure(step, "store", detail, FailureKind.MALFORMED)
     return StoreFailure(step, "store", detail, kind, present)
 
 
+def _load_body(response: HttpResponse) -> Any:
+    """Return the parsed body, with None for the parts that cannot be read.
+
+    Content that cannot be read fails the checks of whoever decodes it.
+    """
+    return load_document(response.body or b"null", DOCUMENT_LEVELS).value
+
+
 def _parse_item(document: Any) -> StoredItem:
-    meta = document["meta"]
-    return StoredItem(str(meta["Name"]), int(meta["Rev"]), document.get("spec"))
+    meta, value = document["meta"], document.get("spec")
+    return StoredItem(
+        read_text(meta["Name"], "Name"),
+        read_int(meta["Rev"], "Rev"),
+        None if is_too_deep(value) else value,
+    )
+
+
+def _parse_event(document: Any) -> tuple[StoredItem, bool]:
+    return _parse_item(document["Object"]), bool(document.get("Deleted"))
+
+
+def _parse_each(
+    documents: Any, parse: Callable[[Any], Any]
+) -> tuple[tuple, tuple[StepError, ...]]:
+    """Return the parsed documents, and an error for each that cannot be parsed."""
+    parsed, errors = [], []
+    for document in documents:
+        try:
+            parsed.append(parse(document))
+        except DECODE_ERRORS as error:
+            errors.append(StepError("read object", "store", repr(error)))
+    return tuple(parsed), tuple(errors)
 
 
 def _parse_listing(document: Any) -> Listing:
-    items = tuple(_parse_item(item) for item in document["items"])
-    return Listing(items, int(document["At"]), bool(document.get("HasMore")))
+    items, errors = _parse_each(document["items"], _parse_item)
+    revision = read_int(document["At"], "At")
+    return Listing(items, revision, bool(document.get("HasMore")), errors)
 
 
 def _parse_changes(document: Any) -> Changes:
-    events = tuple(
-        (_parse_item(event["Object"]), bool(event.get("Deleted")))
-        for event in document["events"]
-    )
-    return Changes(events, int(document["At"]))
+    events, errors = _parse_each(document["events"], _parse_event)
+    return Changes(events, read_int(document["At"], "At"), errors)
--- a/src/bramleystair/platform/standins/_store.py
+++ b/src/bramleystair/platform/standins/_store.py
@@ -31,6 +31,13 @@
     time_s: float
 
 
+@attrs.frozen
+class RawJson:
+    """Content that the store sends as it is, valid or not."""
+
+    text: str
+
+
 class ObjectTable:
     """Objects by kind and name, with the history of changes."""
 
@@ -198,7 +205,7 @@
         self._send_response(status, document)
 
     def _send_response(self, status: int, document: Any) -> None:
-        body = json.dumps(document).encode()
+        body = _encode(document)
         self.send_response(status)
         self.send_header(EPOCH_HEADER.decode(), str(self.objects.epoch))
         self.send_header("Content-Type", "application/json")
@@ -207,6 +214,19 @@
         self.wfile.write(body)
 
 
+def _encode(document: Any) -> bytes:
+    raw_texts: list[str] = []
+
+    def add_placeholder(value: RawJson) -> str:
+        raw_texts.append(value.text)
+        return f"raw-{len(raw_texts) - 1}"
+
+    text = json.dumps(document, default=add_placeholder)
+    for number, raw_text in enumerate(raw_texts):
+        text = text.replace(f'"raw-{number}"', raw_text)
+    return text.encode()
+
+
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
 
