Refuse entries and configurations with fields that no node can use

A balancer would have raised errors at each packet and timer, instead of opening flows, because of an entry with a port out of range; and it would have taken a configuration that another writer left beside the operator's.

Cause: decoders checked types at most, not ranges, encodings or names. An entry with the host of another agent replaced that agent's.

Change: each field has a range and an encoding, an entry names its own host, and only the object main is the configuration. Each odd version of an object is logged and counted once. Reports of servers are checked in the same way.

--- a/features/steps/reload_steps.py
+++ b/features/steps/reload_steps.py
@@ -89,6 +89,7 @@
         Codec(),
         context.store,
         "rules",
+        "main",
         "evacuations",
         lambda value: Err(StepError("read rules", "", "none")),
         random.Random(1),
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -729,7 +729,7 @@
 
 @then("a member's object is the same after encoding and decoding")
 def check_entry(context):
-    assert decode_entry(encode_entry(ENTRY)).unwrap() == ENTRY
+    assert decode_entry(ENTRY.address[0], encode_entry(ENTRY)).unwrap() == ENTRY
 
 
 @then("{count:d} damaged objects are each decoded to a member or refused")
@@ -743,10 +743,10 @@
             del value[field]
         else:
             value[field] = generator.choice((None, 1.5, True, [], {}, "x", 7))
-        result = decode_entry(value)
+        result = decode_entry(ENTRY.address[0], value)
         refused += result.is_err()
         if result.is_ok():
             assert type(result.unwrap().slots) is int
             assert type(result.unwrap().address[1]) is int
     assert refused > count / 2
-    assert decode_entry([1]).is_err()
+    assert decode_entry(ENTRY.address[0], [1]).is_err()
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -69,6 +69,8 @@
     rules_kind, evacuation_kind : str
         Kinds of the store's objects that hold the configuration and the evacuated
         zones, both written by the operator.
+    rules_name : str
+        Name of the object that holds the configuration.
     parse_rules : callable
         Parses the routing rules in the value of an object, or returns an error.
     random : random.Random
@@ -82,12 +84,16 @@
         codec: PacketCodec,
         store: ObjectStore,
         rules_kind: str,
+        rules_name: str,
         evacuation_kind: str,
         parse_rules: Callable[[Any], Result[RoutingRules, StepError]],
         random: random_module.Random,
     ) -> None:
         super().__init__(loop, settings, codec, store)
+        self._rules_name = rules_name
         self._parse_rules = parse_rules
+        # Revisions of the members' entries that were ignored, by name.
+        self._ignored_entries: dict[str, int] = {}
         self._outdated_since_s: float | None = None
         self._is_confirming = False
         self._steering = BalancerSteering(
@@ -258,22 +264,24 @@
         return self._steering.handle_returned_packet(sender, segment, now)
 
     def _set_rules(self, items: dict[str, StoredItem]) -> None:
-        for item in items.values():
-            result = self._parse_rules(item.value)
-            if result.is_err():
-                self.metrics.count("object_ignored", "rules")
-                log.warning("configuration ignored: %s", result.unwrap_err())
-                continue
-            rules = result.unwrap()
-            self._steering.set_rules(rules)
-            log.info(
-                "configuration received",
-                extra={
-                    "version": rules.version,
-                    "routes": len(rules.routes),
-                    "in_force": self._steering.rules.version,
-                },
-            )
+        item = items.get(self._rules_name)
+        if item is None:
+            return
+        result = self._parse_rules(item.value)
+        if result.is_err():
+            self.metrics.count("object_ignored", "rules")
+            log.warning("configuration ignored: %s", result.unwrap_err())
+            return
+        rules = result.unwrap()
+        self._steering.set_rules(rules)
+        log.info(
+            "configuration received",
+            extra={
+                "version": rules.version,
+                "routes": len(rules.routes),
+                "in_force": self._steering.rules.version,
+            },
+        )
         self._schedule_timer()
 
     def _set_evacuations(self, items: dict[str, StoredItem]) -> None:
@@ -282,16 +290,19 @@
         self._schedule_timer()
 
     def _set_members(self, items: dict[str, StoredItem]) -> None:
-        entries = []
+        entries, ignored = [], {}
         for item in items.values():
-            result = decode_entry(item.value)
-            if result.is_err():
+            result = decode_entry(item.name, item.value)
+            if result.is_ok():
+                entries.append(result.unwrap())
+                continue
+            ignored[item.name] = item.revision
+            if self._ignored_entries.get(item.name) != item.revision:
                 self.metrics.count("object_ignored", "member")
                 log.warning(
                     "entry of member %s ignored: %s", item.name, result.unwrap_err()
                 )
-                continue
-            entries.append(result.unwrap())
+        self._ignored_entries = ignored
         log.info("members updated", extra={"count": len(entries)})
         self._steering.set_members(entries, self._loop.clock.now())
         self._schedule_timer()
--- a/src/bramleystair/platform/_configuration.py
+++ b/src/bramleystair/platform/_configuration.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from bramleystair.documents import DECODE_ERRORS, read_float, read_int, read_text
 from bramleystair.errors import StepError
 from bramleystair.steering._types import (
     Route,
@@ -17,15 +18,8 @@
 
 CONFIG_KIND = "config"
 EVACUATION_KIND = "evacuations"
-# Exceptions that a malformed document may raise while it is parsed.
-_PARSE_ERRORS = (
-    KeyError,
-    TypeError,
-    ValueError,
-    OSError,
-    OverflowError,
-    AttributeError,
-)
+# Name of the configuration; other objects of the kind are not the operator's.
+CONFIG_NAME = "main"
 
 
 def parse_rules(spec: Any) -> Result[RoutingRules, StepError]:
@@ -33,17 +27,20 @@
     try:
         routes = [_parse_route(item) for item in spec["Routes"]]
         services = [
-            ServiceLimits(item["Name"], float(item.get("ColdPerS", 0)))
+            ServiceLimits(
+                read_text(item["Name"], "Name"),
+                read_float(item.get("ColdPerS", 0), "ColdPerS"),
+            )
             for item in spec["Services"]
         ]
         return Ok(
             RoutingRules(
-                int(spec["Version"]),
+                read_int(spec["Version"], "Version"),
                 {route.endpoint: route for route in routes},
                 {service.name: service for service in services},
             )
         )
-    except _PARSE_ERRORS as error:
+    except DECODE_ERRORS as error:
         return Err(StepError("read configuration", "store", repr(error)))
 
 
@@ -55,13 +52,15 @@
         {"Service": item["Service"], "Weight": 1}
     ]
     targets = tuple(
-        Target(_require_string(part["Service"]), float(part["Weight"]))
+        Target(
+            read_text(part["Service"], "Service"), read_float(part["Weight"], "Weight")
+        )
         for part in weighted_services
         if part["Weight"] > 0
     )
     if not targets:
         raise ValueError(f"route {item['Name']} has no service with a weight above 0")
-    name = _require_string(item["Name"])
+    name = read_text(item["Name"], "Name")
     return Route(name, endpoint, targets, _parse_service_level(item))
 
 
@@ -76,9 +75,3 @@
     if level.priority < 0 or not all(0 <= time_s < math.inf for time_s in times_s):
         raise ValueError(f"route {item['Name']} has an invalid service level: {level}")
     return level
-
-
-def _require_string(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"{value!r} is not a string")
-    return value
--- a/src/bramleystair/platform/_heartbeats.py
+++ b/src/bramleystair/platform/_heartbeats.py
@@ -5,9 +5,10 @@
 
 from result import Err, Ok, Result
 
+from bramleystair.documents import DECODE_ERRORS, read_float, read_int, read_text
 from bramleystair.errors import StepError
 from bramleystair.http import HttpRequest
-from bramleystair.steering._types import ServerReport, ServerState
+from bramleystair.steering._types import MAX_SLOTS, ServerReport, ServerState
 
 HEARTBEAT_PATH = "/bramleystair/Instances.Heartbeat/"
 DEREGISTER_PATH = "/bramleystair/Instances.Deregister/"
@@ -25,23 +26,20 @@
     try:
         body = json.loads(request.body)
         return Ok(_parse_heartbeat(path[len(HEARTBEAT_PATH) :], body))
-    except (KeyError, TypeError, ValueError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return _reject(repr(error))
 
 
 def _parse_heartbeat(server: str, body: dict[str, Any]) -> ServerReport:
-    for name, kind in (("Service", str), ("Zone", str), ("Slots", int), ("Seq", int)):
-        if type(body[name]) is not kind:
-            raise TypeError(f"{name} is not of type {kind.__name__}")
     return ServerReport(
-        server,
-        body["Service"],
-        body["Zone"],
+        read_text(server, "the server's identifier"),
+        read_text(body["Service"], "Service"),
+        read_text(body["Zone"], "Zone"),
         ServerState(body["State"]),
-        body["Slots"],
-        float(body.get("ColdLeftMs", 0)) / 1000,
-        body["Seq"],
-        int(body.get("born", 0)),
+        read_int(body["Slots"], "Slots", highest=MAX_SLOTS),
+        read_float(body.get("ColdLeftMs", 0), "ColdLeftMs") / 1000,
+        read_int(body["Seq"], "Seq"),
+        read_int(body.get("born", 0), "born"),
     )
 
 
--- a/src/bramleystair/platform/_main.py
+++ b/src/bramleystair/platform/_main.py
@@ -57,6 +57,7 @@
     from bramleystair.nodes._balancer import BalancerNode
     from bramleystair.platform._configuration import (
         CONFIG_KIND,
+        CONFIG_NAME,
         EVACUATION_KIND,
         parse_rules,
     )
@@ -67,6 +68,7 @@
         Codec(),
         PlatformStore(loop, settings.store_address),
         CONFIG_KIND,
+        CONFIG_NAME,
         EVACUATION_KIND,
         parse_rules,
         random.Random(),
--- a/src/bramleystair/steering/_entries.py
+++ b/src/bramleystair/steering/_entries.py
@@ -1,22 +1,13 @@
 """Encoding of a member entry as an object in the store."""
 
+import socket
 from typing import Any
 
 from result import Err, Ok, Result
 
+from bramleystair.documents import DECODE_ERRORS, MAX_PORT, read_int, read_text
 from bramleystair.errors import StepError
-from bramleystair.steering._types import MemberEntry, ServerState
-
-_FIELDS = {
-    "host": str,
-    "port": int,
-    "zone": str,
-    "service": str,
-    "state": str,
-    "slots": int,
-    "server": str,
-    "started_ms": int,
-}
+from bramleystair.steering._types import MAX_SLOTS, MemberEntry, ServerState
 
 
 def encode_entry(entry: MemberEntry) -> dict[str, Any]:
@@ -33,28 +24,32 @@
     }
 
 
-def decode_entry(value: Any) -> Result[MemberEntry, StepError]:
-    """Return the entry, or an error for content that an agent did not write."""
-    if not isinstance(value, dict):
-        return Err(StepError("read member", "store", "expected an object"))
-    for name, kind in _FIELDS.items():
-        if type(value.get(name)) is not kind:
-            return Err(
-                StepError("read member", "store", f"{name} is missing or of wrong type")
-            )
+def decode_entry(name: str, value: Any) -> Result[MemberEntry, StepError]:
+    """Return the entry, or an error for content that an agent did not write.
+
+    Parameters
+    ----------
+    name : str
+        Name of the stored object, which is the host of its agent.
+    """
     try:
-        state = ServerState(value["state"])
-    except ValueError:
-        return Err(StepError("read member", "store", "unknown server state"))
-    address = (value["host"], value["port"])
-    return Ok(
-        MemberEntry(
-            address,
-            value["zone"],
-            value["service"],
-            state,
-            value["slots"],
-            value["server"],
-            value["started_ms"],
-        )
+        return Ok(_read_entry(name, value))
+    except DECODE_ERRORS as error:
+        return Err(StepError("read member", "store", repr(error)))
+
+
+def _read_entry(name: str, value: Any) -> MemberEntry:
+    host = read_text(value["host"], "host")
+    socket.inet_pton(socket.AF_INET, host)
+    if host != name:
+        # It would replace the entry of the agent at that address.
+        raise ValueError(f"host {host} is not the object's name")
+    return MemberEntry(
+        (host, read_int(value["port"], "port", 1, MAX_PORT)),
+        read_text(value["zone"], "zone"),
+        read_text(value["service"], "service"),
+        ServerState(value["state"]),
+        read_int(value["slots"], "slots", highest=MAX_SLOTS),
+        read_text(value["server"], "server"),
+        read_int(value["started_ms"], "started_ms"),
     )
--- a/src/bramleystair/steering/_types.py
+++ b/src/bramleystair/steering/_types.py
@@ -8,6 +8,9 @@
 
 Address = tuple[str, int]
 
+# More requests than any backend server processes at a time.
+MAX_SLOTS = 65_535
+
 
 class ServerState(enum.StrEnum):
     """State that a backend server reports."""
