--- a/src/bramleystair/nodes/_snapshots.py
+++ b/src/bramleystair/nodes/_snapshots.py
@@ -8,6 +8,7 @@
 from concurrent.futures import Future
 from typing import Any
 
+from bramleystair.documents import DECODE_ERRORS, read_int, read_text
 from bramleystair.http import HttpClient, HttpReply, HttpRequest, HttpResponse
 from bramleystair.logs import get_logger
 from bramleystair.loop import EventLoop
@@ -90,7 +91,7 @@
         if isinstance(response, HttpResponse) and response.status == OK:
             try:
                 snapshot = decode_snapshot(response.body)
-            except (KeyError, TypeError, ValueError) as error:
+            except DECODE_ERRORS as error:
                 log.warning(
                     "malformed snapshot of peer %s ignored: %r",
                     client.endpoint[0],
@@ -118,9 +119,14 @@
 def decode_snapshot(data: bytes) -> dict[str, dict[str, StoredItem]]:
     """Return the items of each mirror by name.
 
-    Raises KeyError, TypeError or ValueError if the document is malformed.
+    Raises one of `DECODE_ERRORS` if the document is malformed.
     """
     return {
-        name: {item[0]: StoredItem(item[0], int(item[1]), item[2]) for item in items}
+        name: {item.name: item for item in map(_read_item, items)}
         for name, items in json.loads(data).items()
     }
+
+
+def _read_item(document: Any) -> StoredItem:
+    name, revision, value = document
+    return StoredItem(read_text(name, "name"), read_int(revision, "revision"), value)
--- a/src/bramleystair/platform/_settings.py
+++ b/src/bramleystair/platform/_settings.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from bramleystair.documents import DECODE_ERRORS
 from bramleystair.errors import StepError
 from bramleystair.nodes import NodeSettings
 
@@ -23,7 +24,7 @@
         return Err(StepError("read settings", path, error.strerror or "unreadable"))
     except KeyError as error:
         return Err(StepError("read settings", path, f"{error} is missing"))
-    except (ValueError, TypeError) as error:
+    except DECODE_ERRORS as error:
         return Err(StepError("read settings", path, str(error)))
 
 
