--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -92,6 +92,19 @@
       | Seq     | missing   |
       | Zone    | null      |
 
+    Examples: values that no message can hold
+      | field      | value                   |
+      | Slots      | 1000000000000000000000  |
+      | Slots      | -1                      |
+      | born       | 1e999                   |
+      | born       | 99999999999999999999999 |
+      | born       | "now"                   |
+      | ColdLeftMs | 1e999                   |
+      | ColdLeftMs | NaN                     |
+      | ColdLeftMs | -5                      |
+      | Service    | "\ud800"                |
+      | State      | ["ready"]               |
+
   Scenario: A heartbeat is parsed
     Given a heartbeat with ColdLeftMs set to 1500
     When the heartbeat is parsed
@@ -117,5 +130,25 @@
       | Listen   |
       | platform |
 
+  Scenario Outline: Odd settings are rejected
+    # Guards against an error in the periodic check of the settings, which is not called
+    # again after one.
+    Given the settings of an agent with <field> set to <value>
+    When the settings are read
+    Then the settings are rejected
+
+    Examples:
+      | field             | value           |
+      | Bounds            | null            |
+      | Limits            | []              |
+      | Listen            | null            |
+      | Seeds             | null            |
+      | Seeds             | [7]             |
+      | InternalPortRange | [7720]          |
+      | platform          | []              |
+      | HeartbeatMs       | "fast"          |
+      | HeartbeatMs       | NaN             |
+      | Bounds            | {"GraceS": 1e999} |
+
   Scenario: Only the adapter contains names of the platform
     Then no module outside the adapter contains a name of the platform
--- a/features/nodes.feature
+++ b/features/nodes.feature
@@ -51,6 +51,23 @@
     When a balancer starts while the store does not answer
     Then it holds 2 members within 2 s
 
+  Scenario Outline: A balancer that gets an odd snapshot asks another peer
+    # Guards against a balancer that asks no other peer after an unexpected error.
+    Given an event loop
+    And a peer that holds 2 members and a peer with the snapshot <snapshot>
+    When a balancer starts while the store does not answer
+    Then it holds 2 members within 2 s
+
+    Examples:
+      | snapshot                            |
+      | []                                  |
+      | {"members": [[]]}                   |
+      | {"members": [["m", 1e999, {}]]}     |
+      | {"members": [["m", -1, {}]]}        |
+      | {"members": [[7, 1, {}]]}           |
+      | {"members": {"m": 1}}               |
+      | nested                              |
+
   Scenario: A peer's snapshot does not replace a listing
     Given an event loop
     And a peer that holds 2 members and a peer that is down
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -301,6 +301,17 @@
     del context.settings[field]
 
 
+@given("the settings of an agent with {field} set to {value}")
+def set_odd_settings(context, field, value):
+    set_settings(context)
+    context.settings[field] = json.loads(value)
+
+
+@then("the settings are rejected")
+def check_odd_settings(context):
+    assert context.result.is_err(), context.result
+
+
 @when("the settings are read")
 def load_settings(context):
     with tempfile.TemporaryDirectory() as folder:
--- a/features/steps/nodes_steps.py
+++ b/features/steps/nodes_steps.py
@@ -199,6 +199,14 @@
         context.dead_peer = listener.getsockname()
 
 
+@given("a peer that holds {count:d} members and a peer with the snapshot {text}")
+def start_odd_peer(context, count, text):
+    body = "[" * 100_000 if text == "nested" else text
+    start_server(context, lambda request: HttpReply(200, body.encode()))
+    context.dead_peer = context.endpoint
+    start_server(context, SnapshotServer(create_mirrors(context, count)).answer)
+
+
 def start_snapshot_client(context):
     peers = (context.dead_peer, context.endpoint)
     SnapshotClient(context.loop, peers, context.mirrors).start()
--- a/src/bramleystair/platform/_settings.py
+++ b/src/bramleystair/platform/_settings.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from bramleystair.documents import DECODE_ERRORS
+from bramleystair.documents import DECODE_ERRORS, read_float
 from bramleystair.errors import StepError
 from bramleystair.nodes import NodeSettings
 
@@ -50,10 +50,11 @@
         server_address=_parse_optional_address(document.get("app")),
         outbound_address=_parse_optional_address(listen.get("outbound")),
         service=document.get("Service", ""),
-        heartbeat_s=document.get("HeartbeatMs", 1000) / 1000,
-        grace_s=float(bounds.get("GraceS", 6)),
-        link_bytes_per_s=limits.get("LinkMbps", DEFAULT_LINK_MBPS) * BYTES_PER_MBIT,
-        flow_lifetime_s=float(bounds.get("FlowTtlS", 60)),
+        heartbeat_s=read_float(document.get("HeartbeatMs", 1000), "HeartbeatMs") / 1000,
+        grace_s=read_float(bounds.get("GraceS", 6), "GraceS"),
+        link_bytes_per_s=BYTES_PER_MBIT
+        * read_float(limits.get("LinkMbps", DEFAULT_LINK_MBPS), "LinkMbps"),
+        flow_lifetime_s=read_float(bounds.get("FlowTtlS", 60), "FlowTtlS"),
     )
 
 
