Read each object of the platform on its own, with ranges

A daemon would have got no further table because of one odd object of another writer: a listing or a change that contained it was refused as a whole, or ended with an error each time. An announcement with a port or an incarnation out of range would have raised errors at messages and decisions that used it.

Cause: responses were structured as a whole, versions and texts were not checked for what messages can hold, and bodies of objects for types only.

Change: objects of a response are structured one by one, and unreadable ones are counted and logged. Versions, ports, weights, limits and incarnations have ranges, texts an encoding.

--- a/features/steps/platform_link_steps.py
+++ b/features/steps/platform_link_steps.py
@@ -1,4 +1,5 @@
 import concurrent.futures
+import json
 import random
 import threading
 import time
@@ -72,6 +73,35 @@
     wait_until(context, lambda: f"table/{name}" in context.received)
 
 
+@when('another writer leaves table "{name}" with {field} set to {value}')
+def leave_odd_object(context, name, field, value):
+    store = context.application.store
+    store.put_object(f"table/{name}", {"body": "{}"}, None)
+    # The object and its entry in the log of changes.
+    store._objects[f"table/{name}"][field] = json.loads(value)
+
+
+@when('table "{name}" is written')
+def write_table(context, name):
+    PlatformClient(context.url).put_object(f"table/{name}", "{}").unwrap()
+
+
+@then('a node that connects now receives table "{name}"')
+def connect_later(context, name):
+    context.received.clear()
+    link = PlatformLink(context.url, context.metrics, record_changes(context), random)
+    link.start()
+    link.set_watch(True)
+    context.add_cleanup(link.close)
+    check_received(context, name)
+
+
+@then("no response ended with an error")
+def check_errors(context):
+    text = context.metrics.render()[0].decode()
+    assert "platform_failed" not in text, text
+
+
 @when('table "{name}" is written and the response to its watch is lost')
 def lose_watch_response(context, name):
     context.application.faults.withhold_watches = 1
--- a/features/tables_json.feature
+++ b/features/tables_json.feature
@@ -10,3 +10,10 @@
   Scenario: Malformed bodies are refused
     When malformed bodies are decoded
     Then each gives an error with step "decode object"
+
+  Scenario: Bodies with values out of range are refused
+    # Guards against errors at each message or decision because of one object of another
+    # writer.
+    When bodies with values out of range are decoded
+    Then each gives an error with step "decode object"
+    And each body without such a value is decoded
--- a/src/bramleystair/store/_client.py
+++ b/src/bramleystair/store/_client.py
@@ -12,6 +12,7 @@
 import requests
 from result import Err, Ok, Result
 
+from bramleystair.documents import load_document
 from bramleystair.logs import get_logger
 from bramleystair.store._types import (
     HISTORY_LENGTH,
@@ -29,6 +30,8 @@
 
 # Added to the timeout of a watch to cover the network round trip.
 WATCH_TIMEOUT_MARGIN_S = 2.0
+# Levels of nesting above the fields of an object in a response.
+DOCUMENT_LEVELS = 3
 EMPTY_NOTE = WriteNote()
 # Number of times that the platform was restored from an older copy.
 EPOCH_HEADER = "Store-Epoch"
@@ -374,8 +377,8 @@
         if status >= 400:
             return Err(self._parse_refusal(step, response))
         try:
-            data = response.json()
-        except (ValueError, RecursionError, requests.RequestException):
+            data = load_document(response.content, DOCUMENT_LEVELS).value
+        except (ValueError, requests.RequestException):
             return Err(
                 self._build_malformed_error(step, "response body is not valid JSON")
             )
@@ -384,8 +387,15 @@
         result = parse_response(data, kind)
         if kind in (Listing, Changes):
             result = result.map(lambda value: attrs.evolve(value, epoch=self.epoch))
+            self._record_errors(step, result)
         return result.map_err(lambda detail: self._build_malformed_error(step, detail))
 
+    def _record_errors(self, step: str, result: Result) -> None:
+        """Count and log the objects of a response that cannot be read."""
+        for detail in result.unwrap().errors if result.is_ok() else ():
+            self.calls["object", "unreadable"] += 1
+            log.warning("%s: object ignored: %s", step, detail)
+
     def _parse_refusal(self, step: str, response: requests.Response) -> PlatformError:
         kind = ERROR_KINDS_BY_STATUS.get(response.status_code, ErrorKind.REFUSED)
         detail = f"refused with status {response.status_code}"
--- a/src/bramleystair/store/_types.py
+++ b/src/bramleystair/store/_types.py
@@ -6,6 +6,7 @@
 import cattrs
 from result import Err, Ok, Result
 
+from bramleystair.documents import DECODE_ERRORS, read_int, read_text
 from bramleystair.errors import StepError
 from bramleystair.wire import StoredObject
 
@@ -16,6 +17,7 @@
 # platform assigned in the low ones, which leaves room for 2**23 epochs in 63 bits.
 VERSION_BITS = 40
 MAX_EPOCH = 2**23 - 1
+MAX_VERSION = 2**VERSION_BITS - 1
 
 
 class ErrorKind(enum.StrEnum):
@@ -141,11 +143,14 @@
     ----------
     epoch : int
         Epoch of the platform, in which the cursor is valid.
+    errors : tuple of str
+        Reasons why further objects cannot be read.
     """
 
     objects: tuple[PlatformObject, ...]
     cursor: int
     epoch: int = 0
+    errors: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -156,11 +161,14 @@
     ----------
     epoch : int
         Epoch of the platform, in which the cursor is valid.
+    errors : tuple of str
+        Reasons why further objects cannot be read.
     """
 
     objects: tuple[PlatformObject, ...]
     cursor: int
     epoch: int = 0
+    errors: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -189,12 +197,42 @@
 
 
 def parse_response(data: object, kind: type) -> Result[object, str]:
-    """Return `data` as `kind`, or a description of the mismatch."""
+    """Return `data` as `kind`, or a description of the mismatch.
+
+    Objects of a listing and changes that cannot be read are left out, with an error in
+    the result for each.
+    """
     try:
+        if kind in (Listing, Changes):
+            return Ok(_structure_objects(data, kind))
         return Ok(_converter.structure(data, kind))
-    except (cattrs.BaseValidationError, TypeError, ValueError, KeyError) as error:
-        details = cattrs.transform_error(error)
-        return Err("; ".join(details) or type(error).__name__)
+    except (cattrs.BaseValidationError, *DECODE_ERRORS) as error:
+        return Err(_describe(error))
+
+
+def _structure_objects(data: object, kind: type) -> object:
+    objects, errors = [], []
+    for document in data["objects"]:
+        try:
+            objects.append(
+                _check_object(_converter.structure(document, PlatformObject))
+            )
+        except (cattrs.BaseValidationError, *DECODE_ERRORS) as error:
+            errors.append(_describe(error))
+    return kind(tuple(objects), read_int(data["cursor"], "cursor"), 0, tuple(errors))
+
+
+def _check_object(item: PlatformObject) -> PlatformObject:
+    """Return the object, or raise an error if nodes cannot store or send it."""
+    read_int(item.version, "version", highest=MAX_VERSION)
+    for name in ("key", "nonce", "body"):
+        read_text(getattr(item, name), name)
+    return item
+
+
+def _describe(error: Exception) -> str:
+    details = cattrs.transform_error(error)
+    return "; ".join(details) or type(error).__name__
 
 
 def _require_exact_type(value: object, kind: type) -> object:
--- a/src/bramleystair/tables/_json.py
+++ b/src/bramleystair/tables/_json.py
@@ -7,7 +7,9 @@
 from cattrs.gen import make_dict_unstructure_fn, override
 from result import Err, Ok, Result
 
+from bramleystair.documents import MAX_PORT, read_int
 from bramleystair.errors import StepError
+from bramleystair.tables._csv import MAX_COUNT, MAX_WEIGHT
 from bramleystair.tables._objects import (
     AgentAnnouncement,
     BalancerAnnouncement,
@@ -15,6 +17,9 @@
     ZoneMark,
 )
 
+# Incarnations are the high 47 bits of an announcement's version.
+MAX_INCARNATION = 2**47 - 1
+
 ConfigObject = Table | ZoneMark | AgentAnnouncement | BalancerAnnouncement
 
 TABLE_PREFIX = "table/"
@@ -81,6 +86,7 @@
     kind, name_field = _TYPES_BY_PREFIX[prefix + "/"]
     try:
         item = _converter.structure(json.loads(body), kind)
+        _check_values(item, body)
     except Exception as error:  # cattrs raises groups of any exceptions of its hooks
         return Err(StepError("decode object", key, f"{type(error).__name__}: {error}"))
     if getattr(item, name_field) != name:
@@ -90,6 +96,34 @@
     return Ok(item)
 
 
+def _check_values(item: ConfigObject, body: bytes) -> None:
+    """Raise TypeError or ValueError for values that no node can use or send."""
+    if b"\\u" in body:
+        # Escapes of single surrogates have no encoding.
+        json.dumps(_converter.unstructure(item), ensure_ascii=False).encode()
+    match item:
+        case Table(port=port, members=members):
+            read_int(port, "port", highest=MAX_PORT)
+            for member in members:
+                if not 0 <= member.weight <= MAX_WEIGHT:
+                    raise ValueError(f"weight of {member.server} is out of range")
+                read_int(member.max_flows, "max_flows", highest=MAX_COUNT)
+                read_int(member.max_requests, "max_requests", highest=MAX_COUNT)
+        case AgentAnnouncement(port=port):
+            _check_announcement(item, port)
+        case BalancerAnnouncement(port=port, http_port=http_port):
+            _check_announcement(item, port, http_port)
+
+
+def _check_announcement(
+    item: AgentAnnouncement | BalancerAnnouncement, *ports: int
+) -> None:
+    for port in ports:
+        read_int(port, "port", highest=MAX_PORT)
+    read_int(item.incarnation, "incarnation", highest=MAX_INCARNATION)
+    read_int(item.version, "version")
+
+
 def replace_version(item: ConfigObject, version: int) -> ConfigObject:
     """Return `item` with the version that the platform assigned to it."""
     return attrs.evolve(item, version=version)
