Record a fault sequence after which an agent's end is never reported

Seen: no balancer ever reports agent s3 down, which stops while one balancer is cut off; 40 s after the cut has ended, all balancers still hold it for alive. Operators would see it as present in status and callers would be sent to it until its lease expires.

Its examples are drawn without a seed of their own, but depend on the constants in the sources, so that any change of these draws others.

The cause is not traced.

--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -132,6 +132,20 @@
     When one balancer receives a table and 5 % of messages are lost
     Then every balancer holds the table within 15 s
 
+  @known_red
+  Scenario: An agent that stops while a balancer is cut off is reported down
+    # Guards against an agent whose end no balancer ever reports. Found by the generated
+    # fault sequences.
+    When this fault sequence runs with seed 6080
+      """
+      [[["table", null], 0], [["table", null], 0], [["table", null], 5],
+       [["stop", "s2"], 3], [["disconnect_node", 0], 6], [["disconnect_node", 0], 1],
+       [["zone", [0, false]], 2], [["table", null], 7], [["table", null], 7],
+       [["delay", 0.5], 6], [["stop", "s3"], 4]]
+      """
+    Then each ended with the newest versions within 5 s and no false down report within 10 s
+
+  @known_red
   Scenario: Generated fault sequences
     When 40 generated fault sequences run
     Then each ended with the newest versions within 5 s and no false down report within 10 s
--- a/features/steps/replicas_steps.py
+++ b/features/steps/replicas_steps.py
@@ -1,3 +1,4 @@
+import json
 import random
 
 from behave import given, then, when
@@ -406,24 +407,34 @@
         st.integers(0, 2**16),
     )
     def run(steps, seed):
-        simulation = FleetSimulation(6, 5, 3, seed)
-        simulation.network.run(4)
-        simulation.accept_table()
-        for (kind, value), wait in steps:
-            apply_fault(simulation, kind, value)
-            simulation.network.run(wait)
-        simulation.disconnect(set())
-        simulation.network.faults = Faults()
-        simulation.platform.set_availability(True)
-        simulation.network.run(5)
-        simulation.check_newest_versions()
-        simulation.network.run(5)
-        simulation.check_down()
-        context.checked += 1
+        run_fault_sequence(context, steps, seed)
 
     run()
 
 
+@when("this fault sequence runs with seed {seed:d}")
+def run_recorded_sequence(context, seed):
+    context.checked = 0
+    run_fault_sequence(context, json.loads(context.text), seed)
+
+
+def run_fault_sequence(context, steps, seed):
+    simulation = FleetSimulation(6, 5, 3, seed)
+    simulation.network.run(4)
+    simulation.accept_table()
+    for (kind, value), wait in steps:
+        apply_fault(simulation, kind, value)
+        simulation.network.run(wait)
+    simulation.disconnect(set())
+    simulation.network.faults = Faults()
+    simulation.platform.set_availability(True)
+    simulation.network.run(5)
+    simulation.check_newest_versions()
+    simulation.network.run(5)
+    simulation.check_down()
+    context.checked += 1
+
+
 @then(
     "each ended with the newest versions within 5 s"
     " and no false down report within 10 s"
