--- a/src/bramleystair/platform/standins/_store.py
+++ b/src/bramleystair/platform/standins/_store.py
@@ -1,8 +1,7 @@
 """Stand-in for the platform's store: objects, revisions and watches in memory.
 
 `POST /control` with `age_s` and `away_s` makes the store close all connections for
-`away_s` seconds and return with its state of `age_s` seconds ago. With `lose_s`, it
-executes calls for so many seconds without a response.
+`away_s` seconds and return with its state of `age_s` seconds ago.
 """
 
 import json
@@ -157,14 +156,11 @@
             self._send_json(*self.objects.list_items(kind))
 
     def do_POST(self) -> None:  # noqa: N802
-        """Create an object, or inject a fault."""
+        """Create an object, or restore the store."""
         kind, _, _ = self._parse_target()
         body = self._read_body()
         if self.path == CONTROL_PATH:
-            if "lose_s" in body:
-                self.objects.lose_responses(body["lose_s"])
-            else:
-                self.objects.restore(body["age_s"], body["away_s"])
+            self.objects.restore(body["age_s"], body["away_s"])
             self._send_response(200, {})
             return
         name = body["meta"]["Name"]
