Measure the silence of a member whose false down report was refuted

An agent that stopped soon after a false down report was never reported down. A trace of the failing one: the agent is reported down because half of the messages are lost; a balancer that has just heard it, but is none of its heartbeat targets, refutes the report; the agent stops. The targets do not measure its silence again, since a refuted report may mean that only they cannot reach it, and the balancer that refuted the report forgets the agent, as it is no target.

Now the node that has the latest proof that a report was false measures the silence: the one that refuted it, or the one to which the member itself sent the refutation. It probes a silent member before it reports it, and gives up the duty once another node refutes a report.

--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -144,6 +144,19 @@
       """
     Then each ended with the newest versions within 5 s and no false down report within 10 s
 
+  Scenario: An agent that stops after a false down report is reported down
+    # Guards against an agent whose silence nobody measures, as the balancer that refuted a
+    # false report is none of those that the agent sends heartbeats to. Found by the
+    # generated fault sequences.
+    When this fault sequence runs with seed 59742
+      """
+      [[["disconnect_node", 1], 8], [["platform", false], 3], [["duplicate", 0.0], 0],
+       [["delay", 0.5], 4], [["duplicate", 0.5], 3], [["loss", 0.5], 7],
+       [["duplicate", 0.5], 2], [["stop", "s3"], 6], [["delay", 2.0], 1],
+       [["table", null], 1], [["delay", 2.0], 6], [["table", null], 7]]
+      """
+    Then each ended with the newest versions within 5 s and no false down report within 10 s
+
   Scenario: Generated fault sequences
     When 40 generated fault sequences run
     Then each ended with the newest versions within 5 s and no false down report within 10 s
--- a/src/bramleystair/replicas/_balancer.py
+++ b/src/bramleystair/replicas/_balancer.py
@@ -165,6 +165,10 @@
         # Members whose time was assumed after a pause or isolation. It does not show
         # that they live, so it refutes no down report.
         self._assumed_heard: set[str] = set()
+        # Members of which this node has the latest proof that a down report was false.
+        # It measures their silence even if they send their heartbeats to other nodes,
+        # as nodes that cannot reach a member do not report it a second time.
+        self._vouched_for: set[str] = set()
         self._last_contact_s = 0.0
         self._next_member_check_s = 0.0
         self._members_to_check: list[str] = []
@@ -298,7 +302,10 @@
         is_new, actions = self._put(item)
         if not is_new:
             return actions
+        if item.key.startswith(LIVENESS_PREFIX):
+            self._update_vouching(item, sender, now)
         if self._is_refutable(item, now):
+            self._vouched_for.add(item.key.removeprefix(LIVENESS_PREFIX))
             version = compute_refutation_version(item.version)
             self.store.put(build_liveness_report(item.key, version))
             # An empty sender excludes no peer: the sender of the report needs the
@@ -308,6 +315,17 @@
             self._queue_announcement(item.key, sender)
         return actions
 
+    def _update_vouching(self, report: StoredObject, sender: str, now: float) -> None:
+        """Vouch for a member that refutes a down report itself, and for no others.
+
+        Of the others, the node that refuted the report has heard them later.
+        """
+        name = report.key.removeprefix(LIVENESS_PREFIX)
+        self._vouched_for.discard(name)
+        if name == sender and not is_down_version(report.version):
+            self._vouched_for.add(name)
+            self._record_heard(name, now)
+
     def _is_refutable(self, report: StoredObject, now: float) -> bool:
         """Return whether `report` is about a member that was heard from recently."""
         name = report.key.removeprefix(LIVENESS_PREFIX)
@@ -569,10 +587,14 @@
     def _check_silent_member(self, name: str, now: float) -> list[ReplicaAction]:
         """Probe a silent member, and report it down after `down_after_s`.
 
-        A member that sends its heartbeats to other nodes is forgotten instead.
+        A member that sends its heartbeats to other nodes is forgotten instead, unless
+        this node vouches for it.
         """
         is_overdue = now - self._last_heard_s[name] >= self._settings.down_after_s
-        is_target = self._is_heartbeat_target_of(name)
+        is_known = self.store.find_member(name) is not None
+        is_target = self._is_heartbeat_target_of(name) or (
+            is_known and name in self._vouched_for
+        )
         if is_target and not is_overdue:
             return [Send(name, Pull((build_key(self.store.find_member(name)),)))]
         del self._last_heard_s[name]
