Let a publisher write again after another writer has changed its object

What callers saw: after another writer had replaced or removed the entry of an agent, no agent wrote it again, and open flows were reset once balancers had been restarted.

Cause: `Publisher` wrote only when its own content changed or the store was restored. It had no way to learn of a change, and took an object whose content cannot be read for a deleted one.

Change: `Publisher.handle_change` takes the revision of a change that somebody saw. If it is later than the last known state, the publisher verifies with a conditional write, at most every 0.5 s, and after a call in progress has ended; so two writers of one object do not write at the rate of the store. `Publisher.check` reads the object as a stale read, and ignores states older than the last write. Contradictions are counted by reason and logged with what was found.

`Publisher` now needs the metrics of its node, so the step that creates it passes them; no check was changed.

--- a/features/mirror.feature
+++ b/features/mirror.feature
@@ -347,3 +347,72 @@
     And another call shows that the store was restored
     And the store's clock advances by 15 s
     Then the store holds ready
+
+  Scenario Outline: A publisher that is told of a change writes again
+    Given an empty store and a publisher
+    When it publishes ready
+    And another writer <changes> its object and it is told
+    And the store's clock advances by 1 s
+    Then the store holds ready
+    And the publisher has counted 1 contradiction, <reason>, and 1 repeated write
+    And the store took <writes> writes
+
+    Examples:
+      | changes  | reason     | writes |
+      | replaces | other      | 3      |
+      | breaks   | unreadable | 3      |
+      | deletes  | missing    | 3      |
+
+  Scenario Outline: A publisher that finds a change writes again
+    # Guards against a change that no balancer saw.
+    Given an empty store and a publisher
+    When it publishes ready
+    And the store's clock advances by 15 s
+    And another writer <changes> its object
+    And the publisher checks its object
+    Then the store holds ready
+    And the store took 3 writes
+
+    Examples:
+      | changes  |
+      | replaces |
+      | breaks   |
+      | deletes  |
+
+  Scenario: A stale read that lacks the last write is no contradiction
+    # Guards against writes at each check while stale reads lag.
+    Given an empty store and a publisher
+    When it publishes ready
+    And the store's clock advances by 2 s
+    And another writer deletes its object
+    And the publisher checks its object
+    Then the store took 1 writes
+
+  Scenario: A publisher ignores news of its own writes
+    # Guards against a write for each change that balancers see.
+    Given an empty store and a publisher
+    When it publishes ready
+    And it publishes draining
+    And it is told of each change so far
+    And it publishes nothing
+    And it is told of each change so far
+    And the publisher checks its object
+    And the store's clock advances by 2 s
+    Then the store took 3 writes
+    And the store holds nothing
+
+  Scenario: Two writers of one object do not write at the rate of the store
+    Given an empty store and a publisher
+    When it publishes ready
+    And another writer replaces its object 100 times in 2 s and it is told each time
+    And the store's clock advances by 1 s
+    Then the store holds ready
+    And the store took at most 14 writes
+
+  Scenario: An object of another writer in place of a withdrawn one is deleted
+    Given an empty store and a publisher
+    When it publishes ready
+    And it publishes nothing
+    And another writer adds its object and it is told
+    And the store's clock advances by 1 s
+    Then the store holds nothing
--- a/features/steps/mirror_steps.py
+++ b/features/steps/mirror_steps.py
@@ -47,6 +47,7 @@
     # For each watch, whether it was a stale read.
     watches: list = attrs.field(factory=list)
     writes: int = 0
+    reads: int = 0
     lost_write: str = ""
     write_delay_s: float = 0.0
     delayed_listing: Future | None = None
@@ -148,6 +149,11 @@
     def get_events(self, revision):
         return tuple(event for event in self.history if event[0].revision > revision)
 
+    def read(self, kind, name):
+        self.reads += 1
+        item = self.items.get(name)
+        return self.respond(fail(FailureKind.NOT_FOUND) if item is None else item)
+
     def create(self, kind, name, value):
         return self.write(name, value, lambda: name not in self.items)
 
@@ -451,8 +457,14 @@
     create_store(context)
     context.initial_revision = context.store.revision
     context.store.respond(None)
+    context.metrics = Metrics({})
     context.publisher = Publisher(
-        context.store, KIND, NAME, context.timers, random.Random(1)
+        context.store,
+        KIND,
+        NAME,
+        context.timers,
+        random.Random(1),
+        context.metrics,
     )
 
 
@@ -585,3 +597,55 @@
     # The watches of the previous epoch are not answered any more.
     context.store.pending_watches.clear()
     context.store.put(name, {"name": name})
+
+
+@when("another writer {changes} its object")
+def change_object(context, changes):
+    value = {"replaces": {"state": "theirs"}, "adds": {}, "breaks": {"a": 1}}
+    context.store.put(NAME, value.get(changes))
+    if changes == "breaks":
+        # Content that cannot be read is None.
+        item = context.store.items[NAME]
+        context.store.items[NAME] = attrs.evolve(item, value=None)
+
+
+@when("another writer {changes} its object and it is told")
+def change_object_and_tell(context, changes):
+    change_object(context, changes)
+    tell(context)
+
+
+def tell(context):
+    is_missing = NAME not in context.store.items
+    context.publisher.handle_change(context.store.revision, is_missing)
+
+
+@when("it is told of each change so far")
+def tell_all(context):
+    for item, is_deleted in context.store.history:
+        context.publisher.handle_change(item.revision, is_deleted)
+
+
+@when("the publisher checks its object")
+def check_object(context):
+    context.publisher.check()
+
+
+@when(
+    "another writer replaces its object {count:d} times in {seconds:d} s and it is "
+    "told each time"
+)
+def fight(context, count, seconds):
+    for _ in range(count):
+        change_object_and_tell(context, "replaces")
+        advance(context, seconds / count)
+
+
+@then(
+    "the publisher has counted {count:d} contradiction, {reason}, and {writes:d} "
+    "repeated write"
+)
+def check_publisher_counters(context, count, reason, writes):
+    counts = context.metrics._counts
+    assert counts["entry_contradicted", reason] == count, counts
+    assert counts["entry_written_again", ""] == writes, counts
--- a/src/bramleystair/mirror/_publisher.py
+++ b/src/bramleystair/mirror/_publisher.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from bramleystair.logs import get_logger
+from bramleystair.metrics import Metrics
 from bramleystair.mirror._backoff import Backoff
 from bramleystair.mirror._types import (
     FailureKind,
@@ -12,13 +13,20 @@
     StoredItem,
     StoreFailure,
 )
-from bramleystair.timers import TimerService
+from bramleystair.timers import TimerService, TimerSubscription
 
 log = get_logger("publisher")
 
 # A write that got no response may still be executed within this time if its condition
 # holds, and a restored store may make the condition of an earlier one hold again.
 LATE_WRITE_S = 8.0
+# Minimum interval between verifications, so that two writers of one object do not write
+# at the rate at which the store answers.
+VERIFICATION_INTERVAL_S = 0.5
+# A stale read may lack a write of the last seconds.
+STALE_READ_S = 10.0
+# Characters of another writer's content in a log line.
+MAX_LOGGED_CHARACTERS = 200
 
 
 class Publisher:
@@ -27,7 +35,8 @@
     Each write is conditional on the revision that it replaces, so that a delayed write
     cannot overwrite a newer one. If a response is lost, the write is repeated, and the
     resulting conflict contains the stored revision. A write is also repeated after the
-    store was restored from an older copy.
+    store was restored from an older copy, and after another writer has replaced or
+    removed the object.
 
     Parameters
     ----------
@@ -39,6 +48,8 @@
         Runs the retries.
     random : random.Random
         Source of the jitter.
+    metrics : Metrics
+        Counts contradictions by other writers, and repeated writes after them.
     """
 
     def __init__(
@@ -48,11 +59,13 @@
         name: str,
         timers: TimerService,
         random: random_module.Random,
+        metrics: Metrics,
     ) -> None:
         self._store = store
         self._kind = kind
         self._name = name
         self._timers = timers
+        self._metrics = metrics
         self._backoff = Backoff(random)
         self._desired: Any = None
         self._stored: StoredItem | None = None
@@ -61,12 +74,29 @@
         self._is_stored_known = False
         self._is_call_pending = False
         self._has_called = False
+        # Whether the desired content was stored in the store's present epoch, the time
+        # at which that was last confirmed, and whether another writer has changed it.
+        self._was_settled = False
+        self._settled_s = float("-inf")
+        self._is_contradicted = False
+        # Latest revision at which the object is said to have changed, the same at the
+        # start of the pending call, and the revision up to which its state is known.
+        self._reported_revision = 0
+        self._called_revision = 0
+        self._known_revision = 0
+        self._verification_timer: TimerSubscription | None = None
+        self._next_verification_s = float("-inf")
         store.epoch.subscribe(self._handle_restoration)
 
     @property
     def is_settled(self) -> bool:
         """Whether the store is known to contain the desired content."""
-        return self._is_stored_known and self._get_stored_value() == self._desired
+        return self._is_stored_known and self._is_desired(self._stored)
+
+    @property
+    def is_withdrawn(self) -> bool:
+        """Whether an object was published, or may have been, and is to be deleted."""
+        return self._has_called and self._desired is None
 
     def publish(self, value: Any) -> None:
         """Set the desired content; None deletes the object."""
@@ -82,7 +112,65 @@
         """Write the desired content again, since the store may have lost it.
 
         Has no effect before the first call of `publish` with content, or of `remove`.
+        Revisions that were reported before are forgotten: the store assigns them again.
         """
+        self._was_settled = False
+        self._reported_revision = self._known_revision = 0
+        self._write_again()
+
+    def handle_change(self, revision: int, is_missing: bool = False) -> None:
+        """Write the desired content again if another writer has changed the object.
+
+        Parameters
+        ----------
+        revision : int
+            Store revision, of the present epoch, at which the object was seen to have
+            changed. It has no effect unless it is later than the last known state.
+        is_missing : bool
+            Whether the object was missing at that revision.
+        """
+        if is_missing and self._desired is None:
+            return
+        if self._has_called and revision > self._known_revision:
+            self._reported_revision = max(self._reported_revision, revision)
+            self._verify_reported()
+
+    def check(self) -> None:
+        """Read the object, at the price of a stale read, to find a change."""
+        if self._has_called and not self._is_call_pending and self.is_settled:
+            call = self._store.read(self._kind, self._name)
+            call.add_done_callback(self._handle_read)
+
+    def _handle_read(self, future: Future) -> None:
+        match future.result():
+            case StoredItem(revision=revision):
+                self.handle_change(revision)
+            case StoreFailure(kind=FailureKind.NOT_FOUND):
+                elapsed_s = self._timers.clock.now() - self._settled_s
+                if self._desired is not None and elapsed_s > STALE_READ_S:
+                    self._write_again()
+            case failure:
+                log.info("%s: object not checked: %s", self._name, failure)
+
+    def _verify_reported(self) -> None:
+        """Verify the object if a later change was reported, at a limited rate."""
+        is_due = self._reported_revision > self._known_revision
+        if not is_due or self._is_call_pending or self._verification_timer is not None:
+            return
+        now = self._timers.clock.now()
+        if now < self._next_verification_s:
+            self._verification_timer = self._timers.subscribe_once(
+                self._next_verification_s - now, self._verify_later
+            )
+            return
+        self._next_verification_s = now + VERIFICATION_INTERVAL_S
+        self._write_again()
+
+    def _verify_later(self, _: float) -> None:
+        self._verification_timer = None
+        self._verify_reported()
+
+    def _write_again(self) -> None:
         if self._has_called:
             self._is_stored_known = False
             self._reconcile()
@@ -99,6 +187,7 @@
             return
         self._is_call_pending = True
         self._has_called = True
+        self._called_revision = self._reported_revision
         self._send_write().add_done_callback(self._handle_result)
 
     def _send_write(self) -> Future:
@@ -116,9 +205,9 @@
         self._is_call_pending = False
         match future.result():
             case StoreFailure(kind=FailureKind.CONFLICT, present=StoredItem() as item):
-                self._record_stored(item)
+                self._record_found(item)
             case StoreFailure(kind=FailureKind.NOT_FOUND):
-                self._record_stored(None)
+                self._record_found(None)
             case StoreFailure() as failure:
                 if not self._backoff.failures:
                     log.warning(
@@ -132,11 +221,36 @@
             case None:
                 self._record_stored(None)
         self._reconcile()
+        self._verify_reported()
 
     def _retry(self, _: float) -> None:
         self._is_call_pending = False
         self._reconcile()
 
+    def _record_found(self, item: StoredItem | None) -> None:
+        """Record a stored state that differs from the condition of a write."""
+        if self._was_settled and not self._is_desired(item):
+            self._record_contradiction(item)
+        self._record_stored(item)
+
+    def _record_contradiction(self, item: StoredItem | None) -> None:
+        self._is_contradicted = True
+        self._was_settled = False
+        if item is None:
+            reason = "missing"
+        else:
+            reason = "unreadable" if item.value is None else "other"
+        self._metrics.count("entry_contradicted", reason)
+        log.warning(
+            "%s: object changed by another writer",
+            self._name,
+            extra={
+                "reason": reason,
+                "revision": item.revision if item else None,
+                "found": str(item.value)[:MAX_LOGGED_CHARACTERS] if item else None,
+            },
+        )
+
     def _record_stored(self, item: StoredItem | None) -> None:
         if self._backoff.failures:
             log.info("%s: store is reachable", self._name)
@@ -147,13 +261,32 @@
             extra={
                 "revision": item.revision if item else None,
                 "epoch": self._store.epoch.current,
-                "is_current": (item.value if item else None) == self._desired,
+                "is_current": self._is_desired(item),
             },
         )
         self._is_stored_known = True
         self._stored = item
+        self._known_revision = max(self._known_revision, self._called_revision)
         if item is not None:
             self._last_revision = item.revision
+            self._known_revision = max(self._known_revision, item.revision)
+        if self._is_desired(item):
+            self._record_settled()
+
+    def _record_settled(self) -> None:
+        self._was_settled = True
+        self._settled_s = self._timers.clock.now()
+        if self._is_contradicted:
+            self._is_contradicted = False
+            self._metrics.count("entry_written_again")
+            log.info(
+                "%s: object written again",
+                self._name,
+                extra={"revision": self._last_revision},
+            )
 
-    def _get_stored_value(self) -> Any:
-        return None if self._stored is None else self._stored.value
+    def _is_desired(self, item: StoredItem | None) -> bool:
+        # Content that cannot be read is None as well.
+        if item is None or self._desired is None:
+            return item is None and self._desired is None
+        return item.value == self._desired
--- a/src/bramleystair/mirror/_types.py
+++ b/src/bramleystair/mirror/_types.py
@@ -121,6 +121,9 @@
             the load on the store.
         """
 
+    def read(self, kind: str, name: str) -> Future:
+        """Return a StoredItem or StoreFailure; may lack the last seconds' changes."""
+
     def create(self, kind: str, name: str, value: Any) -> Future:
         """Create an object and return a StoredItem or StoreFailure."""
 
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -103,7 +103,12 @@
         self._add_http_server(settings.report_address, self._answer_report)
         self._health_client = HttpClient(loop, settings.server_address)
         self._publisher = Publisher(
-            store, MEMBER_KIND, settings.packet_address[0], loop.timers, random
+            store,
+            MEMBER_KIND,
+            settings.packet_address[0],
+            loop.timers,
+            random,
+            self.metrics,
         )
         self._epoch_watch = Mirror(
             store,
--- a/src/bramleystair/platform/_store.py
+++ b/src/bramleystair/platform/_store.py
@@ -91,6 +91,10 @@
             target += "&StaleRead=1"
         return self._call("GET", target, _parse_changes, timeout_s=timeout_s)
 
+    def read(self, kind: str, name: str) -> Future:
+        """Read an object, possibly as of seconds ago; StoredItem or StoreFailure."""
+        return self._call("GET", f"{kind}/{quote(name)}?StaleRead=1", _parse_item)
+
     def create(self, kind: str, name: str, value: Any) -> Future:
         """Create an object; StoredItem or StoreFailure."""
         body = _build_body(name, value, None)
