Tell agents of changed entries, and keep their members meanwhile

What callers saw: after another writer had replaced or removed the entries of two of four agents once, 35 to 39 of 80 open flows were reset once the balancers were restarted as planned.

Cause: an agent did not learn that its entry had changed, so it was never written again. Balancers dropped a member whose entry was missing or unreadable, or used the address that another writer had put there, and a new balancer found no owner of the flow.

Change: - A balancer that sees the entry of a member changed, missing, unreadable or at another port sends its agent `EntryChanged` with epoch and revision, and repeats it with its subscriptions for 3 s, or as long as the member has no usable entry. The agent's publisher decides by the revision whether the change was its own, and writes again if not. - Agents also read their own entry every 18 s, as a stale read. - A balancer keeps and subscribes to a member without a usable entry until it is lost, or its agent answers `EntryWithdrawn` because its server has left. An entry that names another port waits until the member at the former one is lost. Agents admit each flow, so that a kept member gets none that it must not get. - A balancer that starts and finds an unreadable object, or one at another port, adds a member that can only be queried. - Agents do not check the zone of a flow, so the zone that an entry named before its last change is considered as well when zones are evacuated.

Evidence: with the steps of this commit on, the 8 scenarios "An agent writes its entry again" and "... once the store responds" failed, with the entry not back or the member gone, and "A balancer that starts queries an agent whose entry cannot be read" with a reset flow. "An agent that restarts ..." passed before as well: a new agent writes with its first report.

Measured: all 20 scenarios pass. Once responses to the watch of the members are lost, the entry is back within 7 s of the change, since that watch is replaced 5.5 s after it was sent.

The stand-in of the store returns single objects. `start_agent` in lost_responses_steps waits for members with a usable entry: an agent whose entry is unreadable now counts as a member before it has written, so that the former wait ended too early.

--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -5,6 +5,10 @@
 
 from bramleystair.steering import (
     DeclineSlot,
+    EntryChange,
+    EntryChanged,
+    EntryCondition,
+    EntryWithdrawn,
     Load,
     LoadReport,
     LookupProbe,
@@ -59,7 +63,16 @@
     def set_members(self):
         count = self.random.randrange(MEMBERS + 1)
         entries = [make_entry(n, f"zone-{n % 3}") for n in range(count)]
-        self.balancer.set_members(entries, self.now)
+        changes = [
+            EntryChange(
+                self.random.choice((get_member(n), UNKNOWN_SENDER)),
+                self.random.choice(tuple(EntryCondition)),
+                1,
+                5,
+            )
+            for n in range(self.random.randrange(3))
+        ]
+        self.balancer.set_members(entries, self.now, changes)
 
     def generate_segment(self):
         rng = self.random
@@ -110,6 +123,8 @@
                 Subscribe(rng.choice((0, 2**63))),
                 LoadReport(load, rng.choice((0, 2**63))),
                 StoreRestored(rng.choice((0, 2**63))),
+                EntryChanged(rng.choice((0, 2**63)), 5, rng.random() < 0.5),
+                EntryWithdrawn(),
                 OfferSlot(),
                 DeclineSlot(),
             )
--- a/features/steps/lost_responses_steps.py
+++ b/features/steps/lost_responses_steps.py
@@ -56,11 +56,16 @@
     agent.start()
     assert run_until(
         context,
-        lambda: all(len(b._steering.members) == number for b in context.balancers),
+        lambda: all(count_listed(b) == number for b in context.balancers),
         START_LIMIT_S,
     )
 
 
+def count_listed(balancer):
+    """Return the number of members with an entry that can be used."""
+    return sum(not member.is_unlisted for member in balancer._steering.members)
+
+
 @when("the store loses its responses for {loss:f} s")
 def lose_responses(context, loss):
     # Watches that are answered at once, for changes made before, must not end the wait.
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -9,6 +9,8 @@
     ConfirmMembers,
     DeclineSlot,
     DeliverToServer,
+    EntryChanged,
+    EntryWithdrawn,
     Load,
     LoadReport,
     LookupProbe,
@@ -642,6 +644,8 @@
     Subscribe(12),
     LoadReport(Load(ServerState.DRAINING, is_accepting=False), 12),
     StoreRestored(2),
+    EntryChanged(2, 2**63, True),
+    EntryWithdrawn(),
     OfferSlot(),
     DeclineSlot(),
 )
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -30,11 +30,14 @@
     Action,
     DeclineSlot,
     DeliverToServer,
+    EntryChanged,
+    EntryWithdrawn,
     LookupProbe,
     LookupRequest,
     Message,
     OpenFlow,
     Relay,
+    SendMessage,
     ServerReport,
     StoreRestored,
     Subscribe,
@@ -55,6 +58,8 @@
 # Minimum interval between calls that ask the store for its epoch because balancers know
 # a later one; the timeout of a call.
 EPOCH_CHECK_INTERVAL_S = 1.5
+# Interval at which an agent reads its own entry, in case no balancer saw it change.
+ENTRY_CHECK_INTERVAL_S = 18.0
 
 ReportParser = Callable[[HttpRequest], Result[ServerReport | str, StepError]]
 
@@ -126,6 +131,7 @@
         self._schedule_timer()
         self._epoch_watch.start()
         self._check_health(HEALTH_ATTEMPTS)
+        call_later(self._loop, ENTRY_CHECK_INTERVAL_S, self._check_entry)
 
     def stop(self) -> None:
         """Refuse new flows, then stop the loop; the server keeps its flows."""
@@ -183,6 +189,8 @@
         if isinstance(message, StoreRestored):
             self._check_epoch(message.epoch, now)
             return ()
+        if isinstance(message, EntryChanged):
+            return self._handle_entry_change(sender, message, now)
         if not isinstance(message, Relay | OpenFlow | LookupProbe):
             self.metrics.count("message_dropped", "unexpected")
             return ()
@@ -216,6 +224,24 @@
         )
         self._epoch_watch.restart()
 
+    def _handle_entry_change(
+        self, sender: tuple[str, int], message: EntryChanged, now: float
+    ) -> Iterable[Action]:
+        """Write the entry again if a balancer saw a change that is not this agent's."""
+        known = self._store.epoch.current or 0
+        if message.epoch > known:
+            self._check_epoch(message.epoch, now)
+        # A balancer that has not reached the store since its start knows no epoch.
+        elif message.epoch in (0, known):
+            self._publisher.handle_change(message.revision, message.is_missing)
+        if self._publisher.is_withdrawn:
+            return (SendMessage(sender, EntryWithdrawn()),)
+        return ()
+
+    def _check_entry(self) -> None:
+        self._publisher.check()
+        call_later(self._loop, ENTRY_CHECK_INTERVAL_S, self._check_entry)
+
     def _check_health(self, attempts_left: int) -> None:
         """Check the server's health until it passes or the server has reported."""
         if attempts_left == 0 or self._steering.has_report or self._is_stopping:
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -24,10 +24,14 @@
 from bramleystair.steering import (
     Action,
     ConfirmMembers,
+    EntryChange,
+    EntryCondition,
+    MemberEntry,
     Message,
     ReturnPacket,
     RoutingRules,
     decode_entry,
+    is_node_host,
 )
 from bramleystair.steering.balancer import BalancerSteering, BalancerSteeringSettings
 
@@ -92,8 +96,10 @@
         super().__init__(loop, settings, codec, store)
         self._rules_name = rules_name
         self._parse_rules = parse_rules
-        # Revisions of the members' entries that were ignored, by name.
-        self._ignored_entries: dict[str, int] = {}
+        # Objects of the members as of their last update, by name.
+        self._member_items: dict[str, StoredItem] = {}
+        # Names of members whose objects are missing.
+        self._missing_entries: set[str] = set()
         self._outdated_since_s: float | None = None
         self._is_confirming = False
         self._steering = BalancerSteering(
@@ -290,19 +296,68 @@
         self._schedule_timer()
 
     def _set_members(self, items: dict[str, StoredItem]) -> None:
-        entries, ignored = [], {}
+        entries, changes = [], []
         for item in items.values():
             result = decode_entry(item.name, item.value)
             if result.is_ok():
                 entries.append(result.unwrap())
+            known = self._member_items.get(item.name)
+            if known == item:
                 continue
-            ignored[item.name] = item.revision
-            if self._ignored_entries.get(item.name) != item.revision:
+            if result.is_err():
                 self.metrics.count("object_ignored", "member")
                 log.warning(
-                    "entry of member %s ignored: %s", item.name, result.unwrap_err()
+                    "entry of member %s ignored: %s",
+                    item.name,
+                    result.unwrap_err(),
+                    extra={"revision": item.revision},
                 )
-        self._ignored_entries = ignored
+            condition = self._classify(result, is_new=known is None)
+            if condition is not None:
+                changes.append((item.name, condition, item.revision))
+        # An entry that is still missing may have been written and removed again since.
+        self._missing_entries = {
+            name
+            for name in self._missing_entries | self._member_items.keys()
+            if name not in items and self._is_member_host(name)
+        }
+        changes += [
+            (name, EntryCondition.MISSING, self._members.revision)
+            for name in self._missing_entries
+        ]
+        self._member_items = items
         log.info("members updated", extra={"count": len(entries)})
-        self._steering.set_members(entries, self._loop.clock.now())
-        self._schedule_timer()
+        self._execute(
+            self._steering.set_members(
+                entries, self._loop.clock.now(), self._build_changes(changes)
+            )
+        )
+
+    def _classify(
+        self, result: Result[MemberEntry, StepError], is_new: bool
+    ) -> EntryCondition | None:
+        """Return the condition of a changed entry, or None if it is a new member's."""
+        if result.is_err():
+            return EntryCondition.UNREADABLE
+        address = result.unwrap().address
+        if address[1] != self._settings.packet_address[1]:
+            return EntryCondition.OTHER_PORT
+        if is_new and not self._is_member_host(address[0]):
+            return None
+        return EntryCondition.READABLE
+
+    def _is_member_host(self, host: str) -> bool:
+        address = host, self._settings.packet_address[1]
+        return self._steering.members.get(address) is not None
+
+    def _build_changes(
+        self, changes: list[tuple[str, EntryCondition, int]]
+    ) -> list[EntryChange]:
+        """Return the changes of objects that may be agents' by their names."""
+        port = self._settings.packet_address[1]
+        epoch = self._store.epoch.current or 0
+        return [
+            EntryChange((name, port), condition, epoch, revision)
+            for name, condition, revision in changes
+            if is_node_host(name)
+        ]
--- a/src/bramleystair/platform/standins/_store.py
+++ b/src/bramleystair/platform/standins/_store.py
@@ -134,6 +134,12 @@
                     return 200, {"events": events, "At": self.revision}
                 self.changed.wait(remaining_s)
 
+    def read(self, kind: str, name: str) -> tuple[int, Any]:
+        """Return one object."""
+        with self.changed:
+            item = self.items.get(kind, {}).get(name)
+            return (404, {}) if item is None else (200, item)
+
     def list_items(self, kind: str) -> tuple[int, Any]:
         """Return all objects of a kind."""
         with self.changed:
@@ -147,11 +153,13 @@
     has_lost_response = False
 
     def do_GET(self) -> None:  # noqa: N802
-        """List or watch the objects of a kind."""
-        kind, _, query = self._parse_target()
+        """Return an object, or list or watch the objects of a kind."""
+        kind, name, query = self._parse_target()
         if "Watch" in query:
             wait_s = int(query["WaitMs"][0]) / 1000
             self._send_json(*self.objects.watch(kind, int(query["Watch"][0]), wait_s))
+        elif name:
+            self._send_json(*self.objects.read(kind, name))
         else:
             self._send_json(*self.objects.list_items(kind))
 
--- a/src/bramleystair/steering/__init__.py
+++ b/src/bramleystair/steering/__init__.py
@@ -14,9 +14,17 @@
     ResetCaller,
     SendMessage,
 )
-from bramleystair.steering._entries import decode_entry, encode_entry
+from bramleystair.steering._entries import (
+    EntryChange,
+    EntryCondition,
+    decode_entry,
+    encode_entry,
+    is_node_host,
+)
 from bramleystair.steering._messages import (
     DeclineSlot,
+    EntryChanged,
+    EntryWithdrawn,
     LoadReport,
     LookupProbe,
     LookupReply,
@@ -57,6 +65,10 @@
     "DeclineSlot",
     "DeliverToCaller",
     "DeliverToServer",
+    "EntryChange",
+    "EntryChanged",
+    "EntryCondition",
+    "EntryWithdrawn",
     "LookupRequest",
     "LookupReply",
     "Load",
@@ -89,6 +101,7 @@
     "encode_bundle",
     "encode_entry",
     "encode_message",
+    "is_node_host",
     "get_service_endpoint",
     "split_bundle",
 ]
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -11,11 +11,15 @@
 
 from bramleystair.steering._actions import Action, ResetCaller
 from bramleystair.steering._balancer_settings import BalancerSteeringSettings
+from bramleystair.steering._entries import EntryChange, EntryCondition
 from bramleystair.steering._lookups import OwnerLookups
+from bramleystair.steering._member import Member
 from bramleystair.steering._members import Members
 from bramleystair.steering._messages import (
     TOKEN_MODULUS,
     DeclineSlot,
+    EntryChanged,
+    EntryWithdrawn,
     LoadReport,
     LookupReply,
     Message,
@@ -36,6 +40,10 @@
     RoutingRules,
 )
 
+# Time for which agents are told of changed entries, so that a few lost datagrams do not
+# matter.
+CHANGE_ANNOUNCEMENT_S = 3.0
+
 
 @attrs.define(eq=False)
 class _OwnerRecord:
@@ -161,10 +169,65 @@
         self._flow_opener.apply_rules(rules)
         self.newest_rules_version = max(self.newest_rules_version, rules.version)
 
-    def set_members(self, entries: Iterable[MemberEntry], now: float) -> None:
-        """Replace the members by the published ones."""
+    def set_members(
+        self,
+        entries: Iterable[MemberEntry],
+        now: float,
+        changes: Collection[EntryChange] = (),
+    ) -> list[Action]:
+        """Replace the members by the published ones, except for unlisted members.
+
+        Parameters
+        ----------
+        changes : collection of EntryChange
+            Changes of which the agents are told.
+        """
         self._has_members = True
-        self.members.update(entries, now)
+        unlisted = self.members.update(entries, now)
+        for change in changes:
+            self._announce_change(change, now)
+        conditions = {change.address[0]: change.condition for change in changes}
+        for member in unlisted:
+            address = member.entry.address
+            condition = conditions.get(address[0], EntryCondition.MISSING)
+            self._record_unlisted("kept", condition.value, member)
+            self._subscribe(address, now)
+        return self._outbox.take()
+
+    def _announce_change(self, change: EntryChange, now: float) -> None:
+        """Tell the agent of a changed entry, which may be another writer's."""
+        member = self.members.get(change.address)
+        if member is None and change.condition is not EntryCondition.OTHER_PORT:
+            member = self.members.find_by_host(change.address[0])
+        if member is None:
+            if change.condition in (EntryCondition.READABLE, EntryCondition.MISSING):
+                return
+            member = self.members.add_unlisted(change.address, now)
+            self._subscribe(change.address, now)
+            self._record_unlisted("added", change.condition.value, member)
+        is_missing = change.condition is EntryCondition.MISSING
+        member.change = EntryChanged(change.epoch, change.revision, is_missing)
+        member.change_announced_until_s = now + CHANGE_ANNOUNCEMENT_S
+        self._outbox.send(member.entry.address, member.change)
+
+    def _handle_withdrawal(self, sender: Address, now: float) -> None:
+        self.members.record_message(sender, now)
+        member = self.members.withdraw(sender, now)
+        if member is not None:
+            self._record_unlisted("dropped", "withdrawn", member)
+
+    def _record_unlisted(self, outcome: str, reason: str, member: Member) -> None:
+        """Count and log what becomes of a member without a usable entry."""
+        self._outbox.count(f"member_{outcome}", reason)
+        change = member.change
+        self._outbox.log(
+            "member",
+            b"",
+            outcome,
+            reason=reason,
+            agent=member.entry.address[0],
+            revision=None if change is None else change.revision,
+        )
 
     def handle_restoration(
         self, epoch: int, until_s: float, now: float
@@ -207,6 +270,8 @@
                 self._lookups.handle_reply(sender, message, now)
             case OfferSlot():
                 self._handle_offer(sender, now)
+            case EntryWithdrawn():
+                self._handle_withdrawal(sender, now)
             case LoadReport(load, rules_version):
                 self.members.record_load(sender, load, now)
                 self.newest_rules_version = max(
@@ -263,6 +328,8 @@
         for address in self.members.list_probe_targets(now):
             self._subscribe(address, now)
         self._release_lost_flows(now)
+        for member in self.members.remove_gone(now):
+            self._record_unlisted("dropped", "lost", member)
 
     def _process_startup_buffer(self, now: float) -> None:
         """Handle the buffered packets, or refuse those that have expired."""
@@ -374,6 +441,10 @@
         self._outbox.send(address, Subscribe(version))
         if now < self._announced_until_s:
             self._outbox.send(address, self._restoration)
+        member = self.members.get(address)
+        change = None if member is None else member.get_announced_change(now)
+        if change is not None:
+            self._outbox.send(address, change)
 
     def _release_lost_flows(self, now: float) -> None:
         """Reset the flows of newly lost members, unless this balancer is isolated."""
--- a/src/bramleystair/steering/_entries.py
+++ b/src/bramleystair/steering/_entries.py
@@ -1,13 +1,59 @@
 """Encoding of a member entry as an object in the store."""
 
+import enum
 import socket
 from typing import Any
 
+import attrs
 from result import Err, Ok, Result
 
 from bramleystair.documents import DECODE_ERRORS, MAX_PORT, read_int, read_text
 from bramleystair.errors import StepError
-from bramleystair.steering._types import MAX_SLOTS, MemberEntry, ServerState
+from bramleystair.steering._types import MAX_SLOTS, Address, MemberEntry, ServerState
+
+# First bytes of the addresses that may be a node's: neither "this network" nor
+# multicast or reserved ones.
+_NODE_PREFIXES = range(1, 224)
+
+
+class EntryCondition(enum.StrEnum):
+    """Condition of a member's entry that has changed in the store.
+
+    `OTHER_PORT` is that of an entry which names another port than all nodes have.
+    """
+
+    READABLE = "readable"
+    UNREADABLE = "unreadable"
+    OTHER_PORT = "other_port"
+    MISSING = "missing"
+
+
+@attrs.frozen
+class EntryChange:
+    """Change of a member's entry in the store.
+
+    Parameters
+    ----------
+    address : tuple of str and int
+        Where the member's agent would be if the entry does not tell.
+    epoch : int
+        Epoch of the store; 0 if unknown.
+    revision : int
+        Revision of the entry, or store revision at which it was missing.
+    """
+
+    address: Address
+    condition: EntryCondition
+    epoch: int
+    revision: int
+
+
+def is_node_host(name: str) -> bool:
+    """Return whether the name of an object may be the address of an agent."""
+    try:
+        return socket.inet_pton(socket.AF_INET, name)[0] in _NODE_PREFIXES
+    except (OSError, ValueError):
+        return False
 
 
 def encode_entry(entry: MemberEntry) -> dict[str, Any]:
--- a/src/bramleystair/steering/_member.py
+++ b/src/bramleystair/steering/_member.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from bramleystair.steering._messages import EntryChanged
 from bramleystair.steering._types import Load, MemberEntry
 
 # Assumed load of a new flow, in concurrent requests, until a report shows the real one.
@@ -31,6 +32,13 @@
     is_message_expected : bool
         Whether silence indicates a failure: the balancer subscribes to the member, or
         the member has not answered a request yet.
+    former_zone : str or None
+        Availability zone that the entry named before its last change, if another one.
+    is_unlisted : bool
+        Whether the store has no usable entry of the member.
+    change : EntryChanged or None
+        Latest change of its entry, of which its agent is told with each subscription
+        until `change_announced_until_s`, or as long as the member is unlisted.
     """
 
     entry: MemberEntry
@@ -43,6 +51,10 @@
     has_been_heard: bool = False
     is_subscribed: bool = False
     is_message_expected: bool = False
+    former_zone: str | None = None
+    is_unlisted: bool = False
+    change: EntryChanged | None = None
+    change_announced_until_s: float = 0.0
 
     @property
     def is_restarting(self) -> bool:
@@ -82,6 +94,12 @@
         self.is_subscribed = False
         self.is_message_expected = False
 
+    def get_announced_change(self, now: float) -> EntryChanged | None:
+        """Return the change of its entry of which the agent is still told."""
+        if self.is_unlisted or now < self.change_announced_until_s:
+            return self.change
+        return None
+
     def compute_utilization(self) -> float:
         """Return the expected utilization of the slots after one more flow."""
         slots = max(1, self.entry.slots)
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -23,6 +23,9 @@
     - stale: its last message is older than `stale_after_s`.
     - responsive: subscribed, and neither suspect nor stale.
     - lost: its silence implies that its VM is gone; see `is_lost`.
+    - unlisted: the store has no usable entry of it, for example because another writer
+      has replaced or removed it. The member is kept, and subscribed, until it is lost
+      or its agent says that it has withdrawn its entry.
     - eligible: new flows may be placed on it; see `is_eligible`.
     - candidate: an eligible member of the service in question.
     - busy: it refused a flow as busy within the last `round_delay_s`.
@@ -62,6 +65,7 @@
         # Members other than the neighbours that own flows in this balancer's cache.
         self._subscribed_owners: frozenset[Address] = frozenset()
         self._incomplete_until_s = float("-inf")
+        self._published: tuple[MemberEntry, ...] = ()
 
     def __iter__(self):
         """Iterate over all members."""
@@ -75,23 +79,92 @@
         """Return the member at `address`, or None."""
         return self._members.get(address)
 
-    def update(self, entries: Iterable[MemberEntry], now: float) -> None:
-        """Apply the published entries, and keep the state of known members."""
+    def update(self, entries: Iterable[MemberEntry], now: float) -> list[Member]:
+        """Apply the published entries, and keep the state of known members.
+
+        Returns
+        -------
+        list of Member
+            Members that are newly unlisted.
+        """
+        self._published = tuple(entries)
+        listed = {entry.address for entry in self._published}
+        listed_hosts = {entry.address[0] for entry in self._published}
+        gone = self._list_gone(now)
+        # A member that was never heard may never have been at the address which an
+        # earlier entry named.
+        kept = {
+            address: member
+            for address, member in self._members.items()
+            if address not in listed
+            and address not in gone
+            and (member.has_been_heard or address[0] not in listed_hosts)
+        }
+        kept_hosts = {address[0] for address in kept}
         members = {}
-        for entry in entries:
+        for entry in self._published:
             known = self._members.get(entry.address)
             if known is None:
-                members[entry.address] = Member(entry, now)
+                # An entry that names another port of a member that lives is not its.
+                if entry.address[0] not in kept_hosts:
+                    members[entry.address] = Member(entry, now)
                 continue
             if (known.entry.server, known.entry.started_ms) != (
                 entry.server,
                 entry.started_ms,
             ):
                 known.load = None
+            if known.entry.zone != entry.zone:
+                is_restored = entry.zone == known.former_zone
+                known.former_zone = None if is_restored else known.entry.zone
             known.entry = entry
+            known.is_unlisted = False
             members[entry.address] = known
-        self._members = members
+        newly_unlisted = [m for m in kept.values() if not m.is_unlisted]
+        for member in newly_unlisted:
+            member.is_unlisted = True
+        self._members = members | kept
+        self.reselect_neighbours(now)
+        return newly_unlisted
+
+    def find_by_host(self, host: str) -> Member | None:
+        """Return a member at `host`, or None."""
+        return next((m for m in self if m.entry.address[0] == host), None)
+
+    def add_unlisted(self, address: Address, now: float) -> Member:
+        """Add a member whose entry cannot be read; it can only be queried."""
+        entry = MemberEntry(address, "", "", ServerState.DRAINING, 0)
+        member = self._members[address] = Member(entry, now, is_unlisted=True)
         self.reselect_neighbours(now)
+        return member
+
+    def withdraw(self, address: Address, now: float) -> Member | None:
+        """Remove and return the unlisted member that has withdrawn its entry."""
+        member = self._members.get(address)
+        if member is None or not member.is_unlisted:
+            return None
+        self._remove_unlisted({address}, now)
+        return member
+
+    def remove_gone(self, now: float) -> list[Member]:
+        """Remove and return the unlisted members that are lost."""
+        gone = self._list_gone(now)
+        removed = [m for m in self if m.is_unlisted and m.entry.address in gone]
+        if removed:
+            self._remove_unlisted({member.entry.address for member in removed}, now)
+        return removed
+
+    def _remove_unlisted(self, addresses: Collection[Address], now: float) -> None:
+        """Remove members, in whose place other entries of their hosts may be used."""
+        for address in addresses:
+            del self._members[address]
+        self.update(self._published, now)
+
+    def _list_gone(self, now: float) -> frozenset[Address]:
+        """Return the lost members, or none if this balancer is isolated instead."""
+        if self.is_isolated(now) and not all(member.is_unlisted for member in self):
+            return frozenset()
+        return self.list_lost(now)
 
     def expect_more(self, until_s: float) -> None:
         """Record that members may be missing until then.
@@ -116,7 +189,8 @@
     def reselect_neighbours(self, now: float) -> None:
         """Reselect the neighbours, and update which members are subscribed.
 
-        These are the neighbours and the owners of flows in this balancer's cache.
+        These are the neighbours, the owners of flows in this balancer's cache and the
+        unlisted members.
         """
         settings = self._settings
         self._unusable = self._list_unusable(now)
@@ -130,7 +204,7 @@
         )
         subscribed = self._neighbours | self._subscribed_owners
         for address, member in self._members.items():
-            if address in subscribed:
+            if address in subscribed or member.is_unlisted:
                 member.mark_subscribed(now)
             elif member.is_subscribed:
                 member.mark_unsubscribed()
@@ -360,11 +434,13 @@
         """Return whether new flows may be placed on a member.
 
         Its published state and the one last reported, if any, are ready, and its
-        availability zone is not evacuated.
+        availability zone is not evacuated. Agents do not check the zone, so that an
+        entry with another zone, which may be another writer's, does not replace it.
         """
         return (
             member.entry.state is ServerState.READY
             and member.entry.zone not in self._evacuated_zones
+            and member.former_zone not in self._evacuated_zones
             and (member.load is None or member.load.state is ServerState.READY)
         )
 
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -175,6 +175,30 @@
     epoch: int
 
 
+@attrs.define
+class EntryChanged:
+    """Tell an agent that its entry in the store has changed or is missing.
+
+    Sent for every change, since only the agent knows which changes are its own.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the store in which the change was seen; 0 if unknown.
+    revision : int
+        Revision of the changed entry, or store revision at which it was missing.
+    """
+
+    epoch: int
+    revision: int
+    is_missing: bool = False
+
+
+@attrs.define
+class EntryWithdrawn:
+    """Answer `EntryChanged`: the agent has no entry, as its server has left."""
+
+
 @attrs.define
 class OfferSlot:
     """Offer a reserved slot of a server to a balancer that found the server busy."""
@@ -196,6 +220,8 @@
     | Subscribe
     | LoadReport
     | StoreRestored
+    | EntryChanged
+    | EntryWithdrawn
     | OfferSlot
     | DeclineSlot
 )
@@ -208,6 +234,7 @@
 _SUBSCRIBE = struct.Struct("!BQ")
 _LOAD_REPORT = struct.Struct("!BQ")
 _STORE_RESTORED = struct.Struct("!BQ")
+_ENTRY_CHANGED = struct.Struct("!BQQ?")
 _LOAD = struct.Struct("!BHHfHf???")
 _STATES = tuple(ServerState)
 # First byte of each encoded message.
@@ -225,6 +252,7 @@
 # First byte of a datagram of several short messages, each preceded by its length.
 BUNDLE = 10
 OFFER_SLOT, DECLINE_SLOT, STORE_RESTORED = 11, 12, 13
+ENTRY_CHANGED, ENTRY_WITHDRAWN = 14, 15
 _MAX_U16 = 0xFFFF
 # An urgency is encoded in one byte: a bit for late flows, and the priority.
 _LATE, _MAX_PRIORITY, _NO_URGENCY = 0x80, 0x7E, 0xFF
@@ -255,6 +283,10 @@
             return _LOAD_REPORT.pack(LOAD_REPORT, rules_version) + _encode_load(load)
         case StoreRestored(epoch):
             return _STORE_RESTORED.pack(STORE_RESTORED, epoch)
+        case EntryChanged(epoch, revision, is_missing):
+            return _ENTRY_CHANGED.pack(ENTRY_CHANGED, epoch, revision, is_missing)
+        case EntryWithdrawn():
+            return bytes((ENTRY_WITHDRAWN,))
         case OfferSlot():
             return bytes((OFFER_SLOT,))
         case DeclineSlot():
@@ -335,6 +367,10 @@
         return LoadReport(_decode_load(data, _LOAD_REPORT.size), version)
     if kind == STORE_RESTORED:
         return StoreRestored(_STORE_RESTORED.unpack(data)[1])
+    if kind == ENTRY_CHANGED:
+        return EntryChanged(*_ENTRY_CHANGED.unpack(data)[1:])
+    if data == bytes((ENTRY_WITHDRAWN,)):
+        return EntryWithdrawn()
     if data == bytes((OFFER_SLOT,)):
         return OfferSlot()
     if data == bytes((DECLINE_SLOT,)):
