Use another server only once its reports are confirmed

Callers got resets on flows of a sound server: any report with another identifier or start than that of the known server was taken for a new server, and the flows of the known one were reset, or no longer certain. A shutdown report with the server's identifier ended its use for good, and the agent ignored all its later reports. A report with a high sequence number made the server's own reports late ones, so that its drain had no effect.

A report of another server, or with a sequence number that the known server cannot have reached, is now kept apart until the known server has been silent for 1.5 report intervals and the other one has reported twice, or has been silent for 2.5. A draining one is used after 1.5 intervals. Until then its cold time holds, and it ends the silence of the server; the answer stays 200. A server that sends on a flow that only the known server can hold refutes the other one, also later.

No flow is reset because of a report. The flows of a former server are uncertain, and the server returns their packets. Once it has returned packets of two recent flows that the former server must have held, the others are reset, as before, ahead of their next request.

A server that goes on reporting after its shutdown report is used again.

The scenario "Flows of a replaced server are reset before their next request" in steering.feature asked for a reset after the report of another server and nothing else. It now asks that this report resets no flow; three examples of the same name in odd_reports.feature ask for the reset, at the same sequence number, once packets were returned.

--- /dev/null
+++ b/features/odd_reports.feature
@@ -0,0 +1,159 @@
+Feature: Reports of other writers to an agent
+
+  Any writer can send a report in the name of an agent's server. One that cannot be of the
+  server is refused; one that contradicts the known server is used once it is confirmed.
+  A report alone resets no flow.
+
+  Scenario Outline: The known server stays in use while it reports
+    # Guards against an agent that takes a report of another writer for a new server, and
+    # against resets of flows of the sound server.
+    Given an agent with a server that holds 4 flows
+    When for 6 s the server reports and another writer reports <contradiction> each <period> s
+    Then no caller was reset
+    And the agent uses its first server
+    And a new flow is admitted
+
+    Examples:
+      | contradiction                          | period |
+      | another id                             | 0.7    |
+      | another id                             | 4      |
+      | a later start                          | 0.7    |
+      | an earlier start                       | 0.7    |
+      | a sequence number of 1000000           | 0.7    |
+      | a sequence number of 1000000           | 4      |
+      | another id and draining                | 0.7    |
+      | another id and a high sequence number  | 0.7    |
+      | changing ids                           | 0.3    |
+
+  Scenario Outline: The server's drain takes effect after a report of another writer
+    # Guards against reports of the server that are taken for late ones, and new flows
+    # after the acknowledgement of its drain.
+    Given an agent with a server that holds 4 flows
+    When another writer reports <contradiction> once
+    And for 2 s the server reports that it drains
+    Then a new flow is refused as draining
+    And no caller was reset
+
+    Examples:
+      | contradiction                         |
+      | a sequence number of 1000000          |
+      | a slightly higher sequence number     |
+      | another id and a high sequence number |
+      | a later start                         |
+
+  Scenario: An agent whose first report was of another writer has not seen all flows
+    # Guards against a lookup that is denied by the agent of the flow's server.
+    Given an agent that has just started beside a server that runs
+    When another writer reports another id and cold once
+    And for 1 s the server reports
+    And a balancer looks up a flow that the agent has not seen
+    Then the agent answers that it is unsure
+
+  Scenario Outline: Another server that reports while the known one is not heard resets nothing
+    # Guards against resets while the heartbeats of the sound server are refused, and
+    # another writer reports in its name.
+    Given an agent with a server that holds 4 flows
+    When for 12 s only another writer reports <contradiction> each <period> s
+    Then no caller was reset
+    When the server sends a packet of each flow
+    Then the agent uses its first server
+    When for 2 s the server reports
+    Then the agent uses its first server
+    And no caller was reset
+    And a new flow is admitted
+
+    Examples:
+      | contradiction                          | period |
+      | another id                             | 0.7    |
+      | a later start                          | 0.7    |
+      | an earlier start                       | 5      |
+      | another id and a high sequence number  | 0.7    |
+
+  Scenario: One returned packet does not end the other flows
+    # Guards against a reset of all flows because of one that the server lost otherwise.
+    Given an agent with a server that holds 4 flows
+    When for 4 s only another writer reports another id each 0.7 s
+    And the server returns packets of 1 flows
+    Then no caller was reset
+    When the server sends a packet of each flow
+    And the server returns packets of 1 flows
+    Then no caller was reset
+    And the agent uses its first server
+
+  Scenario Outline: A server that was restarted is used at once or after two reports
+    # Guards against an agent that waits for a server that is gone.
+    Given an agent with a server that holds 4 flows
+    When <silence> s after its last report another server reports with <contradiction>
+    And for 2 s the other server reports
+    Then the agent uses the other server
+    And a new flow is admitted
+
+    Examples:
+      | silence | contradiction    |
+      | 0.05    | another id       |
+      | 0.7     | a later start    |
+      | 0.7     | an earlier start |
+      | 8       | an earlier start |
+
+  Scenario Outline: Flows of a server that was replaced are reset before their next request
+    # Guards against a non-idempotent request that is sent on a flow without a server.
+    Given an agent with a server that holds 4 flows
+    When <silence> s after its last report another server reports with another id
+    Then no caller was reset
+    When the server returns packets of 2 flows
+    Then the callers of the other 2 flows were reset
+
+    Examples:
+      | silence |
+      | 0.05    |
+      | 1       |
+      | 3       |
+
+  Scenario: A new server that drains at once gets no flow after two report intervals
+    # Guards against new flows after the acknowledgement of a drain.
+    Given an agent with a server that holds 4 flows
+    When 0.05 s after its last report another server reports with another id and draining
+    And 1.2 s pass at the agent
+    Then a new flow is refused as draining
+    And no caller was reset
+
+  Scenario: A cold new server is limited at once
+    Given an agent with a server that holds 4 flows
+    When 0.05 s after its last report another server reports with another id and cold
+    Then the server counts as cold
+
+  Scenario: A delayed report of the former server does not replace its successor
+    Given an agent with a server that holds 4 flows
+    When 3 s after its last report another server reports with another id
+    And the former server's last report arrives again
+    Then the agent uses the other server
+
+  Scenario: A server that reports after its shutdown report is used again
+    # Guards against a shutdown report of another writer, after which an agent ignored its
+    # server for good and deleted its entry.
+    Given an agent with a server that holds 4 flows
+    When another writer reports the server's shutdown
+    Then a new flow is refused as unknown_server
+    And the agent publishes an entry
+    When for 2.5 s the server reports
+    Then a new flow is admitted
+    And no caller was reset
+
+  Scenario: A late report after the shutdown report is ignored
+    Given an agent with a server that holds 4 flows
+    When the server reports its shutdown
+    And one late report of it arrives
+    Then a new flow is refused as unknown_server
+    When nobody listens at the server's address
+    Then the agent publishes no entry
+
+  Scenario Outline: A shutdown report of another server is not of the known one
+    Given an agent with a server that holds 4 flows
+    Then a shutdown report of <server> with the start <start> is <outcome>
+
+    Examples:
+      | server | start   | outcome  |
+      | i-1    | unknown | accepted |
+      | i-1    | 1000    | accepted |
+      | i-1    | 2000    | refused  |
+      | i-2    | unknown | refused  |
--- a/features/steering.feature
+++ b/features/steering.feature
@@ -68,15 +68,16 @@
     And the caller acknowledges the sequence number 5001
     Then the packet is returned to the balancer
 
-  Scenario: Flows of a replaced server are reset before their next request
-    # Guards against a non-idempotent request that is sent on a flow without a server.
+  Scenario: A report of another server alone resets no flow
+    # Guards against a reset of flows of the sound server because of a report that another
+    # writer sent while the server's own reports were not heard.
     Given an agent whose server is ready
     When a new flow for web arrives
     And the server answers the first packet with the sequence number 1000
     And the caller acknowledges the sequence number 1001
     And the server sends a packet
     And 8 s later another server reports for the first time
-    Then the caller is reset at the sequence number 1001
+    Then the caller is not reset
 
   Scenario: Flows that a replaced server may hold are not reset
     Given an agent whose server is ready
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -27,6 +27,7 @@
     RoutingRules,
     SendMessage,
     ServerReport,
+    ServerShutdown,
     ServerState,
     ServiceLimits,
     StoreRestored,
@@ -79,7 +80,7 @@
     report = make_report(ServerState.DRAINING if is_draining else ServerState.READY)
     agent.handle_report(report, context.now)
     if state == "has reported its shutdown":
-        agent.remove_server("i-1", context.now)
+        agent.remove_server(ServerShutdown("i-1"), context.now)
     if state == "has no free slot":
         for number in range(2):
             flow = bytes((number,)) + FLOW[1:]
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -36,6 +36,7 @@
     OpenFlow,
     Relay,
     ServerReport,
+    ServerShutdown,
     StoreRestored,
     Subscribe,
     encode_entry,
@@ -56,7 +57,7 @@
 # a later one; the timeout of a call.
 EPOCH_CHECK_INTERVAL_S = 1.5
 
-ReportParser = Callable[[HttpRequest], Result[ServerReport | str, StepError]]
+ReportParser = Callable[[HttpRequest], Result[ServerReport | ServerShutdown, StepError]]
 
 
 class AgentNode(NodeBase):
@@ -67,8 +68,7 @@
     loop, settings, codec, store
         See `NodeBase`.
     parse_report : callable
-        Parses an HTTP request of the server: returns its report, its identifier if it
-        deregisters, or an error.
+        Parses an HTTP request of the server: returns its report, or an error.
     random : random.Random
         Source of randomness for jitter.
     started_s : float
@@ -256,8 +256,8 @@
         match result.unwrap():
             case ServerReport() as report:
                 self._execute(self._steering.handle_report(report, now))
-            case str() as server:
-                self._execute(self._steering.remove_server(server, now))
+            case ServerShutdown() as shutdown:
+                self._execute(self._steering.remove_server(shutdown, now))
         entry = self._steering.build_entry()
         self._publisher.publish(None if entry is None else encode_entry(entry))
         return HttpReply(200, b"{}")
--- a/src/bramleystair/platform/_heartbeats.py
+++ b/src/bramleystair/platform/_heartbeats.py
@@ -8,19 +8,26 @@
 from bramleystair.documents import DECODE_ERRORS, read_float, read_int, read_text
 from bramleystair.errors import StepError
 from bramleystair.http import HttpRequest
-from bramleystair.steering._types import MAX_SLOTS, ServerReport, ServerState
+from bramleystair.steering._types import (
+    MAX_SLOTS,
+    ServerReport,
+    ServerShutdown,
+    ServerState,
+)
 
 HEARTBEAT_PATH = "/bramleystair/Instances.Heartbeat/"
 DEREGISTER_PATH = "/bramleystair/Instances.Deregister/"
 
 
-def parse_report(request: HttpRequest) -> Result[ServerReport | str, StepError]:
-    """Parse a call of a server into its report, or its identifier if it deregisters."""
+def parse_report(
+    request: HttpRequest,
+) -> Result[ServerReport | ServerShutdown, StepError]:
+    """Parse a heartbeat or a shutdown report of a server."""
     path = request.target.partition("?")[0]
     if request.method != "POST":
         return _reject(f"method {request.method}")
     if path.startswith(DEREGISTER_PATH):
-        return Ok(path[len(DEREGISTER_PATH) :])
+        return Ok(ServerShutdown(path[len(DEREGISTER_PATH) :]))
     if not path.startswith(HEARTBEAT_PATH):
         return _reject("unknown path")
     try:
--- a/src/bramleystair/steering/_admission.py
+++ b/src/bramleystair/steering/_admission.py
@@ -41,6 +41,10 @@
         """Set the time for which the server remains cold."""
         self._cold_until_s = now + seconds
 
+    def extend_cold(self, seconds: float, now: float) -> None:
+        """Let the server remain cold for at least the given time."""
+        self._cold_until_s = max(self._cold_until_s, now + seconds)
+
     def is_cold(self, now: float) -> bool:
         """Return whether the server is cold."""
         return now < self._cold_until_s
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -36,21 +36,32 @@
     Subscribe,
 )
 from bramleystair.steering._outbox import Outbox
+from bramleystair.steering._report_history import (
+    ReportHistory,
+    Verdict,
+    get_identity,
+)
 from bramleystair.steering._segments import Segment
 from bramleystair.steering._types import (
     Address,
     Load,
     MemberEntry,
     ServerReport,
+    ServerShutdown,
     ServerState,
     compute_service_id,
 )
 
-# Tolerance, in report intervals, when the start of a new server is estimated from the
-# number of its reports: they are sent at about the interval, the first one soon after
-# the start. Unlike this, the setting `start_margin_s` applies to the difference between
-# the start times of the server and its agent.
-START_ESTIMATE_MARGIN_HEARTBEATS = 1.5
+# A flow opened within this number of report intervals before the last report of a
+# server may have been completed by the server that replaced it.
+REPLACEMENT_MARGIN_HEARTBEATS = 1.5
+# A server discards flows that were idle for long. Returned packets of flows that it has
+# used within this number of report intervals show that it was replaced, since it must
+# hold them.
+RECENT_USE_HEARTBEATS = 5
+# One such flow may have been lost otherwise, for example if its caller used the port
+# again.
+LOST_FLOWS_OF_REPLACED_SERVER = 2
 
 
 @attrs.define(eq=False)
@@ -96,19 +107,23 @@
         self._started_ms = started_ms
         self._settings = settings
         self._report: ServerReport | None = None
-        self._last_server_report_s = now
         # Whether `_report` was assumed after a health check instead of received.
         self._is_report_assumed = False
         # Whether no server listened at the server's address when this agent started.
         self.is_server_absent = False
-        # The last server that reported its shutdown; late reports of it are ignored.
-        self._removed_server: tuple[str, int] | None = None
+        self._reports = ReportHistory(settings)
+        # The server in whose place another one reported, and the time of its last
+        # report; its flows are marked as `is_former`.
+        self._replaced: tuple[ServerReport, float] | None = None
+        # Flows that the server must hold and whose packets it returned.
+        self._lost_flows: set[bytes] = set()
         self._service_id = 0
         self._flows: dict[bytes, AgentFlow] = {}
         self._pending_lookups: dict[bytes, list[_PendingLookup]] = {}
         self._lookup_deadlines: deque[tuple[float, bytes]] = deque()
         # Time until which the server may hold flows that this agent does not track.
         self._may_hold_untracked_until_s = now + settings.flow_lifetime_s
+        self._has_run_flow_lifetime_s = now + settings.flow_lifetime_s
         self._admission = AdmissionControl(settings)
         self._server_last_seen_s = now
         self._unanswered_since_s: float | None = None
@@ -130,9 +145,18 @@
         return len(self._flows)
 
     def build_entry(self) -> MemberEntry | None:
-        """Return the entry to publish, or None while no server has reported."""
+        """Return the entry to publish, or None while no server has reported.
+
+        The entry of a server that reported its shutdown is kept until nobody listens at
+        its address: another writer may have sent the report, and balancers would take
+        the flows of a member without an entry for lost.
+        """
+        if self._is_report_assumed:
+            return None
         report = self._report
-        if report is None or self._is_report_assumed:
+        if self._reports.is_removed and not self.is_server_absent:
+            report = self._reports.known
+        if report is None:
             return None
         return MemberEntry(
             self._address,
@@ -149,6 +173,7 @@
         self._settings = attrs.evolve(
             self._settings, heartbeat_s=heartbeat_s, flow_lifetime_s=flow_lifetime_s
         )
+        self._reports.settings = self._settings
 
     def compute_wait(self, now: float) -> float:
         """Return the seconds until `run_timers` is due."""
@@ -158,52 +183,53 @@
         return max(0.0, due_s - now)
 
     def handle_report(self, report: ServerReport, now: float) -> list[Action]:
-        """Handle a status report of the server; an outdated one is ignored."""
-        previous = self._report
-        if _get_identity(report) == self._removed_server:
-            self._outbox.count("report_ignored", "removed")
-            return self._outbox.take()
-        if previous is not None and self._is_outdated(report, previous, now):
-            self._outbox.count("report_ignored", "late")
-            return self._outbox.take()
-        self._server_last_seen_s = now
-        self._last_server_report_s = now
-        # A report ends the server's silence: new flows are admitted again, even if a
-        # first packet was not answered.
-        self._unanswered_since_s = None
-        is_new = previous is None or _get_identity(report) != _get_identity(previous)
-        if is_new and previous is not None and not self._is_report_assumed:
-            # Flows that may belong to the new server are tracked until it returns their
-            # packets.
-            self._may_hold_untracked_until_s = now + self._settings.flow_lifetime_s
-            self._admission.reset(now)
-            self._release_replaced_flows(report, now)
-        elif is_new and self._has_seen_all_flows(report):
-            self._may_hold_untracked_until_s = now
-        self._report = report
-        self.is_server_absent = False
-        self._is_report_assumed = False
-        self._service_id = compute_service_id(report.service)
-        self._admission.set_cold(report.cold_left_s, now)
-        if is_new or report.state is not previous.state:
-            self._outbox.log(
-                "server_report",
-                b"",
-                report.state.value,
-                server=report.server,
-                sequence=report.sequence,
-                cold_left_s=report.cold_left_s,
-            )
-            self._send_load_reports(now)
+        """Handle a status report of the server.
+
+        An outdated one is ignored. One that contradicts the known server is used once
+        it is confirmed; see `ReportHistory`.
+        """
+        was_removed = self._reports.is_removed
+        previous, previous_s = self._reports.known, self._reports.known_s
+        match self._reports.judge(report, now):
+            case Verdict.OUTDATED:
+                reason = "removed" if was_removed else "late"
+                self._outbox.count("report_ignored", reason)
+            case Verdict.UNCONFIRMED:
+                self._handle_unconfirmed(report, now)
+            case Verdict.REPLACED if previous is not None:
+                self._replace_server(previous, previous_s, report, now)
+            case Verdict.REPLACED:
+                if self._has_seen_all_flows(report):
+                    self._may_hold_untracked_until_s = now
+                self._use_report(report, now)
+            case Verdict.CURRENT:
+                self._use_report(report, now)
         return self._outbox.take()
 
+    def knows_server(self, shutdown: ServerShutdown) -> bool:
+        """Return whether the sender of a shutdown report may be the server."""
+        return self._reports.knows(shutdown.server, shutdown.started_ms)
+
+    def is_known(self, report: ServerReport) -> bool:
+        """Return whether the server in use has reported the same about itself.
+
+        State, slots and cold time may differ.
+        """
+        known = self._reports.known
+        return (
+            known is not None
+            and get_identity(known) == get_identity(report)
+            and (known.service, known.zone) == (report.service, report.zone)
+            and known.address == report.address
+        )
+
     def assume_ready(self, service: str, now: float) -> list[Action]:
         """Assume that the server is ready after a successful health check.
 
         The assumption holds until the first report. The server counts as cold, since
         the time of its start is unknown.
         """
-        if self._report is not None or self._removed_server is not None:
+        if self._report is not None or self._reports.is_removed:
             return []
         self._is_report_assumed = True
         self.is_server_absent = False
@@ -227,14 +253,26 @@
         """
         self.is_server_absent = self._report is None
 
-    def remove_server(self, server: str, now: float) -> list[Action]:
-        """Handle a shutdown report of the server; one of another server is ignored."""
-        if self._report is None or self._report.server != server:
+    def remove_server(self, shutdown: ServerShutdown, now: float) -> list[Action]:
+        """Handle a shutdown report of the server; one of another server is ignored.
+
+        The server is used again if it goes on reporting, as the report may come from
+        another writer. Its flows are kept.
+        """
+        report = self._report
+        is_known = report is not None and (
+            self._is_report_assumed
+            or report.server == shutdown.server
+            and shutdown.started_ms in (None, report.started_ms)
+        )
+        if not is_known:
             self._outbox.count("report_ignored", "other_server")
             return self._outbox.take()
-        self._outbox.log("server_report", b"", "gone", server=server)
-        self._removed_server = _get_identity(self._report)
+        self._outbox.log("server_report", b"", "gone", server=shutdown.server)
+        if not self._is_report_assumed:
+            self._reports.remove(now)
         self._report = None
+        self._is_report_assumed = False
         self._send_load_reports(now)
         return self._outbox.take()
 
@@ -345,11 +383,14 @@
         self._unanswered_since_s = None
         self.is_server_absent = False
         if segment.is_returned:
+            self._record_lost_flow(segment, now)
             self._handle_returned(segment, now)
             return self._outbox.take()
         flow = self._flows.get(segment.flow)
         if flow is None:
             flow = self._flows[segment.flow] = AgentFlow(None, now)
+        elif not segment.is_syn:
+            self._record_held_flow(flow, now)
         flow.last_seen_s = now
         flow.last_server_packet_s = now
         if segment.is_syn:
@@ -362,6 +403,7 @@
             self._admission.meter.end_request(flow.request_started_s, now)
             flow.request_started_s = None
         if segment.is_reset or segment.is_fin:
+            flow.has_ended = True
             self._admission.cancel_reservation(segment.flow)
             self._end_request(flow, now)
         self._outbox.add(DeliverToCaller(segment.flow, segment.data))
@@ -385,6 +427,7 @@
             _, flow = self._lookup_deadlines.popleft()
             self._answer_likely(flow, now)
         self._offer_slots(now)
+        self._use_draining_server(now)
         if now >= self._next_load_report_s:
             self._next_load_report_s = now + max(
                 self._settings.report_period_s,
@@ -428,17 +471,159 @@
             self._is_stopping,
         )
 
-    def _is_outdated(
-        self, report: ServerReport, previous: ServerReport, now: float
-    ) -> bool:
-        if _get_identity(report) == _get_identity(previous):
-            return report.sequence < previous.sequence
-        # The start times decide only while the previous server is alive, since the wall
-        # clock may have been set back since it started.
-        settings = self._settings
-        silence_s = settings.silent_heartbeats * settings.heartbeat_s
-        is_previous_alive = now - self._last_server_report_s < silence_s
-        return is_previous_alive and report.started_ms < previous.started_ms
+    def _use_report(self, report: ServerReport, now: float) -> None:
+        previous = self._report
+        self._end_silence(now)
+        self._report = report
+        self.is_server_absent = False
+        self._is_report_assumed = False
+        self._service_id = compute_service_id(report.service)
+        self._admission.set_cold(report.cold_left_s, now)
+        is_new = previous is None or get_identity(report) != get_identity(previous)
+        if is_new or report.state is not previous.state:
+            self._outbox.log(
+                "server_report",
+                b"",
+                report.state.value,
+                server=report.server,
+                sequence=report.sequence,
+                cold_left_s=report.cold_left_s,
+            )
+            self._send_load_reports(now)
+
+    def _handle_unconfirmed(self, report: ServerReport, now: float) -> None:
+        """Handle a report of a server that may not be the one at the address.
+
+        A server that has just started reports it soon, so its cold time holds at once.
+        If the known one was the other writer, this agent may not have seen all flows.
+        """
+        self._end_silence(now)
+        self._may_hold_untracked_until_s = max(
+            self._may_hold_untracked_until_s, self._has_run_flow_lifetime_s
+        )
+        self._admission.extend_cold(report.cold_left_s, now)
+        self._outbox.count("report_ignored", "unconfirmed")
+        self._outbox.log(
+            "server_report",
+            b"",
+            "unconfirmed",
+            server=report.server,
+            started_ms=report.started_ms,
+            sequence=report.sequence,
+            state=report.state.value,
+        )
+
+    def _end_silence(self, now: float) -> None:
+        """Admit new flows again, even if a first packet was not answered."""
+        self._server_last_seen_s = now
+        self._unanswered_since_s = None
+
+    def _use_draining_server(self, now: float) -> None:
+        if not self._reports.has_other_server:
+            return
+        previous, previous_s = self._reports.known, self._reports.known_s
+        report = self._reports.take_draining(now)
+        if report is not None:
+            self._replace_server(previous, previous_s, report, now)
+
+    def _replace_server(
+        self,
+        previous: ServerReport,
+        previous_s: float,
+        report: ServerReport,
+        now: float,
+    ) -> None:
+        """Use another server, which may hold the flows of the previous one or not.
+
+        The server itself decides: it returns packets of flows that it does not hold.
+        """
+        self._may_hold_untracked_until_s = now + self._settings.flow_lifetime_s
+        former = self._replaced
+        if former is not None and get_identity(former[0]) == get_identity(report):
+            # The former server was not gone, so its flows need no confirmation.
+            self._outbox.count("server_replaced", "returned")
+            self._forget_replaced()
+            self._use_report(report, now)
+            return
+        self._admission.reset(now)
+        self._outbox.count("server_replaced", "reported")
+        self._replaced = previous, previous_s
+        self._lost_flows.clear()
+        for flow in self._flows.values():
+            flow.request_started_s = None
+            flow.is_former = flow.is_certain and self._is_held_since(flow, previous_s)
+            flow.is_certain = False
+        self._use_report(report, now)
+
+    def _is_held_since(self, flow: AgentFlow, known_s: float) -> bool:
+        """Return whether a flow belongs to the server that was known at `known_s`."""
+        margin_s = REPLACEMENT_MARGIN_HEARTBEATS * self._settings.heartbeat_s
+        return flow.opened_s < known_s - margin_s
+
+    def _record_held_flow(self, flow: AgentFlow, now: float) -> None:
+        """Use a packet of the server as evidence on who it is.
+
+        A server that sends on a flow of the former server is the former one.
+        """
+        if (
+            self._reports.has_other_server
+            and flow.is_certain
+            and self._is_held_since(flow, self._reports.known_s)
+        ):
+            self._reports.refute_other_servers()
+        if not flow.is_former or self._replaced is None:
+            return
+        previous, _ = self._replaced
+        self._outbox.log(
+            "server_report",
+            b"",
+            "refuted",
+            server=self._reports.known.server,
+            former=previous.server,
+        )
+        self._outbox.count("server_replaced", "refuted")
+        self._forget_replaced()
+        self._reports.restore(previous, now)
+        self._use_report(previous, now)
+
+    def _record_lost_flow(self, segment: Segment, now: float) -> None:
+        """Use a returned packet as evidence that the server was replaced.
+
+        Its other flows are reset once this is certain, so that no caller sends a
+        request on one.
+        """
+        flow = self._flows.get(segment.flow)
+        if flow is None or segment.is_syn or not self._must_hold(flow, now):
+            return
+        if flow.is_certain and self._reports.has_other_server:
+            previous, previous_s = self._reports.known, self._reports.known_s
+            report = self._reports.take_other_server(now)
+            self._replace_server(previous, previous_s, report, now)
+        if not flow.is_former:
+            return
+        self._lost_flows.add(segment.flow)
+        if len(self._lost_flows) < LOST_FLOWS_OF_REPLACED_SERVER:
+            return
+        for key, other in list(self._flows.items()):
+            if other.is_former and key != segment.flow:
+                self._release_flow(key, other, "server_replaced", now)
+        self._forget_replaced()
+
+    def _must_hold(self, flow: AgentFlow, now: float) -> bool:
+        """Return whether the server would only lose a flow by its own end."""
+        if flow.has_ended or not flow.opened_s or flow.last_server_packet_s is None:
+            return False
+        recent_s = RECENT_USE_HEARTBEATS * self._settings.heartbeat_s
+        return (
+            now - flow.last_server_packet_s < recent_s
+            and now - flow.opened_s < self._settings.flow_lifetime_s / 2
+        )
+
+    def _forget_replaced(self) -> None:
+        self._replaced = None
+        self._lost_flows.clear()
+        for flow in self._flows.values():
+            flow.is_former = False
 
     def _has_seen_all_flows(self, report: ServerReport) -> bool:
         """Return whether this process has seen every flow of the server.
@@ -486,26 +671,6 @@
             self._outbox.count("slot_offered", "free")
             self._outbox.send(balancer, OfferSlot())
 
-    def _release_replaced_flows(self, report: ServerReport, now: float) -> None:
-        """Reset the flows of a server that was replaced by the one that sent `report`.
-
-        A flow may belong to the new server if it was opened, or a packet of the server
-        seen, after that server started. Such flows stay until the server returns their
-        packets.
-        """
-        intervals = report.sequence + START_ESTIMATE_MARGIN_HEARTBEATS
-        started_s = now - intervals * self._settings.heartbeat_s
-        for key, flow in list(self._flows.items()):
-            flow.request_started_s = None
-            is_older = (
-                flow.last_server_packet_s is not None
-                and flow.last_server_packet_s < started_s
-            )
-            if is_older and flow.is_certain and flow.opened_s < started_s:
-                self._release_flow(key, flow, "server_replaced", now)
-            else:
-                flow.is_certain = False
-
     def _release_flow(
         self, key: bytes, flow: AgentFlow, reason: str, now: float
     ) -> None:
@@ -563,6 +728,7 @@
         if carries_new_data(flow, segment):
             flow.highest_sequence = segment.sequence
         if segment.is_reset or segment.is_fin:
+            flow.has_ended = True
             self._admission.cancel_reservation(segment.flow)
             self._end_request(flow, now)
         self._deliver(segment)
@@ -687,7 +853,3 @@
 
     def _deliver(self, segment: Segment) -> None:
         self._outbox.add(DeliverToServer(segment.data))
-
-
-def _get_identity(report: ServerReport) -> tuple[str, int]:
-    return report.server, report.started_ms
--- a/src/bramleystair/steering/_agent_flows.py
+++ b/src/bramleystair/steering/_agent_flows.py
@@ -40,6 +40,10 @@
         Sequence number that the caller acknowledged last; it accepts a reset near it.
     last_server_packet_s : float or None
         Time of the server's last packet.
+    has_ended : bool
+        Whether the caller or the server closed or reset it.
+    is_former : bool
+        Whether the server held it before another one reported in its place.
     """
 
     last_balancer: Address | None
@@ -54,6 +58,8 @@
     highest_sequence: int | None = None
     acknowledgement: int = 0
     last_server_packet_s: float | None = None
+    has_ended: bool = False
+    is_former: bool = False
 
 
 def starts_request(flow: AgentFlow, segment: Segment) -> bool:
--- a/src/bramleystair/steering/_types.py
+++ b/src/bramleystair/steering/_types.py
@@ -35,6 +35,8 @@
         Requests that it processes concurrently.
     cold_left_s : float
         Time for which it remains cold.
+    address : tuple of str and int or None
+        Address at which it receives packets, if known.
     """
 
     server: str
@@ -45,6 +47,21 @@
     cold_left_s: float = 0.0
     sequence: int = 0
     started_ms: int = 0
+    address: Address | None = None
+
+
+@attrs.frozen
+class ServerShutdown:
+    """Report of a backend server that it exits.
+
+    Parameters
+    ----------
+    started_ms : int or None
+        As in `ServerReport`; None if the report does not contain it.
+    """
+
+    server: str
+    started_ms: int | None = None
 
 
 @attrs.frozen
