Refuse heartbeats that the agent's server cannot have sent

An agent answered 200 to heartbeats of another service, without `born`, of another zone or address, and believed them; it then refused new flows of its own service, and published an entry of the other one. A shutdown report in the server's name made it delete its entry while the server lived: 40 of 80 flows were reset once balancers restarted (real processes, a request every 5 s), all at the two agents.

A heartbeat must now hold all fields of a server, with a start, and agree with the settings in service, zone and address. If it does not agree, the settings are read at once, since a server may report before a change has been read. The known server may go on reporting what it reported before the change. All others are answered 400. `report_ignored` has a reason for each cause; the log has one line for each cause in 10 s, and one with the number of repetitions.

A shutdown report of another identifier, or of another start if it names one, is refused as well. Servers send it without a body, so the start is not required. The entry is deleted once nobody listens at the server's address.

--- a/features/odd_reports.feature
+++ b/features/odd_reports.feature
@@ -157,3 +157,76 @@
       | i-1    | 1000    | accepted |
       | i-1    | 2000    | refused  |
       | i-2    | unknown | refused  |
+
+  Scenario Outline: A heartbeat that the server cannot have sent is refused
+    # Guards against an agent that believes reports of another service, or incomplete ones.
+    Given a store with 1 balancers
+    And an agent in zone-a with a server
+    When another writer sends 12 heartbeats with <field> set to <value>
+    Then each was answered with 400 and counted as <reason>
+    And they were logged in 1 line
+    And the entry of the agent is unchanged
+
+    Examples:
+      | field      | value             | reason        |
+      | State      | 1                 | unknown_state |
+      | State      | "gone"            | unknown_state |
+      | Slots      | missing           | incomplete    |
+      | Slots      | 0                 | malformed     |
+      | Slots      | "5"               | malformed     |
+      | born       | missing           | no_start      |
+      | born       | 0                 | malformed     |
+      | born       | 1700000000000.5   | malformed     |
+      | Seq        | true              | malformed     |
+      | Version    | missing           | incomplete    |
+      | ColdLeftMs | missing           | incomplete    |
+      | Service    | "other"           | other_service |
+      | Service    | ""                | malformed     |
+      | Zone       | "zone-b"          | other_zone    |
+      | Address    | "127.0.0.1:1"     | other_address |
+      | Address    | 7                 | malformed     |
+      | id         | ""                | invalid_id    |
+      | id         | "a/b"             | invalid_id    |
+
+  Scenario: Repeated refusals are summarised
+    Given a log of refused reports
+    When 1000 reports are refused for 2 causes within 10 s
+    Then they were logged in 2 lines
+    When 10 s pass on the clock
+    Then the last line says that 998 more were refused
+
+  Scenario: A server of another service is used as soon as the settings name it
+    # Guards against a sound server that is refused until the settings are read again.
+    Given a store with 1 balancers
+    And an agent in zone-a with a server
+    When the settings file names the service api
+    And a server of api reports
+    Then it was answered with 200
+    And the agent refuses flows of feed
+    When another writer sends 1 heartbeats with Service set to "other"
+    Then each was answered with 400 and counted as other_service
+
+  Scenario Outline: Flows survive odd reports and a restarted balancer
+    # Guards against a lost entry, and against an agent that gives up its server's flows.
+    Given a store with 2 balancers
+    And an agent in zone-a with a server
+    And an agent in zone-b with a server
+    And callers open 20 flows and send a request on each
+    When for 4 s <event> at each agent, while the callers send requests
+    And each balancer is replaced
+    And the callers send a request on each flow
+    Then no caller got a reset
+    And all requests of the last round are answered
+
+    Examples:
+      | event                                                |
+      | the server's reports are odd                         |
+      | the server's reports are odd and another one reports |
+      | another server reports                               |
+      | another writer reports the shutdown                  |
+
+  Scenario: The entry of a server that exits after its shutdown report is removed
+    Given a store with 1 balancers
+    And an agent in zone-a with a server
+    When the server reports its shutdown and exits
+    Then its entry is removed
--- a/features/steps/lost_responses_steps.py
+++ b/features/steps/lost_responses_steps.py
@@ -31,7 +31,7 @@
     context.objects.write(CONFIG_KIND, "main", configuration, None, True)
     context.loop = EventLoop(MonotonicClock())
     context.add_cleanup(context.loop.close)
-    context.balancers, context.agents = [], {}
+    context.balancers, context.agents, context.servers = [], {}, {}
     for number in range(count):
         ip = f"{NETWORK}.3.{number + 1}"
         settings = read_settings(f"balancer-{number}", ip, "zone-a", False)
@@ -53,6 +53,7 @@
         context.loop, standin_settings.build_server_options(name, ip, zone)
     )
     context.add_cleanup(server.close)
+    context.servers[name] = server
     agent.start()
     assert run_until(
         context,
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -1,12 +1,9 @@
 """Agent process, which runs on the VM of a backend server."""
 
 import random as random_module
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from concurrent.futures import Future
 
-from result import Result
-
-from bramleystair.errors import StepError
 from bramleystair.http import (
     HttpClient,
     HttpFailure,
@@ -20,6 +17,12 @@
 from bramleystair.nodes._datagrams import DatagramSocket
 from bramleystair.nodes._node import NodeBase, call_later
 from bramleystair.nodes._reload import SettingsChange
+from bramleystair.nodes._reports import (
+    RefusalLog,
+    ReportError,
+    ReportParser,
+    find_conflict,
+)
 from bramleystair.nodes._settings import (
     EPOCH_KIND,
     MEMBER_KIND,
@@ -56,8 +59,11 @@
 # Minimum interval between calls that ask the store for its epoch because balancers know
 # a later one; the timeout of a call.
 EPOCH_CHECK_INTERVAL_S = 1.5
-
-ReportParser = Callable[[HttpRequest], Result[ServerReport | ServerShutdown, StepError]]
+# Delay and number of the checks whether a server that reported its shutdown has exited.
+EXIT_CHECKS = 10
+EXIT_CHECK_DELAY_S = 0.3
+# Minimum interval between reads of the settings because a report contradicts them.
+SETTINGS_CHECK_INTERVAL_S = 0.5
 
 
 class AgentNode(NodeBase):
@@ -115,6 +121,8 @@
             allow_stale=True,
         )
         self._next_epoch_check_s = float("-inf")
+        self._next_settings_check_s = float("-inf")
+        self._refusal_log = RefusalLog(loop.timers, self.metrics)
 
     def start(self) -> None:
         """Start the timers, the health check of the server and the store's watch."""
@@ -249,15 +257,72 @@
     def _answer_report(self, request: HttpRequest) -> HttpReply:
         result = self._parse_report(request)
         if result.is_err():
-            self.metrics.count("report_ignored", "malformed")
-            log.warning("server report ignored: %s", result.unwrap_err())
-            return HttpReply(400, b"{}")
+            return self._refuse_report(result.unwrap_err())
         now = self._loop.clock.now()
         match result.unwrap():
             case ServerReport() as report:
+                conflict = self._find_conflict(report, now)
+                if conflict is not None:
+                    return self._refuse_report(conflict)
                 self._execute(self._steering.handle_report(report, now))
             case ServerShutdown() as shutdown:
+                if not self._steering.knows_server(shutdown):
+                    return self._refuse_report(
+                        ReportError(
+                            "shut down", shutdown.server, "not known", "other_server"
+                        )
+                    )
+                had_report = self._steering.has_report
                 self._execute(self._steering.remove_server(shutdown, now))
+                if had_report and not self._steering.has_report:
+                    self._check_exit(EXIT_CHECKS)
+        self._publish_entry()
+        return HttpReply(200, b"{}")
+
+    def _refuse_report(self, error: ReportError) -> HttpReply:
+        self._refusal_log.record(error)
+        return HttpReply(400, b"{}")
+
+    def _find_conflict(self, report: ServerReport, now: float) -> ReportError | None:
+        """Return how a report contradicts the settings, or None.
+
+        The server may report before a change of the settings has been read, so they are
+        read then. One that was in use before a change is so until another one reports.
+        """
+        conflict = find_conflict(report, self._settings)
+        if conflict is None or self._steering.is_known(report):
+            return None
+        if now < self._next_settings_check_s:
+            return conflict
+        self._next_settings_check_s = now + SETTINGS_CHECK_INTERVAL_S
+        self.reread_settings()
+        return find_conflict(report, self._settings)
+
+    def _publish_entry(self) -> None:
         entry = self._steering.build_entry()
         self._publisher.publish(None if entry is None else encode_entry(entry))
-        return HttpReply(200, b"{}")
+
+    def _check_exit(self, attempts_left: int) -> None:
+        """Remove the entry once the server that reported its shutdown has exited."""
+        call_later(
+            self._loop, EXIT_CHECK_DELAY_S, lambda: self._send_exit_check(attempts_left)
+        )
+
+    def _send_exit_check(self, attempts_left: int) -> None:
+        if attempts_left == 0 or self._steering.has_report or self._is_stopping:
+            self._health_client.close()
+            return
+        call = self._health_client.call(
+            "GET", self._settings.health_path, timeout_s=HEALTH_TIMEOUT_S
+        )
+        call.add_done_callback(
+            lambda done: self._handle_exit_check(done, attempts_left)
+        )
+
+    def _handle_exit_check(self, call: Future, attempts_left: int) -> None:
+        response = call.result()
+        if isinstance(response, HttpFailure) and response.is_connection_refused:
+            self._steering.set_server_absent()
+            self._publish_entry()
+            return
+        self._check_exit(attempts_left - 1)
--- a/src/bramleystair/nodes/_node.py
+++ b/src/bramleystair/nodes/_node.py
@@ -63,6 +63,8 @@
         self._codec = codec
         self._store = store
         self.metrics = Metrics({"node": settings.name})
+        # Reads the settings file now; replaced once a `SettingsMonitor` runs.
+        self.reread_settings: Callable[[], None] = lambda: None
         store.epoch.subscribe(lambda: self.metrics.count("store_restored"))
         self._decision_log = DecisionLog(loop.clock.now)
         self._is_stopping = False
--- a/src/bramleystair/nodes/_reload.py
+++ b/src/bramleystair/nodes/_reload.py
@@ -97,7 +97,11 @@
 
     def start(self) -> None:
         """Start the periodic checks."""
-        self._timers.subscribe_every(CHECK_PERIOD_S, lambda _: self._check(False))
+        self._timers.subscribe_every(CHECK_PERIOD_S, lambda _: self.check())
+
+    def check(self) -> None:
+        """Read the settings now, and log the outcome if it differs from the last."""
+        self._check(False)
 
     def reload(self) -> None:
         """Reload the settings now, and log the outcome even if nothing changed."""
--- a/src/bramleystair/nodes/_start.py
+++ b/src/bramleystair/nodes/_start.py
@@ -32,6 +32,7 @@
         """Withdraw from service, then stop the loop."""
 
     metrics: Metrics
+    reread_settings: Callable[[], None]
 
     def apply_settings(self, settings: NodeSettings) -> SettingsChange:
         """Apply the reloadable settings that changed and return the change."""
@@ -85,6 +86,7 @@
         loop.timers, read_settings, node.apply_settings, node.metrics
     )
     loop.add_signal_handler(signal.SIGHUP, monitor.reload)
+    node.reread_settings = monitor.check
     node.start()
     monitor.start()
     # Logging is configured after the start, so that the first calls to the store are
