--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -197,6 +197,7 @@
     run_for(context, 0.1)
     call = context.servers["late"].deregister()
     assert run_until(context, call.done, 2)
+    context.servers["late"].close()
     assert run_until(context, lambda: count_members(context) == 1, 2)
 
 
