Leave a flow alone that all known members deny

Callers of live servers were reset by a balancer that had restarted while the entry of their agent was missing in the store: odd, deleted or changed by another writer. Such a balancer asked all members that it knew, the store confirmed the list, and the denials counted as proof that the flow was gone.

Absence is no evidence for a reset. A lookup that all members deny now ends as no_owner_found, and the flow is looked up again at a later copy, 0.8 to 3.2 s apart. The caller is reset only if this balancer knows that the flow had an owner that lost it: the owner's agent had said that its server holds the flow, or the caller had acknowledged data since the owner was recorded, and a packet of the flow was returned. Confirmations of the list on which no reset depends are limited to one in 3.2 s, as each is a call to the store. The line reset / no_owner names the former owner and how many members were asked.

Changed scenarios of steering.feature: "A flow that no member holds is reset at once", "A flow without an owner is reset once the members are confirmed", "... is not reset before the members are confirmed", "A member that became silent ...", "A member that never sent a message ..." and the two with 500 flows asked for a reset because all members deny the flow, which contradicts that open flows of live servers are never reset. They ask for the same reset now where the owner has returned the flow. The scenarios in which no reset may follow start from such a flow as well, so that they still exclude a reset that would otherwise come.

--- a/features/steering.feature
+++ b/features/steering.feature
@@ -95,12 +95,63 @@
     And a packet of an unknown flow reaches the balancer
     Then the packet goes to member 2
 
-  Scenario: A flow that no member holds is reset at once
+  Scenario: A flow that its owner's server lost and no other member holds is reset at once
+    # Guards against callers that wait for their deadline after a server has failed.
     Given a balancer with 3 members
     When a packet of an unknown flow reaches the balancer
-    And all members reply that they do not hold the flow
+    And member 2 replies that it holds the flow
+    And member 2 returns a packet of the flow
+    And members 0 and 1 reply that they do not hold the flow
     Then the caller is reset by the balancer
 
+  Scenario: A flow that all known members deny is not reset
+    # Guards against resets of live flows by a balancer that has restarted while the entry
+    # of their agent is missing in the store, deleted or unreadable.
+    Given a balancer with 3 members
+    When the caller of a flow without a known owner retransmits for 20 s
+    Then the caller is not reset by the balancer
+    When a fourth member is added
+    And for 4 s all members report their loads
+    And a packet of an unknown flow reaches the balancer
+    And member 3 replies that it holds the flow
+    Then the packet goes to member 3
+
+  Scenario: A flow that all members deny is looked up less and less often
+    # Guards against a storm of queries, and of calls to the store, after a power loss:
+    # callers retransmit, and no reset ends that.
+    Given a balancer with 3 members
+    When the caller of a flow without a known owner retransmits for 20 s
+    Then the flow was looked up 5 to 8 times
+    And the store was asked to confirm the members at most 7 times
+
+  Scenario: A member that returns the first packet after an opening is no former owner
+    # Guards against resets of a flow that was opened at two servers: the caller has
+    # completed the handshake with the other one, whose agent is missing in the store.
+    Given a balancer with 3 members
+    When a flow is opened at a member, which returns the caller's next packet
+    And the queried members reply that they do not hold the flow
+    Then the caller is not reset by the balancer
+
+  Scenario: A former owner says nothing about a later flow from the same port
+    # Guards against resets of a live flow because an earlier one has ended.
+    Given a balancer with 3 members
+    When a packet of an unknown flow reaches the balancer
+    And member 2 replies that it holds the flow
+    And member 2 returns a packet of the flow
+    And for 4 s all members report their loads
+    And a packet of a later flow from the same port reaches the balancer
+    And the queried members reply that they do not hold the flow
+    Then the caller is not reset by the balancer
+
+  Scenario: A reset tells how many members were asked
+    # Guards against a line that does not show whether the owner's agent was known.
+    Given a balancer with 3 members
+    When a packet of an unknown flow reaches the balancer
+    And member 2 replies that it holds the flow
+    And member 2 returns a packet of the flow
+    And members 0 and 1 reply that they do not hold the flow
+    Then the line reset / no_owner tells that 3 of 3 members were asked, and names member 2
+
   Scenario: A balancer that does not know the owner yet does not reset its flow
     # Guards against a reset by a balancer that has just started or whose list of members
     # is outdated, after another balancer has opened the flow at a new member.
@@ -114,19 +165,25 @@
     When member 3 replies that it holds the flow
     Then the packet goes to member 3
 
-  Scenario: A flow without an owner is reset once the members are confirmed
+  Scenario: A flow that its owner lost is reset once the members are confirmed
     Given a balancer with 3 members whose list of members is outdated
     When a packet of an unknown flow reaches the balancer
-    And all members reply that they do not hold the flow
-    And the list of members is confirmed
+    And member 2 replies that it holds the flow
+    And member 2 returns a packet of the flow
+    And members 0 and 1 reply that they do not hold the flow
+    Then the caller is not reset by the balancer
+    When the list of members is confirmed
     Then the caller is reset by the balancer
 
-  Scenario: A flow without a known owner is not reset before the members are confirmed
+  Scenario: A flow that its owner lost is not reset before the members are confirmed
     # Guards against resets of live flows: while the store's responses are lost, a member
-    # that has joined since may own the flow.
+    # that has joined since may own the flow. The member that returned it counts all the
+    # while.
     Given a balancer with 3 members whose list of members is outdated
     When a packet of an unknown flow reaches the balancer
-    And all members reply that they do not hold the flow
+    And member 2 replies that it holds the flow
+    And member 2 returns a packet of the flow
+    And members 0 and 1 reply that they do not hold the flow
     And for 10 s all members report their loads
     Then the caller is not reset by the balancer
     When a packet of an unknown flow reaches the balancer
@@ -141,7 +198,9 @@
     Given a balancer with 3 members
     When members may be missing for 3 s
     And a packet of an unknown flow reaches the balancer
-    And all members reply that they do not hold the flow
+    And member 2 replies that it holds the flow
+    And member 2 returns a packet of the flow
+    And members 0 and 1 reply that they do not hold the flow
     Then the caller is not reset by the balancer
     When for 4 s all members report their loads
     And a packet of an unknown flow reaches the balancer
@@ -160,7 +219,9 @@
   Scenario Outline: A lookup that waits for a confirmation ends if the store is restored
     Given a balancer with 3 members whose list of members is outdated
     When a packet of an unknown flow reaches the balancer
-    And all members reply that they do not hold the flow
+    And member 2 replies that it holds the flow
+    And member 2 returns a packet of the flow
+    And members 0 and 1 reply that they do not hold the flow
     And members may be missing for 3 s
     And <event>
     Then the caller is not reset by the balancer
@@ -172,7 +233,7 @@
 
   Scenario: Flows that wait for the confirmation of members do not block lookups
     Given a balancer with 3 members whose list of members is outdated
-    When packets of 500 unknown flows reach the balancer
+    When the owners of 500 flows return packets of them
     And the queried members reply after 10 ms that they do not hold the flow, for 1 s
     Then the caller is not reset by the balancer
     And all 500 flows were looked up
@@ -183,7 +244,9 @@
     # Guards against a reset while the owner's agent restarts or is paused.
     Given a balancer with 3 members
     When a packet of an unknown flow reaches the balancer
-    And members 0 and 1 reply that they do not hold the flow
+    And member 1 replies that it holds the flow
+    And member 1 returns a packet of the flow
+    And member 0 replies that it does not hold the flow
     And 1 s pass at the balancer
     Then the caller is not reset by the balancer
 
@@ -193,14 +256,18 @@
     When for 2 s all members report their loads
     And for 3 s only members 0 and 1 report their loads
     And a packet of an unknown flow reaches the balancer
-    And members 0 and 1 reply that they do not hold the flow
+    And member 1 replies that it holds the flow
+    And member 1 returns a packet of the flow
+    And member 0 replies that it does not hold the flow
     Then the caller is reset by the balancer
 
   Scenario: A member that never sent a message does not block lookups
     Given a balancer that has just started with 3 members
     When for 2 s only members 0 and 1 report their loads
     And a packet of an unknown flow reaches the balancer
-    And members 0 and 1 reply that they do not hold the flow
+    And member 1 replies that it holds the flow
+    And member 1 returns a packet of the flow
+    And member 0 replies that it does not hold the flow
     Then the caller is reset by the balancer
 
   Scenario: A balancer waits for an agent that announced a restart
@@ -209,7 +276,9 @@
     When member 2 announces a restart
     And for 3 s only members 0 and 1 report their loads
     And a packet of an unknown flow reaches the balancer
-    And members 0 and 1 reply that they do not hold the flow
+    And member 1 replies that it holds the flow
+    And member 1 returns a packet of the flow
+    And member 0 replies that it does not hold the flow
     And 1 s pass at the balancer
     Then the caller is not reset by the balancer
 
@@ -225,7 +294,9 @@
     When for 2 s all members report their loads
     And the balancer is paused for 5 s
     And a packet of an unknown flow reaches the balancer
-    And members 0 and 1 reply that they do not hold the flow
+    And member 1 replies that it holds the flow
+    And member 1 returns a packet of the flow
+    And member 0 replies that it does not hold the flow
     And 1 s pass at the balancer
     Then the caller is not reset by the balancer
 
@@ -243,7 +314,7 @@
     # Guards against a balancer that starts with thousands of unknown flows and saturates
     # its link with lookup requests, so that first packets are lost.
     Given a balancer with 52 members
-    When packets of 500 unknown flows reach the balancer
+    When the owners of 500 flows return packets of them
     And the queried members reply after 10 ms that they do not hold the flow, for 5 s
     Then the lookup requests of any second take at most 300,000 bytes with headers
     And all 500 callers are reset
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -7,6 +7,7 @@
 
 from bramleystair.steering import (
     ConfirmMembers,
+    Decision,
     DeclineSlot,
     DeliverToServer,
     Load,
@@ -354,7 +355,7 @@
         a.message.token
         for a in context.all_actions
         if isinstance(a, SendMessage) and isinstance(a.message, LookupRequest)
-    ][0]
+    ][-1]
     message = LookupReply(token, Ownership.CERTAIN)
     record_actions(
         context,
@@ -362,6 +363,127 @@
     )
 
 
+@when("member {number:d} returns a packet of the flow")
+def return_held(context, number):
+    # The caller has acknowledged more since the member was found.
+    return_packet(context, get_member(number), make_segment(ack=177, size=5))
+    await_queries(context)
+
+
+def await_queries(context):
+    """Let the rate limit of lookups pass."""
+    for _ in range(5):
+        if list_messages(context, LookupRequest):
+            return
+        pass_time(context, 0.01)
+
+
+def return_packet(context, member, segment):
+    actions = context.balancer.handle_returned_packet(member, segment, context.now)
+    record_actions(context, actions)
+
+
+@when("the caller of a flow without a known owner retransmits for {seconds:d} s")
+def retransmit(context, seconds):
+    end_s = context.now + seconds
+    while context.now < end_s:
+        send_unknown(context)
+        await_queries(context)
+        if list_messages(context, LookupRequest):
+            reply_none_all(context)
+        for number in range(context.count):
+            report(context, number)
+        pass_time(context, 0.2)
+
+
+@when("a fourth member is added")
+def add_member(context):
+    entries = [make_entry(n, f"zone-{n}") for n in range(4)]
+    context.balancer.set_members(entries, context.now)
+    context.all_actions = []
+
+
+@then("the flow was looked up {least:d} to {most:d} times")
+def check_lookup_count(context, least, most):
+    messages = [a.message for a in context.all_actions if isinstance(a, SendMessage)]
+    tokens = {m.token for m in messages if isinstance(m, LookupRequest)}
+    assert least <= len(tokens) <= most, tokens
+
+
+@then("the store was asked to confirm the members at most {most:d} times")
+def check_confirmation_count(context, most):
+    asked = [a for a in context.all_actions if isinstance(a, ConfirmMembers)]
+    assert 1 <= len(asked) <= most, asked
+
+
+def open_at_member(context, flow):
+    """Open a flow, and return the member that has accepted it."""
+    segment = make_segment(flow, first=True)
+    record_actions(context, context.balancer.handle_segment(segment, context.now))
+    (opening,) = list_messages(context, OpenFlow)
+    reply = OpenReply(opening.message.token, Refusal.NONE, Load(slots=2))
+    record_actions(
+        context,
+        context.balancer.handle_message(opening.address, reply, context.now),
+    )
+    return opening.address
+
+
+def send_later(context, flow, acknowledgement):
+    segment = make_segment(flow, ack=acknowledgement, size=5)
+    record_actions(context, context.balancer.handle_segment(segment, context.now))
+    return segment
+
+
+@when("a flow is opened at a member, which returns the caller's next packet")
+def return_after_opening(context):
+    member = open_at_member(context, FLOW)
+    return_packet(context, member, send_later(context, FLOW, 77))
+
+
+@when("the owners of {count:d} flows return packets of them")
+def return_many(context, count):
+    held = []
+    for number in range(count):
+        flow = number.to_bytes(4, "big") + FLOW[4:]
+        member = open_at_member(context, flow)
+        send_later(context, flow, 77)
+        held.append((member, send_later(context, flow, 177)))
+    context.all_actions = []
+    for member, segment in held:
+        return_packet(context, member, segment)
+
+
+@when("a packet of a later flow from the same port reaches the balancer")
+def send_later_flow(context):
+    send_later(context, FLOW, 2**31)
+
+
+@when("the queried members reply that they do not hold the flow")
+def reply_none_queried(context):
+    queries = list_messages(context, LookupRequest)
+    assert queries
+    for query in queries:
+        reply = LookupReply(query.message.token, Ownership.NONE)
+        send_reply(context, query.address, reply)
+
+
+@then(
+    "the line reset / no_owner tells that {asked:d} of {count:d} members were asked, "
+    "and names member {number:d}"
+)
+def check_reset_line(context, asked, count, number):
+    lines = [a for a in context.all_actions if isinstance(a, Decision)]
+    (line,) = [a for a in lines if (a.step, a.outcome) == ("reset", "no_owner")]
+    assert (line.inputs["asked"], line.inputs["members"]) == (asked, count), line
+    assert line.inputs["agent"] == get_member(number)[0]
+
+
+@when("member {number:d} replies that it does not hold the flow")
+def reply_none_one(context, number):
+    reply_none(context, (number,))
+
+
 def reply_none(context, numbers):
     token = list_messages(context, LookupRequest)[0].message.token
     actions = []
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -27,7 +27,11 @@
 )
 from bramleystair.steering._openings import FlowOpener
 from bramleystair.steering._outbox import Outbox
-from bramleystair.steering._segments import Segment, get_service_endpoint
+from bramleystair.steering._segments import (
+    Segment,
+    are_of_one_flow,
+    get_service_endpoint,
+)
 from bramleystair.steering._startup_buffer import StartupPacketBuffer
 from bramleystair.steering._types import (
     Address,
@@ -46,13 +50,32 @@
     first_sequence : int or None
         Sequence number of the first packet; None if the owner was looked up.
     acknowledgement : int
-        Latest acknowledgement number of the caller, which accepts a reset near it.
+        Latest acknowledgement number of the caller, which accepts a reset near it; 0
+        before its first packet.
+    is_confirmed : bool
+        Whether the member's server held the flow for certain: its agent said so, or the
+        caller has acknowledged data since the member was recorded. Another server than
+        that of the accepted opening may own a flow that was opened at two.
     """
 
     address: Address
     first_sequence: int | None
     last_packet_s: float
     acknowledgement: int = 0
+    is_confirmed: bool = False
+
+    def record_packet(self, segment: Segment, now: float) -> None:
+        """Record a packet of the caller."""
+        self.last_packet_s = now
+        if self.acknowledgement not in (0, segment.acknowledgement):
+            self.is_confirmed = True
+        self.acknowledgement = segment.acknowledgement
+
+    def held_flow_of(self, segment: Segment) -> bool:
+        """Return whether the member's server held the flow of a returned packet."""
+        return self.is_confirmed and are_of_one_flow(
+            self.acknowledgement, segment.acknowledgement
+        )
 
 
 class BalancerSteering:
@@ -225,7 +248,16 @@
         owner = self._owners.get(segment.flow)
         if owner is not None and owner.address == sender:
             del self._owners[segment.flow]
-            self._outbox.log("owner_lost", segment.flow, "lookup", agent=sender[0])
+            was_held = owner.held_flow_of(segment)
+            if was_held:
+                self._lookups.record_former_owner(segment, sender, now)
+            self._outbox.log(
+                "owner_lost",
+                segment.flow,
+                "lookup",
+                agent=sender[0],
+                was_held=was_held,
+            )
         if segment.is_reset or segment.is_syn:
             return self._outbox.take()
         self._lookups.look_up(segment, now, non_owner=sender)
@@ -317,6 +349,7 @@
             self._outbox.send(sender, DeclineSlot())
 
     def _record_opened(self, segment: Segment, owner: Address, now: float) -> None:
+        self._lookups.forget(segment.flow)
         self._owners[segment.flow] = _OwnerRecord(owner, segment.sequence, now)
         self._subscribe_to_owner(owner, now)
 
@@ -326,8 +359,7 @@
     def _handle_later_packet(self, segment: Segment, now: float) -> None:
         owner = self._owners.get(segment.flow)
         if owner is not None:
-            owner.last_packet_s = now
-            owner.acknowledgement = segment.acknowledgement
+            owner.record_packet(segment, now)
             if segment.is_reset:
                 del self._owners[segment.flow]
             self._outbox.send(owner.address, Relay(segment.data))
@@ -343,9 +375,11 @@
             return
         self._lookups.look_up(segment, now)
 
-    def _record_owner(self, segment: Segment, owner: Address, now: float) -> None:
+    def _record_owner(
+        self, segment: Segment, owner: Address, is_certain: bool, now: float
+    ) -> None:
         self._owners[segment.flow] = _OwnerRecord(
-            owner, None, now, segment.acknowledgement
+            owner, None, now, segment.acknowledgement, is_certain
         )
         self._subscribe_to_owner(owner, now)
 
@@ -363,8 +397,8 @@
         if now - self._last_purge_s < self._settings.owner_lifetime_s / 4:
             return
         self._last_purge_s = now
-        self._lookups.purge_backoffs(now)
         oldest_s = now - self._settings.owner_lifetime_s
+        self._lookups.purge(oldest_s, now)
         for flow in [f for f, o in self._owners.items() if o.last_packet_s < oldest_s]:
             del self._owners[flow]
         self.members.retain_owners({o.address for o in self._owners.values()}, now)
--- a/src/bramleystair/steering/_balancer_settings.py
+++ b/src/bramleystair/steering/_balancer_settings.py
@@ -52,13 +52,16 @@
         Maximum number of flows that wait for a lookup; packets of further flows are
         dropped, and their senders retransmit them. Also limits the packets buffered at
         startup.
-    lookup_pause_s : float
-        Delay after a lookup that members left unanswered before the flow is looked up
-        again.
+    lookup_pause_s, max_lookup_pause_s : float
+        Delay after a lookup without a result before the flow is looked up again. While
+        all members deny the flow, the delay doubles up to the maximum.
     confirm_timeout_s : float
         Timeout for the confirmation that no other member may own a flow, while the
         store is unavailable. The flow is then left alone, and a retransmission of its
         caller starts another lookup.
+    confirm_interval_s : float
+        Minimum interval between the confirmations that only serve to find members that
+        joined; one that precedes a reset is requested at once.
     subscribe_period_s : float
         Minimum interval between subscriptions to load reports.
     subscribe_gap_s : float
@@ -129,7 +132,9 @@
     lookup_bytes_per_s: float = 250_000.0
     max_pending: int = 1024
     lookup_pause_s: float = 0.8
+    max_lookup_pause_s: float = 3.2
     confirm_timeout_s: float = 2.0
+    confirm_interval_s: float = 3.2
     subscribe_period_s: float = 0.5
     subscribe_gap_s: float = 0.02
     stale_after_s: float = 1.5
--- a/src/bramleystair/steering/_lookups.py
+++ b/src/bramleystair/steering/_lookups.py
@@ -21,7 +21,7 @@
     Relay,
 )
 from bramleystair.steering._outbox import Outbox
-from bramleystair.steering._segments import Segment
+from bramleystair.steering._segments import Segment, are_of_one_flow
 from bramleystair.steering._types import Address, Route
 
 # An IPv4 header of 20 bytes and a UDP header of 8 bytes.
@@ -85,9 +85,37 @@
     are_members_confirmed: bool = False
 
 
+@attrs.frozen
+class _FormerOwner:
+    """Member whose server held a flow and has returned a packet of it since.
+
+    Parameters
+    ----------
+    acknowledgement : int
+        Acknowledgement number of that packet, which tells the flow from a later one of
+        the same addresses and ports.
+    """
+
+    address: Address
+    acknowledgement: int
+    returned_s: float
+
+
+@attrs.frozen
+class _Pause:
+    """Time until which a flow is not looked up again, and its duration."""
+
+    until_s: float
+    duration_s: float
+
+
 class OwnerLookups:
     """Query the members for the owners of flows, at a limited rate.
 
+    That all members deny a flow does not show that it has no owner: the owner's member
+    may be missing in the store, and a flow cannot be taken back once its caller was
+    reset. Its caller is reset only if a member that owned the flow has returned it.
+
     Parameters
     ----------
     settings : BalancerSteeringSettings
@@ -101,7 +129,8 @@
     find_route : callable
         Returns the route of a flow, or None.
     on_found : callable
-        Called with the packet, the owner and the time once the owner is known.
+        Called with the packet, the owner, whether it is certain, and the time once the
+        owner is known.
     """
 
     def __init__(
@@ -111,7 +140,7 @@
         outbox: Outbox,
         initial_token: int,
         find_route: Callable[[bytes], Route | None],
-        on_found: Callable[[Segment, Address, float], None],
+        on_found: Callable[[Segment, Address, bool, float], None],
     ) -> None:
         self._settings = settings
         self._members = members
@@ -124,12 +153,15 @@
         # of members is complete, so that no unknown member can own the flow.
         self._unconfirmed: dict[bytes, _Lookup] = {}
         self._flows_by_token: dict[int, bytes] = {}
-        # Latest packet of each flow whose lookup has not started.
-        self._queued_packets: dict[bytes, Segment] = {}
-        # Flows that are not looked up again before the given time.
-        self._backoff_until_s: dict[bytes, float] = {}
+        # Latest packet of each flow whose lookup has not started, and the member that
+        # is known not to be the owner.
+        self._queued_packets: dict[bytes, tuple[Segment, Address | None]] = {}
+        self._pauses: dict[bytes, _Pause] = {}
+        self._former_owners: dict[bytes, _FormerOwner] = {}
         self._timers: list[tuple[float, int, bytes]] = []
         self._next_start_s = 0.0
+        # Time from which a lookup that ends without a reset requests a confirmation.
+        self._next_confirmation_s = float("-inf")
 
     @property
     def due_s(self) -> float:
@@ -166,13 +198,38 @@
             self._lookups[flow] = lookup
             self._advance(lookup, now)
 
-    def purge_backoffs(self, now: float) -> None:
-        """Remove the flows that may be looked up again."""
-        self._backoff_until_s = {
-            flow: until_s
-            for flow, until_s in self._backoff_until_s.items()
-            if until_s > now
+    def purge(self, oldest_s: float, now: float) -> None:
+        """Remove the pauses that have ended, and former owners from before `oldest_s`.
+
+        A pause is kept for its maximum duration, so that the next one is longer.
+        """
+        self._pauses = {
+            flow: pause
+            for flow, pause in self._pauses.items()
+            if pause.until_s + self._settings.max_lookup_pause_s > now
         }
+        self._former_owners = {
+            flow: former
+            for flow, former in self._former_owners.items()
+            if former.returned_s >= oldest_s
+        }
+
+    def record_former_owner(
+        self, segment: Segment, address: Address, now: float
+    ) -> None:
+        """Record that the server of a member returned a packet of a flow it held."""
+        self._former_owners[segment.flow] = _FormerOwner(
+            address, segment.acknowledgement, now
+        )
+
+    def forget(self, flow: bytes) -> None:
+        """Discard what concerns an earlier flow of the same addresses and ports."""
+        lookup = self._get(flow)
+        if lookup is not None:
+            self._remove(lookup)
+        self._queued_packets.pop(flow, None)
+        self._pauses.pop(flow, None)
+        self._former_owners.pop(flow, None)
 
     def look_up(
         self, segment: Segment, now: float, non_owner: Address | None = None
@@ -190,7 +247,8 @@
             if len(lookup.packets) < self._settings.lookup_packets:
                 lookup.packets.append(segment.data)
             return
-        if self._backoff_until_s.get(flow, 0.0) > now:
+        pause = self._pauses.get(flow)
+        if pause is not None and pause.until_s > now:
             self._outbox.count("packet_dropped", "lookup_unanswered")
             return
         is_free = len(self._lookups) < self._settings.max_lookups
@@ -201,7 +259,8 @@
             len(self._queued_packets) < self._settings.max_pending
             or flow in self._queued_packets
         ):
-            self._queued_packets[flow] = segment
+            _, known_non_owner = self._queued_packets.get(flow, (None, None))
+            self._queued_packets[flow] = segment, non_owner or known_non_owner
         else:
             self._outbox.count("packet_dropped", "lookups")
 
@@ -213,7 +272,8 @@
         count = min(self._settings.lookup_batch, free, len(self._queued_packets))
         for _ in range(count):
             flow = next(iter(self._queued_packets))
-            self._start(self._queued_packets.pop(flow), None, now)
+            segment, non_owner = self._queued_packets.pop(flow)
+            self._start(segment, non_owner, now)
         self._charge_queries(count, now)
 
     def _charge_queries(self, count: int, now: float) -> None:
@@ -359,14 +419,51 @@
             self._end_unanswered(lookup, now, "unanswered")
             return
         flow = lookup.segment.flow
-        self._remove(lookup, now)
-        if lookup.are_members_confirmed:
-            self._reset_caller(lookup)
+        self._remove(lookup)
+        former = self._get_former_owner(lookup.segment)
+        if self._must_confirm_members(lookup, former, now):
+            self._unconfirmed[flow] = lookup
+            self._flows_by_token[lookup.token] = flow
+            self._schedule(lookup, now + self._settings.confirm_timeout_s)
+            self._outbox.add(ConfirmMembers())
+            return
+        if former is None:
+            self._end_unanswered(lookup, now, "no_owner_found")
             return
-        self._unconfirmed[flow] = lookup
-        self._flows_by_token[lookup.token] = flow
-        self._schedule(lookup, now + self._settings.confirm_timeout_s)
-        self._outbox.add(ConfirmMembers())
+        del self._former_owners[flow]
+        self._outbox.count("lookup_ended", "no_owner")
+        self._outbox.reset_caller(
+            lookup.segment,
+            "no_owner",
+            agent=former.address[0],
+            asked=len(lookup.queried_or_excluded),
+            members=len(self._members),
+        )
+
+    def _must_confirm_members(
+        self, lookup: _Lookup, former: _FormerOwner | None, now: float
+    ) -> bool:
+        """Return whether a lookup without an owner waits for the list of members.
+
+        A reset always does. Otherwise the confirmation only shows members that joined,
+        so it is requested at a limited rate, as each one is a call to the store.
+        """
+        if lookup.are_members_confirmed:
+            return False
+        if former is not None or self._unconfirmed:
+            return True
+        if now < self._next_confirmation_s:
+            return False
+        self._next_confirmation_s = now + self._settings.confirm_interval_s
+        return True
+
+    def _get_former_owner(self, segment: Segment) -> _FormerOwner | None:
+        former = self._former_owners.get(segment.flow)
+        if former is None or not are_of_one_flow(
+            former.acknowledgement, segment.acknowledgement
+        ):
+            return None
+        return former
 
     def _end_unanswered(self, lookup: _Lookup, now: float, outcome: str) -> None:
         """End a lookup without a reset: a member that did not answer may be the owner.
@@ -375,26 +472,32 @@
         starts the next lookup.
         """
         flow = lookup.segment.flow
-        self._remove(lookup, now)
-        self._backoff_until_s[flow] = now + self._settings.lookup_pause_s
+        self._remove(lookup)
+        self._pauses[flow] = self._create_pause(flow, outcome, now)
         self._outbox.count("lookup_ended", outcome)
         self._outbox.log(
             "lookup",
             flow,
             outcome,
+            asked=len(lookup.queried_or_excluded),
+            members=len(self._members),
             silent=lookup.unresponsive_count,
             members_incomplete=self._members.may_be_incomplete(now),
         )
 
+    def _create_pause(self, flow: bytes, outcome: str, now: float) -> _Pause:
+        settings = self._settings
+        duration_s = settings.lookup_pause_s
+        previous = self._pauses.get(flow)
+        if outcome == "no_owner_found" and previous is not None:
+            duration_s = min(2 * previous.duration_s, settings.max_lookup_pause_s)
+        return _Pause(now + duration_s, duration_s)
+
     def _list_unqueried(self, lookup: _Lookup) -> set[Address]:
         return {
             member.entry.address for member in self._members
         } - lookup.queried_or_excluded
 
-    def _reset_caller(self, lookup: _Lookup) -> None:
-        self._outbox.count("lookup_ended", "no_owner")
-        self._outbox.reset_caller(lookup.segment, "no_owner")
-
     def _count_outstanding(self, lookup: _Lookup, now: float) -> int:
         """Return the number of outstanding members that are not lost."""
         members = (self._members.get(address) for address in lookup.outstanding)
@@ -407,8 +510,10 @@
         self, lookup: _Lookup, owner: Address, outcome: str, now: float
     ) -> None:
         flow = lookup.segment.flow
-        self._remove(lookup, now)
-        self._on_found(lookup.segment, owner, now)
+        self._remove(lookup)
+        self._former_owners.pop(flow, None)
+        self._pauses.pop(flow, None)
+        self._on_found(lookup.segment, owner, outcome == "certain", now)
         self._outbox.count("lookup_ended", outcome)
         self._outbox.observe("lookup", now - lookup.started_s)
         self._outbox.log("lookup", flow, outcome, agent=owner[0])
@@ -417,7 +522,7 @@
         for data in lookup.packets[start:]:
             self._outbox.send(owner, Relay(data))
 
-    def _remove(self, lookup: _Lookup, now: float) -> None:
+    def _remove(self, lookup: _Lookup) -> None:
         self._lookups.pop(lookup.segment.flow, None)
         self._unconfirmed.pop(lookup.segment.flow, None)
         self._flows_by_token.pop(lookup.token, None)
--- a/src/bramleystair/steering/_segments.py
+++ b/src/bramleystair/steering/_segments.py
@@ -3,6 +3,9 @@
 import attrs
 
 SEQUENCE_MODULUS = 2**32
+# Numbers of one flow that are this far apart differ by more than the packets in flight:
+# 16 of 1,200 bytes, and as many again for packets that are late.
+MAX_FLOW_DISTANCE = 4 * 16 * 1200
 # Caller address, service address, caller port, service port.
 FLOW_BYTES = 12
 
@@ -53,3 +56,12 @@
 def compute_sequence_distance(start: int, end: int) -> int:
     """Return how far the sequence number `end` is after `start`."""
     return (end - start) % SEQUENCE_MODULUS
+
+
+def are_of_one_flow(first: int, second: int) -> bool:
+    """Return whether two sequence numbers of one end are near enough for one flow.
+
+    A later flow between the same addresses and ports starts at an unrelated number.
+    """
+    distance = compute_sequence_distance(first, second)
+    return min(distance, SEQUENCE_MODULUS - distance) <= MAX_FLOW_DISTANCE
