Tell two flows of the same addresses and ports apart by their numbers

An agent tracks a flow for 60 s after its last packet and claimed it as certain by addresses and ports alone, so the caller's data went to a server at which the flow had ended, and which answers data with a reset.

A flow that has ended is claimed as likely. A server's reset in response to a probe does not reach the caller: it may concern an earlier flow of the port. Messages are unchanged.

--- a/features/steering.feature
+++ b/features/steering.feature
@@ -68,6 +68,110 @@
     And the caller acknowledges the sequence number 5001
     Then the packet is returned to the balancer
 
+  Scenario Outline: An agent claims no later flow from a port that was used before
+    # Guards against data of an open flow that go to the server at which an earlier flow of
+    # the same port has ended, and which resets them. The server's numbers reach 1001.
+    Given an agent whose server is ready and that started 100 s ago
+    When a new flow for web arrives
+    And the server answers the first packet with the sequence number 1000
+    And the caller acknowledges the sequence number 1001
+    And the server sends a packet
+    And a balancer looks up the owner of a flow whose caller acknowledges <acknowledged>
+    Then the agent answers that it <answer>
+
+    Examples:
+      | acknowledged | answer                 |
+      | 1001         | holds the flow         |
+      | 20001        | holds the flow         |
+      | 4294967000   | holds the flow         |
+      | 1000000      | does not hold the flow |
+      | 4000000000   | does not hold the flow |
+
+  Scenario: An agent that has just started is unsure about a later flow of a known port
+    # Guards against a denial of a flow that was opened while another process ran here.
+    Given an agent whose server is ready
+    When a new flow for web arrives
+    And the server answers the first packet with the sequence number 1000
+    And a balancer looks up the owner of a flow whose caller acknowledges 1001
+    Then the agent answers that it holds the flow
+    When the caller acknowledges the sequence number 1001
+    And a balancer looks up the owner of a flow whose caller acknowledges 1000000
+    Then the agent answers that it is unsure
+
+  Scenario Outline: A flow that has ended at a server is not claimed as certain
+    # Guards against an earlier flow that outweighs the open one at another server.
+    Given an agent whose server is ready and that started 100 s ago
+    When a new flow for web arrives
+    And the server answers the first packet with the sequence number 1000
+    And the caller acknowledges the sequence number 1001
+    And the server sends a packet
+    And <end>
+    And a balancer looks up the owner of a flow whose caller acknowledges 1010
+    Then the agent answers that it <answer>
+
+    Examples:
+      | end                     | answer                |
+      | the server sends a FIN  | holds the flow        |
+      | both ends send a FIN    | probably holds a flow |
+      | the server resets it    | probably holds a flow |
+      | the caller resets it    | probably holds a flow |
+
+  Scenario Outline: An agent returns packets of another flow from the same port
+    # Guards against a balancer whose cache names the server of an earlier flow.
+    Given an agent whose server is ready and that started 100 s ago
+    When a new flow for web arrives
+    And the server answers the first packet with the sequence number 1000
+    And the caller acknowledges the sequence number 1001
+    And the server sends a packet
+    And a packet with the sequence number <sequence> acknowledges <acknowledged>
+    Then the packet is <result>
+
+    Examples:
+      | sequence   | acknowledged | result                   |
+      | 600        | 1010         | delivered to the server  |
+      | 15000      | 1010         | delivered to the server  |
+      | 600        | 3000000      | returned to the balancer |
+      | 3000000    | 1010         | returned to the balancer |
+
+  Scenario: A server's reset of a probe does not reach the caller
+    # Guards against a reset by the server of an earlier flow of the same port, to which an
+    # agent that has just started passes a packet to find out whether it holds the flow.
+    Given an agent whose server is ready
+    When a probe of an unknown flow arrives
+    Then the packet is delivered to the server
+    When the server resets the flow
+    Then the agent answers that it does not hold the flow
+    And the caller gets no packet
+
+  Scenario: A server's reset of a flow that it holds reaches the caller
+    Given an agent whose server is ready
+    When a probe of an unknown flow arrives
+    And the server sends a packet
+    And the server resets the flow
+    Then the caller gets the packet
+
+  Scenario: A flow whose numbers pass the highest one stays with its owner
+    # Guards against a comparison that takes a number after the overflow for another flow.
+    Given a balancer with 3 members
+    When a flow is opened at a member with the sequence number 4294960000
+    And the caller sends 40 packets of 1200 bytes and acknowledges as much
+    Then all of them went to that member
+
+  Scenario Outline: A packet of another flow from the same port is looked up
+    # Guards against data of an open flow that go to the owner of an earlier one, which the
+    # balancer has cached because the later one was opened at another balancer.
+    Given a balancer with 3 members
+    When a flow is opened at a member with the sequence number 500
+    And the caller sends 2 packets of 1200 bytes and acknowledges as much
+    And for 2 s all members report their loads
+    And its next packet has the sequence number <sequence> and acknowledges <acknowledged>
+    Then the members are queried for its owner
+
+    Examples:
+      | sequence   | acknowledged |
+      | 3000000000 | 7000         |
+      | 3000       | 3000000000   |
+
   Scenario: Flows of a replaced server are reset before their next request
     # Guards against a non-idempotent request that is sent on a flow without a server.
     Given an agent whose server is ready
--- a/features/steps/steering_samples.py
+++ b/features/steps/steering_samples.py
@@ -6,9 +6,19 @@
 FLOW = bytes((100, 64, 0, 7)) + ENDPOINT[:4] + bytes((156, 65)) + ENDPOINT[4:]
 
 
-def make_segment(flow=FLOW, first=False, returned=False, sequence=1, ack=0, size=0):
+def make_segment(
+    flow=FLOW,
+    first=False,
+    returned=False,
+    sequence=1,
+    ack=0,
+    size=0,
+    reset=False,
+    fin=False,
+):
     data = flow + bytes((first, returned)) + struct.pack("!II", sequence, ack)
-    return Segment(flow, data, first, returned, False, False, size > 0, sequence, ack)
+    has_payload = size > 0
+    return Segment(flow, data, first, returned, reset, fin, has_payload, sequence, ack)
 
 
 def get_member(number):
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -9,6 +9,7 @@
     ConfirmMembers,
     Decision,
     DeclineSlot,
+    DeliverToCaller,
     DeliverToServer,
     Load,
     LoadReport,
@@ -150,6 +151,61 @@
     context.actions = context.agent.handle_server_segment(segment, context.now)
 
 
+@when("the server sends a FIN")
+def end_by_server(context):
+    segment = make_segment(sequence=1010, fin=True)
+    context.actions = context.agent.handle_server_segment(segment, context.now)
+
+
+@when("both ends send a FIN")
+def end_by_both(context):
+    end_by_server(context)
+    segment = make_segment(sequence=FIRST_SEQUENCE + 1, ack=1011, fin=True)
+    context.actions = context.agent.handle_relay(BALANCER, segment, context.now)
+
+
+@when("the server resets it")
+@when("the server resets the flow")
+def reset_by_server(context):
+    segment = make_segment(sequence=77, reset=True)
+    context.actions = context.agent.handle_server_segment(segment, context.now)
+
+
+@when("the caller resets it")
+def reset_by_caller(context):
+    segment = make_segment(sequence=FIRST_SEQUENCE + 1, reset=True)
+    context.actions = context.agent.handle_relay(BALANCER, segment, context.now)
+
+
+@when("a packet with the sequence number {sequence:d} acknowledges {number:d}")
+def relay_numbers(context, sequence, number):
+    segment = make_segment(sequence=sequence, ack=number, size=5)
+    context.actions = context.agent.handle_relay(BALANCER, segment, context.now)
+
+
+@when("a probe of an unknown flow arrives")
+def probe_unknown(context):
+    segment = make_segment(ack=1001, size=5)
+    message = LookupProbe(5, segment.data)
+    context.actions = context.agent.handle_lookup_probe(
+        BALANCER, message, segment, context.now
+    )
+
+
+def list_delivered(context):
+    return [a for a in context.actions if isinstance(a, DeliverToCaller)]
+
+
+@then("the caller gets no packet")
+def check_nothing_delivered(context):
+    assert not list_delivered(context), context.actions
+
+
+@then("the caller gets the packet")
+def check_packet_delivered(context):
+    assert len(list_delivered(context)) == 1, context.actions
+
+
 @when("{seconds:g} s later another server reports for the first time")
 def replace_server(context, seconds):
     context.now += seconds
@@ -185,7 +241,12 @@
 
 @when("a balancer looks up the owner of a flow")
 def ask_owner(context):
-    message = LookupRequest(5, FLOW, 77)
+    ask_owner_of(context, 77)
+
+
+@when("a balancer looks up the owner of a flow whose caller acknowledges {number:d}")
+def ask_owner_of(context, number):
+    message = LookupRequest(5, FLOW, number)
     context.actions = context.agent.handle_lookup(BALANCER, message, context.now)
 
 
@@ -212,6 +273,16 @@
     check_ownership(context, Ownership.NONE)
 
 
+@then("the agent answers that it holds the flow")
+def check_held(context):
+    check_ownership(context, Ownership.CERTAIN)
+
+
+@then("the agent answers that it probably holds a flow")
+def check_likely(context):
+    check_ownership(context, Ownership.LIKELY)
+
+
 @then("the agent answers that it is unsure")
 def check_unsure(context):
     check_ownership(context, Ownership.UNSURE)
@@ -416,9 +487,9 @@
     assert 1 <= len(asked) <= most, asked
 
 
-def open_at_member(context, flow):
+def open_at_member(context, flow, sequence=1):
     """Open a flow, and return the member that has accepted it."""
-    segment = make_segment(flow, first=True)
+    segment = make_segment(flow, first=True, sequence=sequence)
     record_actions(context, context.balancer.handle_segment(segment, context.now))
     (opening,) = list_messages(context, OpenFlow)
     reply = OpenReply(opening.message.token, Refusal.NONE, Load(slots=2))
@@ -454,6 +525,46 @@
         return_packet(context, member, segment)
 
 
+@when("a flow is opened at a member with the sequence number {sequence:d}")
+def open_numbered(context, sequence):
+    context.member = open_at_member(context, FLOW, sequence)
+    context.sequence, context.acknowledged = sequence, sequence
+
+
+@when("the caller sends {count:d} packets of {size:d} bytes and acknowledges as much")
+def send_numbered(context, count, size):
+    context.receivers = []
+    for _ in range(count):
+        send_with_numbers(context, context.sequence, context.acknowledged)
+        context.receivers += [a.address for a in list_messages(context, Relay)]
+        context.sequence = (context.sequence + size) % 2**32
+        context.acknowledged = (context.acknowledged + size) % 2**32
+    context.count_sent = count
+
+
+def send_with_numbers(context, sequence, acknowledged):
+    segment = make_segment(sequence=sequence, ack=acknowledged, size=5)
+    record_actions(context, context.balancer.handle_segment(segment, context.now))
+
+
+@then("all of them went to that member")
+def check_receivers(context):
+    assert context.receivers == [context.member] * context.count_sent
+
+
+@when(
+    "its next packet has the sequence number {sequence:d} and acknowledges {number:d}"
+)
+def send_other(context, sequence, number):
+    send_with_numbers(context, sequence, number)
+
+
+@then("the members are queried for its owner")
+def check_queried_for_owner(context):
+    assert not list_messages(context, Relay)
+    check_queried(context, context.count)
+
+
 @when("a packet of a later flow from the same port reaches the balancer")
 def send_later_flow(context):
     send_later(context, FLOW, 2**31)
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -266,7 +266,12 @@
         if flow is not None:
             self._remove_flow(segment.flow, now)
         self._flows[segment.flow] = AgentFlow(
-            sender, now, message.token, segment.sequence, now
+            sender,
+            now,
+            message.token,
+            segment.sequence,
+            now,
+            caller_position=segment.sequence,
         )
         self._admission.admit(segment.flow, now)
         if self._unanswered_since_s is None:
@@ -289,9 +294,12 @@
         """Deliver a packet of a flow that the sender assigns to this server."""
         flow = self._flows.get(segment.flow)
         if flow is not None:
-            if self._is_handshake_with_other_server(flow, segment):
+            if self._is_handshake_with_other_server(
+                flow, segment
+            ) or self._is_of_other_flow(flow, segment):
                 self._outbox.send(sender, ReturnPacket(segment.data))
                 return self._outbox.take()
+            flow.is_probe_only = False
             self._deliver_tracked(sender, flow, segment, now)
             return self._outbox.take()
         if not self._may_hold_untracked_flow(now):
@@ -306,19 +314,27 @@
         self, sender: Address, message: LookupRequest, now: float
     ) -> list[Action]:
         """Answer a lookup."""
-        flow = self._flows.get(message.flow)
-        if flow is None:
-            may_hold = self._may_hold_untracked_flow(now)
-            ownership = Ownership.UNSURE if may_hold else Ownership.NONE
-        elif acknowledges_other_server(flow, message.acknowledgement):
-            ownership = Ownership.NONE
-        elif flow.is_certain or flow.server_sequence is not None:
-            ownership = Ownership.CERTAIN
-        else:
-            ownership = Ownership.UNSURE
+        ownership = self._determine_ownership(message, now)
         self._reply_to_lookup(sender, message.token, ownership)
         return self._outbox.take()
 
+    def _determine_ownership(self, message: LookupRequest, now: float) -> Ownership:
+        flow = self._flows.get(message.flow)
+        untracked = (
+            Ownership.UNSURE if self._may_hold_untracked_flow(now) else Ownership.NONE
+        )
+        if flow is None:
+            return untracked
+        if acknowledges_other_server(flow, message.acknowledgement):
+            return Ownership.NONE
+        if not flow.includes(message.acknowledgement):
+            self._outbox.count("flow_mismatch", "lookup")
+            return untracked
+        if not flow.is_certain and flow.server_sequence is None:
+            return Ownership.UNSURE
+        # The server still answers what the caller sends on a flow that has ended.
+        return Ownership.LIKELY if flow.has_ended else Ownership.CERTAIN
+
     def handle_lookup_probe(
         self, sender: Address, message: LookupProbe, segment: Segment, now: float
     ) -> list[Action]:
@@ -327,11 +343,18 @@
         if flow is None and self.is_server_absent:
             self._reply_to_lookup(sender, message.token, Ownership.NONE)
             return self._outbox.take()
-        if flow is None:
-            flow = self._track_flow(sender, segment, now)
-        elif self._is_handshake_with_other_server(flow, segment):
+        if flow is not None and self._is_handshake_with_other_server(flow, segment):
             self._reply_to_lookup(sender, message.token, Ownership.NONE)
             return self._outbox.take()
+        if flow is not None and self._is_of_other_flow(flow, segment):
+            if not self._may_hold_untracked_flow(now):
+                self._reply_to_lookup(sender, message.token, Ownership.NONE)
+                return self._outbox.take()
+            self._remove_flow(segment.flow, now)
+            flow = None
+        if flow is None:
+            flow = self._track_flow(sender, segment, now)
+            flow.is_probe_only = True
         self._deliver_tracked(sender, flow, segment, now)
         if flow.is_certain:
             self._reply_to_lookup(sender, message.token, Ownership.CERTAIN)
@@ -348,8 +371,18 @@
             self._handle_returned(segment, now)
             return self._outbox.take()
         flow = self._flows.get(segment.flow)
+        if flow is not None and segment.is_reset and flow.is_probe_only:
+            self._handle_reset_of_probe(segment, now)
+            return self._outbox.take()
+        if flow is not None and not flow.includes_of_server(segment):
+            # A later flow of the same port, opened while another process ran here.
+            self._outbox.count("flow_mismatch", "server")
+            self._remove_flow(segment.flow, now)
+            flow = None
         if flow is None:
             flow = self._flows[segment.flow] = AgentFlow(None, now)
+        flow.record_server_packet(segment)
+        flow.is_probe_only = False
         flow.last_seen_s = now
         flow.last_server_packet_s = now
         if segment.is_syn:
@@ -547,6 +580,24 @@
         flow.is_established = True
         return False
 
+    def _is_of_other_flow(self, flow: AgentFlow, segment: Segment) -> bool:
+        """Return whether a caller's packet is of another flow of the same port."""
+        if segment.is_reset or flow.includes(segment.acknowledgement, segment.sequence):
+            return False
+        self._outbox.count("flow_mismatch", "packet")
+        return True
+
+    def _handle_reset_of_probe(self, segment: Segment, now: float) -> None:
+        """Drop the server's reset of a flow of which it got nothing but a probe.
+
+        The server resets data on a flow that has ended there; the caller's flow may be
+        a later one of the same port, at another server.
+        """
+        self._outbox.count("packet_dropped", "reset_of_probe")
+        self._remove_flow(segment.flow, now)
+        for lookup in self._pending_lookups.pop(segment.flow, ()):
+            self._reply_to_lookup(lookup.balancer, lookup.token, Ownership.NONE)
+
     def _track_flow(self, sender: Address, segment: Segment, now: float) -> AgentFlow:
         flow = self._flows[segment.flow] = AgentFlow(sender, now, is_established=True)
         return flow
@@ -557,6 +608,7 @@
         flow.last_balancer = sender
         flow.last_seen_s = now
         flow.acknowledgement = segment.acknowledgement
+        flow.record_caller_packet(segment)
         if starts_request(flow, segment):
             flow.request_started_s = now
             self._admission.start_request(segment.flow, now)
--- a/src/bramleystair/steering/_agent_flows.py
+++ b/src/bramleystair/steering/_agent_flows.py
@@ -5,6 +5,7 @@
 from bramleystair.steering._segments import (
     SEQUENCE_MODULUS,
     Segment,
+    are_of_one_flow,
     compute_sequence_distance,
 )
 from bramleystair.steering._types import Address
@@ -40,6 +41,14 @@
         Sequence number that the caller acknowledged last; it accepts a reset near it.
     last_server_packet_s : float or None
         Time of the server's last packet.
+    caller_position, server_position : int or None
+        Highest sequence number seen of each end. They tell the flow from earlier and
+        later ones of the same addresses and ports.
+    has_caller_ended, has_server_ended : bool
+        Whether the end has sent a FIN; a reset of either end sets both.
+    is_probe_only : bool
+        Whether nothing but probes was delivered, so that the server may know no more
+        than an earlier flow of the same port that has ended.
     """
 
     last_balancer: Address | None
@@ -54,6 +63,53 @@
     highest_sequence: int | None = None
     acknowledgement: int = 0
     last_server_packet_s: float | None = None
+    caller_position: int | None = None
+    server_position: int | None = None
+    has_caller_ended: bool = False
+    has_server_ended: bool = False
+    is_probe_only: bool = False
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the flow was closed or reset."""
+        return self.has_caller_ended and self.has_server_ended
+
+    def record_caller_packet(self, segment: Segment) -> None:
+        """Record how far the caller has come."""
+        if segment.is_reset:
+            self.has_caller_ended = self.has_server_ended = True
+            return
+        self.has_caller_ended |= segment.is_fin
+        self.caller_position = _advance(self.caller_position, segment.sequence)
+
+    def record_server_packet(self, segment: Segment) -> None:
+        """Record how far the server has come."""
+        if segment.is_reset:
+            self.has_caller_ended = self.has_server_ended = True
+            return
+        self.has_server_ended |= segment.is_fin
+        self.server_position = _advance(self.server_position, segment.sequence)
+
+    def includes(self, acknowledgement: int, sequence: int | None = None) -> bool:
+        """Return whether a caller's packet with these numbers can be of this flow."""
+        return _is_near(self.server_position, acknowledgement) and (
+            sequence is None or _is_near(self.caller_position, sequence)
+        )
+
+    def includes_of_server(self, segment: Segment) -> bool:
+        """Return whether a packet of the server can be of this flow."""
+        return segment.is_reset or _is_near(self.server_position, segment.sequence)
+
+
+def _is_near(position: int | None, number: int) -> bool:
+    return position is None or are_of_one_flow(position, number)
+
+
+def _advance(position: int | None, sequence: int) -> int:
+    if position is None:
+        return sequence
+    distance = compute_sequence_distance(position, sequence)
+    return sequence if distance < SEQUENCE_MODULUS // 2 else position
 
 
 def starts_request(flow: AgentFlow, segment: Segment) -> bool:
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -49,6 +49,8 @@
     ----------
     first_sequence : int or None
         Sequence number of the first packet; None if the owner was looked up.
+    sequence : int
+        Latest sequence number of the caller.
     acknowledgement : int
         Latest acknowledgement number of the caller, which accepts a reset near it; 0
         before its first packet.
@@ -61,6 +63,7 @@
     address: Address
     first_sequence: int | None
     last_packet_s: float
+    sequence: int
     acknowledgement: int = 0
     is_confirmed: bool = False
 
@@ -69,8 +72,23 @@
         self.last_packet_s = now
         if self.acknowledgement not in (0, segment.acknowledgement):
             self.is_confirmed = True
+        self.sequence = segment.sequence
         self.acknowledgement = segment.acknowledgement
 
+    def includes(self, segment: Segment) -> bool:
+        """Return whether a packet of the caller can be of the flow.
+
+        If not, it belongs to another flow of the same addresses and ports, or many
+        packets went through another balancer.
+        """
+        if segment.is_reset:
+            return True
+        if not are_of_one_flow(self.sequence, segment.sequence):
+            return False
+        return not self.acknowledgement or are_of_one_flow(
+            self.acknowledgement, segment.acknowledgement
+        )
+
     def held_flow_of(self, segment: Segment) -> bool:
         """Return whether the member's server held the flow of a returned packet."""
         return self.is_confirmed and are_of_one_flow(
@@ -350,7 +368,9 @@
 
     def _record_opened(self, segment: Segment, owner: Address, now: float) -> None:
         self._lookups.forget(segment.flow)
-        self._owners[segment.flow] = _OwnerRecord(owner, segment.sequence, now)
+        self._owners[segment.flow] = _OwnerRecord(
+            owner, segment.sequence, now, segment.sequence
+        )
         self._subscribe_to_owner(owner, now)
 
     def _remove_owner(self, flow: bytes) -> None:
@@ -358,6 +378,10 @@
 
     def _handle_later_packet(self, segment: Segment, now: float) -> None:
         owner = self._owners.get(segment.flow)
+        if owner is not None and not owner.includes(segment):
+            self._outbox.count("flow_mismatch", "owner")
+            self._remove_owner(segment.flow)
+            owner = None
         if owner is not None:
             owner.record_packet(segment, now)
             if segment.is_reset:
@@ -376,10 +400,10 @@
         self._lookups.look_up(segment, now)
 
     def _record_owner(
-        self, segment: Segment, owner: Address, is_certain: bool, now: float
+        self, segment: Segment, owner: Address, now: float, is_certain: bool = False
     ) -> None:
         self._owners[segment.flow] = _OwnerRecord(
-            owner, None, now, segment.acknowledgement, is_certain
+            owner, None, now, segment.sequence, segment.acknowledgement, is_certain
         )
         self._subscribe_to_owner(owner, now)
 
--- a/src/bramleystair/steering/_lookups.py
+++ b/src/bramleystair/steering/_lookups.py
@@ -129,7 +129,7 @@
     find_route : callable
         Returns the route of a flow, or None.
     on_found : callable
-        Called with the packet, the owner, whether it is certain, and the time once the
+        Called with the packet, the owner, the time and whether it is certain, once the
         owner is known.
     """
 
@@ -140,7 +140,7 @@
         outbox: Outbox,
         initial_token: int,
         find_route: Callable[[bytes], Route | None],
-        on_found: Callable[[Segment, Address, bool, float], None],
+        on_found: Callable[[Segment, Address, float, bool], None],
     ) -> None:
         self._settings = settings
         self._members = members
@@ -513,7 +513,7 @@
         self._remove(lookup)
         self._former_owners.pop(flow, None)
         self._pauses.pop(flow, None)
-        self._on_found(lookup.segment, owner, outcome == "certain", now)
+        self._on_found(lookup.segment, owner, now, outcome == "certain")
         self._outbox.count("lookup_ended", outcome)
         self._outbox.observe("lookup", now - lookup.started_s)
         self._outbox.log("lookup", flow, outcome, agent=owner[0])
