--- a/deploy/node.py
+++ b/deploy/node.py
@@ -1,10 +1,6 @@
 """Runs a node of a deployment: `node.py balancer` or `node.py agent`."""
 
 import gc
-import time
-
-# Read before the imports below, which take a quarter of a second on a small VM.
-STARTED_S = time.time()
 
 # Garbage collection during the imports would free nothing; `run_node` enables it again.
 gc.disable()
@@ -16,4 +12,4 @@
 
 from bramleystair.platform import main  # noqa: E402
 
-sys.exit(main(sys.argv[1:], STARTED_S))
+sys.exit(main(sys.argv[1:]))
--- a/features/steering.feature
+++ b/features/steering.feature
@@ -87,16 +87,18 @@
       | 1000000      | does not hold the flow |
       | 4000000000   | does not hold the flow |
 
-  Scenario: An agent that has just started is unsure about a later flow of a known port
-    # Guards against a denial of a flow that was opened while another process ran here.
+  Scenario: A probe of another flow leaves the one that is known as it is
+    # Guards against an agent that takes a late packet of an earlier flow for the present
+    # one, and then returns packets of an open flow: a balancer would reset its caller.
     Given an agent whose server is ready
     When a new flow for web arrives
     And the server answers the first packet with the sequence number 1000
-    And a balancer looks up the owner of a flow whose caller acknowledges 1001
-    Then the agent answers that it holds the flow
-    When the caller acknowledges the sequence number 1001
-    And a balancer looks up the owner of a flow whose caller acknowledges 1000000
-    Then the agent answers that it is unsure
+    And the caller acknowledges the sequence number 1001
+    And a probe of another flow from the same port arrives
+    Then the agent answers that it does not hold the flow
+    And the packet is not delivered to the server
+    When a packet with the sequence number 600 acknowledges 1010
+    Then the packet is delivered to the server
 
   Scenario Outline: A flow that has ended at a server is not claimed as certain
     # Guards against an earlier flow that outweighs the open one at another server.
@@ -498,19 +500,54 @@
     When a packet of an unknown flow arrives
     Then the packet is returned to the balancer
 
-  Scenario Outline: An agent that started together with its server knows all of its flows
-    # Guards against lookups that send a packet to every server after a power loss.
-    Given an agent that started at 100000 ms
-    When a server that started at <started> ms reports that it stays cold for <cold> s
+  Scenario Outline: An agent that found no server before knows all flows of the server
+    # Guards against lookups that send a packet to every server after a power loss, and
+    # against an agent that takes a report of another server for the new one's.
+    Given an agent that has just started and finds no server at its server's address
+    When <seconds> s later a cold server sends its report <sequence>
     And a balancer looks up the owner of a flow
     Then the agent answers that it <answer>
 
     Examples:
-      | started | cold | answer                 |
-      | 99800   | 1.5  | does not hold the flow |
-      | 100400  | 1.5  | does not hold the flow |
-      | 99000   | 1.5  | is unsure              |
-      | 100400  | 0.0  | is unsure              |
+      | seconds | sequence | answer                 |
+      | 0.3     | 1        | does not hold the flow |
+      | 4       | 6        | does not hold the flow |
+      | 0.3     | 8        | is unsure              |
+
+  Scenario: An agent that was restarted does not take its server for a younger one
+    # Guards against resets of all open flows of a server after the time of day was set:
+    # its agent denied them because the server seemed to have started later.
+    Given an agent that has just started
+    When 0.3 s later a cold server sends its report 2
+    And a balancer looks up the owner of a flow
+    Then the agent answers that it is unsure
+    When a packet of an unknown flow arrives
+    Then the packet is delivered to the server
+
+  Scenario: A server gets no further probe of a flow that it returned
+    # Guards against a packet to every server at each lookup of a flow that a loss of power
+    # has ended; the callers are not reset, and their copies go on.
+    Given an agent whose server is ready
+    When a probe of an unknown flow arrives
+    And the server returns the probe
+    And a balancer looks up the owner of a flow whose caller acknowledges 1001
+    Then the agent answers that it does not hold the flow
+    When a probe of an unknown flow arrives
+    Then the agent answers that it does not hold the flow
+    And the packet is not delivered to the server
+    When a balancer looks up the owner of a flow whose caller acknowledges 1000000
+    Then the agent answers that it is unsure
+    When a new flow for web arrives
+    And the server answers the first packet with the sequence number 1000
+    And a balancer looks up the owner of a flow whose caller acknowledges 1001
+    Then the agent answers that it holds the flow
+
+  Scenario: An agent that found no server at first knows the flows of the one that starts
+    Given an agent that has just started and finds no server at its server's address
+    When 0.2 s later its server passes a health check
+    And 0.1 s later a cold server sends its report 1
+    And a balancer looks up the owner of a flow
+    Then the agent answers that it does not hold the flow
 
   Scenario: An agent lets its server decide on unknown flows once the server reports again
     Given an agent that has just started and finds no server at its server's address
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -47,7 +47,7 @@
         self.now = 100.0
         self.errors = []
         self.tokens = [0]
-        self.agent = AgentSteering(AGENT, "z", AgentSteeringSettings(), self.now, 1)
+        self.agent = AgentSteering(AGENT, "z", AgentSteeringSettings(), self.now)
         self.balancer = BalancerSteering(
             BalancerSteeringSettings(), random.Random(seed), "zone-0", "b"
         )
--- a/features/steps/lost_responses_steps.py
+++ b/features/steps/lost_responses_steps.py
@@ -46,7 +46,7 @@
     number = len(context.agents) + 1
     ip = f"{NETWORK}.4.{number}"
     name = f"s{number}"
-    agent = _build_agent(context.loop, read_settings(name, ip, zone, True), time.time())
+    agent = _build_agent(context.loop, read_settings(name, ip, zone, True))
     context.add_cleanup(agent.close)
     context.agents[name] = agent
     server = BackendServer(
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -106,7 +106,7 @@
     run_for(context, 0.1)
     ip = f"{NETWORK}.4.{len(context.agents) + 1}"
     options = standin_settings.build_server_options(name, ip, "zone")
-    agent = _build_agent(context.loop, read_settings(name, ip, True), time.time())
+    agent = _build_agent(context.loop, read_settings(name, ip, True))
     context.add_cleanup(agent.close)
     context.agents[name] = agent
     context.servers[name] = BackendServer(context.loop, options)
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -183,15 +183,35 @@
     context.actions = context.agent.handle_relay(BALANCER, segment, context.now)
 
 
+@when("a probe of another flow from the same port arrives")
+def probe_other(context):
+    probe(context, 3_000_000)
+
+
 @when("a probe of an unknown flow arrives")
 def probe_unknown(context):
-    segment = make_segment(ack=1001, size=5)
+    probe(context, 1001)
+
+
+def probe(context, acknowledged):
+    segment = make_segment(ack=acknowledged, size=5)
     message = LookupProbe(5, segment.data)
     context.actions = context.agent.handle_lookup_probe(
         BALANCER, message, segment, context.now
     )
 
 
+@when("the server returns the probe")
+def return_probe(context):
+    segment = make_segment(returned=True, ack=1001, size=5)
+    context.actions = context.agent.handle_server_segment(segment, context.now)
+
+
+@then("the packet is not delivered to the server")
+def check_not_delivered(context):
+    assert not any(isinstance(a, DeliverToServer) for a in context.actions)
+
+
 def list_delivered(context):
     return [a for a in context.actions if isinstance(a, DeliverToCaller)]
 
@@ -216,21 +236,26 @@
 @given("an agent that has just started and finds no server at its server's address")
 def create_without_server(context):
     create_agent(context)
-    context.agent.set_server_absent()
+    context.agent.set_server_absent(context.now)
 
 
-@given("an agent that started at {started:d} ms")
-def create_started(context, started):
-    context.now = 100.0
-    settings = AgentSteeringSettings(heartbeat_s=0.8)
-    context.agent = AgentSteering(AGENT, "z", settings, context.now, started)
+@given("an agent that has just started")
+def create_started(context):
+    create_agent(context)
 
 
-@when(
-    "a server that started at {started:d} ms reports that it stays cold for {cold:f} s"
-)
-def report_cold(context, started, cold):
-    report = attrs.evolve(make_report(started_ms=started), cold_left_s=cold)
+@when("{seconds:g} s later its server passes a health check")
+def pass_health_check(context, seconds):
+    context.now += seconds
+    context.agent.assume_ready("web", context.now)
+
+
+@when("{seconds:g} s later a cold server sends its report {sequence:d}")
+def report_cold(context, seconds, sequence):
+    # By the times of day, which were set meanwhile, the server started an hour later.
+    context.now += seconds
+    report = make_report(sequence=sequence, started_ms=3_700_000)
+    report = attrs.evolve(report, cold_left_s=1.5)
     context.actions = context.agent.handle_report(report, context.now)
 
 
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -71,8 +71,6 @@
         deregisters, or an error.
     random : random.Random
         Source of randomness for jitter.
-    started_s : float
-        Wall-clock time of the start of the process in Unix seconds, or 0 if unknown.
     """
 
     def __init__(
@@ -83,7 +81,6 @@
         store: ObjectStore,
         parse_report: ReportParser,
         random: random_module.Random,
-        started_s: float = 0.0,
     ) -> None:
         super().__init__(loop, settings, codec, store)
         self._parse_report = parse_report
@@ -95,7 +92,6 @@
                 flow_lifetime_s=settings.flow_lifetime_s,
             ),
             loop.clock.now(),
-            int(started_s * 1000),
         )
         self._outbound_socket = DatagramSocket(
             loop, settings.outbound_address, self._handle_server_datagram, self.metrics
@@ -231,7 +227,7 @@
             self._health_client.close()
             return
         if isinstance(response, HttpFailure) and response.is_connection_refused:
-            self._steering.set_server_absent()
+            self._steering.set_server_absent(self._loop.clock.now())
         call_later(
             self._loop,
             HEALTH_RETRY_DELAY_S,
--- a/src/bramleystair/platform/_main.py
+++ b/src/bramleystair/platform/_main.py
@@ -1,6 +1,5 @@
 """Entry point of the programs that run on the platform."""
 
-import functools
 import os
 import random
 import sys
@@ -16,15 +15,13 @@
 METRICS_PORT_VARIABLE = "METRICS_PORT"
 
 
-def main(arguments: list[str], started_s: float) -> int:
+def main(arguments: list[str]) -> int:
     """Run the node of the role named by the first argument.
 
     Parameters
     ----------
     arguments : list of str
         Command-line arguments without the name of the program.
-    started_s : float
-        Wall-clock time of the start of the process in Unix seconds.
     """
     if len(arguments) != 1 or arguments[0] not in ("balancer", "agent"):
         print("usage: node.py balancer|agent", file=sys.stderr)
@@ -37,10 +34,7 @@
         return 1
     settings = result.unwrap()
     loop = EventLoop(MonotonicClock())
-    if arguments[0] == "balancer":
-        build = _build_balancer
-    else:
-        build = functools.partial(_build_agent, started_s=started_s)
+    build = _build_balancer if arguments[0] == "balancer" else _build_agent
     return run_node(
         settings.name,
         loop,
@@ -75,7 +69,7 @@
     )
 
 
-def _build_agent(loop: EventLoop, settings: NodeSettings, started_s: float) -> Node:
+def _build_agent(loop: EventLoop, settings: NodeSettings) -> Node:
     from bramleystair.nodes._agent import AgentNode
     from bramleystair.platform._heartbeats import parse_report
 
@@ -86,5 +80,4 @@
         PlatformStore(loop, settings.store_address),
         parse_report,
         random.Random(),
-        started_s,
     )
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -36,7 +36,7 @@
     Subscribe,
 )
 from bramleystair.steering._outbox import Outbox
-from bramleystair.steering._segments import Segment
+from bramleystair.steering._segments import Segment, are_of_one_flow
 from bramleystair.steering._types import (
     Address,
     Load,
@@ -48,8 +48,7 @@
 
 # Tolerance, in report intervals, when the start of a new server is estimated from the
 # number of its reports: they are sent at about the interval, the first one soon after
-# the start. Unlike this, the setting `start_margin_s` applies to the difference between
-# the start times of the server and its agent.
+# the start.
 START_ESTIMATE_MARGIN_HEARTBEATS = 1.5
 
 
@@ -65,6 +64,20 @@
     due_s: float
 
 
+@attrs.frozen
+class _ReturnedFlow:
+    """Flow of which the server has returned a packet since it does not hold it.
+
+    Parameters
+    ----------
+    acknowledgement : int
+        Acknowledgement number of that packet.
+    """
+
+    acknowledgement: int
+    returned_s: float
+
+
 class AgentSteering:
     """Admit new flows to the backend server and answer lookups of those that it holds.
 
@@ -78,9 +91,6 @@
         Timeouts and limits.
     now : float
         Time of the start in seconds.
-    started_ms : int
-        Wall-clock time of the start of the process in Unix milliseconds, or 0 if
-        unknown.
     """
 
     def __init__(
@@ -89,22 +99,23 @@
         zone: str,
         settings: AgentSteeringSettings,
         now: float,
-        started_ms: int = 0,
     ) -> None:
         self._address = address
         self._zone = zone
-        self._started_ms = started_ms
         self._settings = settings
         self._report: ServerReport | None = None
         self._last_server_report_s = now
         # Whether `_report` was assumed after a health check instead of received.
         self._is_report_assumed = False
-        # Whether no server listened at the server's address when this agent started.
+        # Whether no server listened at the server's address when this agent started,
+        # and the time at which this was noticed first.
         self.is_server_absent = False
+        self._absence_noticed_s: float | None = None
         # The last server that reported its shutdown; late reports of it are ignored.
         self._removed_server: tuple[str, int] | None = None
         self._service_id = 0
         self._flows: dict[bytes, AgentFlow] = {}
+        self._returned_flows: dict[bytes, _ReturnedFlow] = {}
         self._pending_lookups: dict[bytes, list[_PendingLookup]] = {}
         self._lookup_deadlines: deque[tuple[float, bytes]] = deque()
         # Time until which the server may hold flows that this agent does not track.
@@ -178,7 +189,7 @@
             self._may_hold_untracked_until_s = now + self._settings.flow_lifetime_s
             self._admission.reset(now)
             self._release_replaced_flows(report, now)
-        elif is_new and self._has_seen_all_flows(report):
+        elif is_new and self._has_seen_all_flows(report, now):
             self._may_hold_untracked_until_s = now
         self._report = report
         self.is_server_absent = False
@@ -217,7 +228,7 @@
         self._send_load_reports(now)
         return self._outbox.take()
 
-    def set_server_absent(self) -> None:
+    def set_server_absent(self, now: float) -> None:
         """Record that no server listens at the server's address.
 
         The record is cleared once a server reports, passes a health check or sends a
@@ -226,6 +237,8 @@
         answered `NONE` at once.
         """
         self.is_server_absent = self._report is None
+        if self.is_server_absent and self._absence_noticed_s is None:
+            self._absence_noticed_s = now
 
     def remove_server(self, server: str, now: float) -> list[Action]:
         """Handle a shutdown report of the server; one of another server is ignored."""
@@ -273,6 +286,7 @@
             now,
             caller_position=segment.sequence,
         )
+        self._returned_flows.pop(segment.flow, None)
         self._admission.admit(segment.flow, now)
         if self._unanswered_since_s is None:
             self._unanswered_since_s = now
@@ -302,7 +316,9 @@
             flow.is_probe_only = False
             self._deliver_tracked(sender, flow, segment, now)
             return self._outbox.take()
-        if not self._may_hold_untracked_flow(now):
+        if not self._may_hold_untracked_flow(
+            segment.flow, segment.acknowledgement, now
+        ):
             self._outbox.send(sender, ReturnPacket(segment.data))
             return self._outbox.take()
         self._deliver_tracked(
@@ -320,16 +336,18 @@
 
     def _determine_ownership(self, message: LookupRequest, now: float) -> Ownership:
         flow = self._flows.get(message.flow)
-        untracked = (
-            Ownership.UNSURE if self._may_hold_untracked_flow(now) else Ownership.NONE
-        )
         if flow is None:
-            return untracked
+            may_hold = self._may_hold_untracked_flow(
+                message.flow, message.acknowledgement, now
+            )
+            return Ownership.UNSURE if may_hold else Ownership.NONE
         if acknowledges_other_server(flow, message.acknowledgement):
             return Ownership.NONE
         if not flow.includes(message.acknowledgement):
+            # The server has sent packets of the tracked flow through this process, so a
+            # later one would have been opened through it.
             self._outbox.count("flow_mismatch", "lookup")
-            return untracked
+            return Ownership.NONE
         if not flow.is_certain and flow.server_sequence is None:
             return Ownership.UNSURE
         # The server still answers what the caller sends on a flow that has ended.
@@ -340,18 +358,17 @@
     ) -> list[Action]:
         """Deliver a packet to find out whether the server holds its flow."""
         flow = self._flows.get(segment.flow)
-        if flow is None and self.is_server_absent:
-            self._reply_to_lookup(sender, message.token, Ownership.NONE)
-            return self._outbox.take()
-        if flow is not None and self._is_handshake_with_other_server(flow, segment):
+        if flow is None:
+            is_denied = not self._may_hold_untracked_flow(
+                segment.flow, segment.acknowledgement, now
+            )
+        else:
+            is_denied = self._is_handshake_with_other_server(
+                flow, segment
+            ) or self._is_of_other_flow(flow, segment)
+        if is_denied:
             self._reply_to_lookup(sender, message.token, Ownership.NONE)
             return self._outbox.take()
-        if flow is not None and self._is_of_other_flow(flow, segment):
-            if not self._may_hold_untracked_flow(now):
-                self._reply_to_lookup(sender, message.token, Ownership.NONE)
-                return self._outbox.take()
-            self._remove_flow(segment.flow, now)
-            flow = None
         if flow is None:
             flow = self._track_flow(sender, segment, now)
             flow.is_probe_only = True
@@ -473,19 +490,32 @@
         is_previous_alive = now - self._last_server_report_s < silence_s
         return is_previous_alive and report.started_ms < previous.started_ms
 
-    def _has_seen_all_flows(self, report: ServerReport) -> bool:
+    def _has_seen_all_flows(self, report: ServerReport, now: float) -> bool:
         """Return whether this process has seen every flow of the server.
 
-        The remaining cold time is checked as well, since the wall clock may have been
-        set back after the server started.
+        It has if it found the server's address without a listener before: the server
+        started after that. A server that has sent more reports than it can have since
+        then contradicts this. No times of day are compared, as they may be set between
+        the starts of two processes.
         """
-        margin_ms = self._settings.start_margin_s * 1000
-        is_younger = report.started_ms >= self._started_ms - margin_ms
-        return bool(self._started_ms) and report.cold_left_s > 0 and is_younger
+        noticed_s = self._absence_noticed_s
+        if noticed_s is None:
+            return False
+        elapsed_intervals = (now - noticed_s) / self._settings.heartbeat_s
+        return (
+            report.sequence <= 1 + elapsed_intervals + START_ESTIMATE_MARGIN_HEARTBEATS
+        )
 
-    def _may_hold_untracked_flow(self, now: float) -> bool:
-        """Return whether the server may hold flows that this agent does not track."""
-        return now < self._may_hold_untracked_until_s and not self.is_server_absent
+    def _may_hold_untracked_flow(
+        self, flow: bytes, acknowledgement: int, now: float
+    ) -> bool:
+        """Return whether the server may hold a flow that this agent does not track."""
+        if now >= self._may_hold_untracked_until_s or self.is_server_absent:
+            return False
+        returned = self._returned_flows.get(flow)
+        return returned is None or not are_of_one_flow(
+            returned.acknowledgement, acknowledgement
+        )
 
     def _check_admission(self, message: OpenFlow, now: float) -> Refusal:
         report = self._report
@@ -634,6 +664,7 @@
                     flow.last_balancer, flow.token, segment.flow, Refusal.RETURNED, now
                 )
             return
+        self._returned_flows[segment.flow] = _ReturnedFlow(segment.acknowledgement, now)
         if lookups or flow.last_balancer is None:
             return
         self._outbox.log(
@@ -697,6 +728,11 @@
                 )
                 self._end_request(flow, now)
         oldest_s = now - settings.flow_lifetime_s
+        self._returned_flows = {
+            key: returned
+            for key, returned in self._returned_flows.items()
+            if returned.returned_s >= oldest_s
+        }
         for key in [
             k for k, flow in self._flows.items() if flow.last_seen_s < oldest_s
         ]:
--- a/src/bramleystair/steering/_agent_settings.py
+++ b/src/bramleystair/steering/_agent_settings.py
@@ -51,10 +51,6 @@
         Slots assumed for a server that has not reported yet; those of a small server.
     assumed_cold_s : float
         Maximum time for which such a server counts as cold.
-    start_margin_s : float
-        Time by which a server may have started before its agent and still have all its
-        flows tracked: after a power loss both start together, whereas an agent that is
-        killed alone takes longer to come back.
     stuck_after_s : float
         Age from which a request without a response does not count as in progress.
     """
@@ -76,5 +72,4 @@
     busy_window_s: float = 1.0
     assumed_slots: int = 3
     assumed_cold_s: float = 3.0
-    start_margin_s: float = 0.3
     stuck_after_s: float = 5.0
