--- a/features/steering.feature
+++ b/features/steering.feature
@@ -68,6 +68,112 @@
     And the caller acknowledges the sequence number 5001
     Then the packet is returned to the balancer
 
+  Scenario Outline: An agent claims no later flow from a port that was used before
+    # Guards against data of an open flow that go to the server at which an earlier flow of
+    # the same port has ended, and which resets them. The server's numbers reach 1001.
+    Given an agent whose server is ready and that started 100 s ago
+    When a new flow for web arrives
+    And the server answers the first packet with the sequence number 1000
+    And the caller acknowledges the sequence number 1001
+    And the server sends a packet
+    And a balancer looks up the owner of a flow whose caller acknowledges <acknowledged>
+    Then the agent answers that it <answer>
+
+    Examples:
+      | acknowledged | answer                 |
+      | 1001         | holds the flow         |
+      | 20001        | holds the flow         |
+      | 4294967000   | holds the flow         |
+      | 1000000      | does not hold the flow |
+      | 4000000000   | does not hold the flow |
+
+  Scenario: A probe of another flow leaves the one that is known as it is
+    # Guards against an agent that takes a late packet of an earlier flow for the present
+    # one, and then returns packets of an open flow: a balancer would reset its caller.
+    Given an agent whose server is ready
+    When a new flow for web arrives
+    And the server answers the first packet with the sequence number 1000
+    And the caller acknowledges the sequence number 1001
+    And a probe of another flow from the same port arrives
+    Then the agent answers that it does not hold the flow
+    And the packet is not delivered to the server
+    When a packet with the sequence number 600 acknowledges 1010
+    Then the packet is delivered to the server
+
+  Scenario Outline: A flow that has ended at a server is not claimed as certain
+    # Guards against an earlier flow that outweighs the open one at another server.
+    Given an agent whose server is ready and that started 100 s ago
+    When a new flow for web arrives
+    And the server answers the first packet with the sequence number 1000
+    And the caller acknowledges the sequence number 1001
+    And the server sends a packet
+    And <end>
+    And a balancer looks up the owner of a flow whose caller acknowledges 1010
+    Then the agent answers that it <answer>
+
+    Examples:
+      | end                     | answer                |
+      | the server sends a FIN  | holds the flow        |
+      | both ends send a FIN    | probably holds a flow |
+      | the server resets it    | probably holds a flow |
+      | the caller resets it    | probably holds a flow |
+
+  Scenario Outline: An agent returns packets of another flow from the same port
+    # Guards against a balancer whose cache names the server of an earlier flow.
+    Given an agent whose server is ready and that started 100 s ago
+    When a new flow for web arrives
+    And the server answers the first packet with the sequence number 1000
+    And the caller acknowledges the sequence number 1001
+    And the server sends a packet
+    And a packet with the sequence number <sequence> acknowledges <acknowledged>
+    Then the packet is <result>
+
+    Examples:
+      | sequence   | acknowledged | result                   |
+      | 600        | 1010         | delivered to the server  |
+      | 15000      | 1010         | delivered to the server  |
+      | 600        | 3000000      | returned to the balancer |
+      | 3000000    | 1010         | returned to the balancer |
+
+  Scenario: A server's reset of a probe does not reach the caller
+    # Guards against a reset by the server of an earlier flow of the same port, to which an
+    # agent that has just started passes a packet to find out whether it holds the flow.
+    Given an agent whose server is ready
+    When a probe of an unknown flow arrives
+    Then the packet is delivered to the server
+    When the server resets the flow
+    Then the agent answers that it does not hold the flow
+    And the caller gets no packet
+
+  Scenario: A server's reset of a flow that it holds reaches the caller
+    Given an agent whose server is ready
+    When a probe of an unknown flow arrives
+    And the server sends a packet
+    And the server resets the flow
+    Then the caller gets the packet
+
+  Scenario: A flow whose numbers pass the highest one stays with its owner
+    # Guards against a comparison that takes a number after the overflow for another flow.
+    Given a balancer with 3 members
+    When a flow is opened at a member with the sequence number 4294960000
+    And the caller sends 40 packets of 1200 bytes and acknowledges as much
+    Then all of them went to that member
+
+  Scenario Outline: A packet of another flow from the same port is looked up
+    # Guards against data of an open flow that go to the owner of an earlier one, which the
+    # balancer has cached because the later one was opened at another balancer.
+    Given a balancer with 3 members
+    When a flow is opened at a member with the sequence number 500
+    And the caller sends 2 packets of 1200 bytes and acknowledges as much
+    And for 2 s all members report their loads
+    And its next packet has the sequence number <sequence> and acknowledges <acknowledged>
+    Then the members are queried for its owner
+
+    Examples:
+      | sequence   | acknowledged |
+      | 3000000000 | 7000         |
+      | 3000       | 3000000000   |
+
   Scenario: A report of another server alone resets no flow
     # Guards against a reset of flows of the sound server because of a report that another
     # writer sent while the server's own reports were not heard.
@@ -96,12 +202,63 @@
     And a packet of an unknown flow reaches the balancer
     Then the packet goes to member 2
 
-  Scenario: A flow that no member holds is reset at once
+  Scenario: A flow that its owner's server lost and no other member holds is reset at once
+    # Guards against callers that wait for their deadline after a server has failed.
     Given a balancer with 3 members
     When a packet of an unknown flow reaches the balancer
-    And all members reply that they do not hold the flow
+    And member 2 replies that it holds the flow
+    And member 2 returns a packet of the flow
+    And members 0 and 1 reply that they do not hold the flow
     Then the caller is reset by the balancer
 
+  Scenario: A flow that all known members deny is not reset
+    # Guards against resets of live flows by a balancer that has restarted while the entry
+    # of their agent is missing in the store, deleted or unreadable.
+    Given a balancer with 3 members
+    When the caller of a flow without a known owner retransmits for 20 s
+    Then the caller is not reset by the balancer
+    When a fourth member is added
+    And for 4 s all members report their loads
+    And a packet of an unknown flow reaches the balancer
+    And member 3 replies that it holds the flow
+    Then the packet goes to member 3
+
+  Scenario: A flow that all members deny is looked up less and less often
+    # Guards against a storm of queries, and of calls to the store, after a power loss:
+    # callers retransmit, and no reset ends that.
+    Given a balancer with 3 members
+    When the caller of a flow without a known owner retransmits for 20 s
+    Then the flow was looked up 5 to 8 times
+    And the store was asked to confirm the members at most 7 times
+
+  Scenario: A member that returns the first packet after an opening is no former owner
+    # Guards against resets of a flow that was opened at two servers: the caller has
+    # completed the handshake with the other one, whose agent is missing in the store.
+    Given a balancer with 3 members
+    When a flow is opened at a member, which returns the caller's next packet
+    And the queried members reply that they do not hold the flow
+    Then the caller is not reset by the balancer
+
+  Scenario: A former owner says nothing about a later flow from the same port
+    # Guards against resets of a live flow because an earlier one has ended.
+    Given a balancer with 3 members
+    When a packet of an unknown flow reaches the balancer
+    And member 2 replies that it holds the flow
+    And member 2 returns a packet of the flow
+    And for 4 s all members report their loads
+    And a packet of a later flow from the same port reaches the balancer
+    And the queried members reply that they do not hold the flow
+    Then the caller is not reset by the balancer
+
+  Scenario: A reset tells how many members were asked
+    # Guards against a line that does not show whether the owner's agent was known.
+    Given a balancer with 3 members
+    When a packet of an unknown flow reaches the balancer
+    And member 2 replies that it holds the flow
+    And member 2 returns a packet of the flow
+    And members 0 and 1 reply that they do not hold the flow
+    Then the line reset / no_owner tells that 3 of 3 members were asked, and names member 2
+
   Scenario: A balancer that does not know the owner yet does not reset its flow
     # Guards against a reset by a balancer that has just started or whose list of members
     # is outdated, after another balancer has opened the flow at a new member.
@@ -115,19 +272,25 @@
     When member 3 replies that it holds the flow
     Then the packet goes to member 3
 
-  Scenario: A flow without an owner is reset once the members are confirmed
+  Scenario: A flow that its owner lost is reset once the members are confirmed
     Given a balancer with 3 members whose list of members is outdated
     When a packet of an unknown flow reaches the balancer
-    And all members reply that they do not hold the flow
-    And the list of members is confirmed
+    And member 2 replies that it holds the flow
+    And member 2 returns a packet of the flow
+    And members 0 and 1 reply that they do not hold the flow
+    Then the caller is not reset by the balancer
+    When the list of members is confirmed
     Then the caller is reset by the balancer
 
-  Scenario: A flow without a known owner is not reset before the members are confirmed
+  Scenario: A flow that its owner lost is not reset before the members are confirmed
     # Guards against resets of live flows: while the store's responses are lost, a member
-    # that has joined since may own the flow.
+    # that has joined since may own the flow. The member that returned it counts all the
+    # while.
     Given a balancer with 3 members whose list of members is outdated
     When a packet of an unknown flow reaches the balancer
-    And all members reply that they do not hold the flow
+    And member 2 replies that it holds the flow
+    And member 2 returns a packet of the flow
+    And members 0 and 1 reply that they do not hold the flow
     And for 10 s all members report their loads
     Then the caller is not reset by the balancer
     When a packet of an unknown flow reaches the balancer
@@ -142,7 +305,9 @@
     Given a balancer with 3 members
     When members may be missing for 3 s
     And a packet of an unknown flow reaches the balancer
-    And all members reply that they do not hold the flow
+    And member 2 replies that it holds the flow
+    And member 2 returns a packet of the flow
+    And members 0 and 1 reply that they do not hold the flow
     Then the caller is not reset by the balancer
     When for 4 s all members report their loads
     And a packet of an unknown flow reaches the balancer
@@ -161,7 +326,9 @@
   Scenario Outline: A lookup that waits for a confirmation ends if the store is restored
     Given a balancer with 3 members whose list of members is outdated
     When a packet of an unknown flow reaches the balancer
-    And all members reply that they do not hold the flow
+    And member 2 replies that it holds the flow
+    And member 2 returns a packet of the flow
+    And members 0 and 1 reply that they do not hold the flow
     And members may be missing for 3 s
     And <event>
     Then the caller is not reset by the balancer
@@ -173,7 +340,7 @@
 
   Scenario: Flows that wait for the confirmation of members do not block lookups
     Given a balancer with 3 members whose list of members is outdated
-    When packets of 500 unknown flows reach the balancer
+    When the owners of 500 flows return packets of them
     And the queried members reply after 10 ms that they do not hold the flow, for 1 s
     Then the caller is not reset by the balancer
     And all 500 flows were looked up
@@ -184,7 +351,9 @@
     # Guards against a reset while the owner's agent restarts or is paused.
     Given a balancer with 3 members
     When a packet of an unknown flow reaches the balancer
-    And members 0 and 1 reply that they do not hold the flow
+    And member 1 replies that it holds the flow
+    And member 1 returns a packet of the flow
+    And member 0 replies that it does not hold the flow
     And 1 s pass at the balancer
     Then the caller is not reset by the balancer
 
@@ -194,14 +363,18 @@
     When for 2 s all members report their loads
     And for 3 s only members 0 and 1 report their loads
     And a packet of an unknown flow reaches the balancer
-    And members 0 and 1 reply that they do not hold the flow
+    And member 1 replies that it holds the flow
+    And member 1 returns a packet of the flow
+    And member 0 replies that it does not hold the flow
     Then the caller is reset by the balancer
 
   Scenario: A member that never sent a message does not block lookups
     Given a balancer that has just started with 3 members
     When for 2 s only members 0 and 1 report their loads
     And a packet of an unknown flow reaches the balancer
-    And members 0 and 1 reply that they do not hold the flow
+    And member 1 replies that it holds the flow
+    And member 1 returns a packet of the flow
+    And member 0 replies that it does not hold the flow
     Then the caller is reset by the balancer
 
   Scenario: A balancer waits for an agent that announced a restart
@@ -210,7 +383,9 @@
     When member 2 announces a restart
     And for 3 s only members 0 and 1 report their loads
     And a packet of an unknown flow reaches the balancer
-    And members 0 and 1 reply that they do not hold the flow
+    And member 1 replies that it holds the flow
+    And member 1 returns a packet of the flow
+    And member 0 replies that it does not hold the flow
     And 1 s pass at the balancer
     Then the caller is not reset by the balancer
 
@@ -226,7 +401,9 @@
     When for 2 s all members report their loads
     And the balancer is paused for 5 s
     And a packet of an unknown flow reaches the balancer
-    And members 0 and 1 reply that they do not hold the flow
+    And member 1 replies that it holds the flow
+    And member 1 returns a packet of the flow
+    And member 0 replies that it does not hold the flow
     And 1 s pass at the balancer
     Then the caller is not reset by the balancer
 
@@ -244,7 +421,7 @@
     # Guards against a balancer that starts with thousands of unknown flows and saturates
     # its link with lookup requests, so that first packets are lost.
     Given a balancer with 52 members
-    When packets of 500 unknown flows reach the balancer
+    When the owners of 500 flows return packets of them
     And the queried members reply after 10 ms that they do not hold the flow, for 5 s
     Then the lookup requests of any second take at most 300,000 bytes with headers
     And all 500 callers are reset
@@ -324,19 +501,54 @@
     When a packet of an unknown flow arrives
     Then the packet is returned to the balancer
 
-  Scenario Outline: An agent that started together with its server knows all of its flows
-    # Guards against lookups that send a packet to every server after a power loss.
-    Given an agent that started at 100000 ms
-    When a server that started at <started> ms reports that it stays cold for <cold> s
+  Scenario Outline: An agent that found no server before knows all flows of the server
+    # Guards against lookups that send a packet to every server after a power loss, and
+    # against an agent that takes a report of another server for the new one's.
+    Given an agent that has just started and finds no server at its server's address
+    When <seconds> s later a cold server sends its report <sequence>
     And a balancer looks up the owner of a flow
     Then the agent answers that it <answer>
 
     Examples:
-      | started | cold | answer                 |
-      | 99800   | 1.5  | does not hold the flow |
-      | 100400  | 1.5  | does not hold the flow |
-      | 99000   | 1.5  | is unsure              |
-      | 100400  | 0.0  | is unsure              |
+      | seconds | sequence | answer                 |
+      | 0.3     | 1        | does not hold the flow |
+      | 4       | 6        | does not hold the flow |
+      | 0.3     | 8        | is unsure              |
+
+  Scenario: An agent that was restarted does not take its server for a younger one
+    # Guards against resets of all open flows of a server after the time of day was set:
+    # its agent denied them because the server seemed to have started later.
+    Given an agent that has just started
+    When 0.3 s later a cold server sends its report 2
+    And a balancer looks up the owner of a flow
+    Then the agent answers that it is unsure
+    When a packet of an unknown flow arrives
+    Then the packet is delivered to the server
+
+  Scenario: A server gets no further probe of a flow that it returned
+    # Guards against a packet to every server at each lookup of a flow that a loss of power
+    # has ended; the callers are not reset, and their copies go on.
+    Given an agent whose server is ready
+    When a probe of an unknown flow arrives
+    And the server returns the probe
+    And a balancer looks up the owner of a flow whose caller acknowledges 1001
+    Then the agent answers that it does not hold the flow
+    When a probe of an unknown flow arrives
+    Then the agent answers that it does not hold the flow
+    And the packet is not delivered to the server
+    When a balancer looks up the owner of a flow whose caller acknowledges 1000000
+    Then the agent answers that it is unsure
+    When a new flow for web arrives
+    And the server answers the first packet with the sequence number 1000
+    And a balancer looks up the owner of a flow whose caller acknowledges 1001
+    Then the agent answers that it holds the flow
+
+  Scenario: An agent that found no server at first knows the flows of the one that starts
+    Given an agent that has just started and finds no server at its server's address
+    When 0.2 s later its server passes a health check
+    And 0.1 s later a cold server sends its report 1
+    And a balancer looks up the owner of a flow
+    Then the agent answers that it does not hold the flow
 
   Scenario: An agent lets its server decide on unknown flows once the server reports again
     Given an agent that has just started and finds no server at its server's address
--- a/features/steps/contradicted_entries_steps.py
+++ b/features/steps/contradicted_entries_steps.py
@@ -1,5 +1,4 @@
 import re
-import time
 
 from behave import then, when
 from nodes_steps import run_until
@@ -86,7 +85,7 @@
 def restart_agent(context, name):
     context.agents[name].close()
     settings = read_settings(name, HOSTS[name], True)
-    agent = _build_agent(context.loop, settings, time.time())
+    agent = _build_agent(context.loop, settings)
     context.add_cleanup(agent.close)
     context.agents[name] = agent
     agent.start()
--- a/features/steps/odd_reports_steps.py
+++ b/features/steps/odd_reports_steps.py
@@ -196,7 +196,7 @@
     context.sequence, context.other_count = SERVER.sequence, 0
     context.resets, context.flow_count = [], 0
     settings = AgentSteeringSettings(heartbeat_s=HEARTBEAT_S)
-    context.agent = AgentSteering(AGENT, "z", settings, context.now, 5000)
+    context.agent = AgentSteering(AGENT, "z", settings, context.now)
 
 
 @when("{seconds:g} s pass at the agent")
@@ -240,7 +240,7 @@
 
 @when("nobody listens at the server's address")
 def stop_listening(context):
-    context.agent.set_server_absent()
+    context.agent.set_server_absent(context.now)
 
 
 @then("no caller was reset")
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -7,7 +7,9 @@
 
 from bramleystair.steering import (
     ConfirmMembers,
+    Decision,
     DeclineSlot,
+    DeliverToCaller,
     DeliverToServer,
     EntryChanged,
     EntryWithdrawn,
@@ -152,6 +154,81 @@
     context.actions = context.agent.handle_server_segment(segment, context.now)
 
 
+@when("the server sends a FIN")
+def end_by_server(context):
+    segment = make_segment(sequence=1010, fin=True)
+    context.actions = context.agent.handle_server_segment(segment, context.now)
+
+
+@when("both ends send a FIN")
+def end_by_both(context):
+    end_by_server(context)
+    segment = make_segment(sequence=FIRST_SEQUENCE + 1, ack=1011, fin=True)
+    context.actions = context.agent.handle_relay(BALANCER, segment, context.now)
+
+
+@when("the server resets it")
+@when("the server resets the flow")
+def reset_by_server(context):
+    segment = make_segment(sequence=77, reset=True)
+    context.actions = context.agent.handle_server_segment(segment, context.now)
+
+
+@when("the caller resets it")
+def reset_by_caller(context):
+    segment = make_segment(sequence=FIRST_SEQUENCE + 1, reset=True)
+    context.actions = context.agent.handle_relay(BALANCER, segment, context.now)
+
+
+@when("a packet with the sequence number {sequence:d} acknowledges {number:d}")
+def relay_numbers(context, sequence, number):
+    segment = make_segment(sequence=sequence, ack=number, size=5)
+    context.actions = context.agent.handle_relay(BALANCER, segment, context.now)
+
+
+@when("a probe of another flow from the same port arrives")
+def probe_other(context):
+    probe(context, 3_000_000)
+
+
+@when("a probe of an unknown flow arrives")
+def probe_unknown(context):
+    probe(context, 1001)
+
+
+def probe(context, acknowledged):
+    segment = make_segment(ack=acknowledged, size=5)
+    message = LookupProbe(5, segment.data)
+    context.actions = context.agent.handle_lookup_probe(
+        BALANCER, message, segment, context.now
+    )
+
+
+@when("the server returns the probe")
+def return_probe(context):
+    segment = make_segment(returned=True, ack=1001, size=5)
+    context.actions = context.agent.handle_server_segment(segment, context.now)
+
+
+@then("the packet is not delivered to the server")
+def check_not_delivered(context):
+    assert not any(isinstance(a, DeliverToServer) for a in context.actions)
+
+
+def list_delivered(context):
+    return [a for a in context.actions if isinstance(a, DeliverToCaller)]
+
+
+@then("the caller gets no packet")
+def check_nothing_delivered(context):
+    assert not list_delivered(context), context.actions
+
+
+@then("the caller gets the packet")
+def check_packet_delivered(context):
+    assert len(list_delivered(context)) == 1, context.actions
+
+
 @when("{seconds:g} s later another server reports for the first time")
 def replace_server(context, seconds):
     context.now += seconds
@@ -162,21 +239,26 @@
 @given("an agent that has just started and finds no server at its server's address")
 def create_without_server(context):
     create_agent(context)
-    context.agent.set_server_absent()
+    context.agent.set_server_absent(context.now)
 
 
-@given("an agent that started at {started:d} ms")
-def create_started(context, started):
-    context.now = 100.0
-    settings = AgentSteeringSettings(heartbeat_s=0.8)
-    context.agent = AgentSteering(AGENT, "z", settings, context.now, started)
+@given("an agent that has just started")
+def create_started(context):
+    create_agent(context)
 
 
-@when(
-    "a server that started at {started:d} ms reports that it stays cold for {cold:f} s"
-)
-def report_cold(context, started, cold):
-    report = attrs.evolve(make_report(started_ms=started), cold_left_s=cold)
+@when("{seconds:g} s later its server passes a health check")
+def pass_health_check(context, seconds):
+    context.now += seconds
+    context.agent.assume_ready("web", context.now)
+
+
+@when("{seconds:g} s later a cold server sends its report {sequence:d}")
+def report_cold(context, seconds, sequence):
+    # By the times of day, which were set meanwhile, the server started an hour later.
+    context.now += seconds
+    report = make_report(sequence=sequence, started_ms=3_700_000)
+    report = attrs.evolve(report, cold_left_s=1.5)
     context.actions = context.agent.handle_report(report, context.now)
 
 
@@ -187,7 +269,12 @@
 
 @when("a balancer looks up the owner of a flow")
 def ask_owner(context):
-    message = LookupRequest(5, FLOW, 77)
+    ask_owner_of(context, 77)
+
+
+@when("a balancer looks up the owner of a flow whose caller acknowledges {number:d}")
+def ask_owner_of(context, number):
+    message = LookupRequest(5, FLOW, number)
     context.actions = context.agent.handle_lookup(BALANCER, message, context.now)
 
 
@@ -214,6 +301,16 @@
     check_ownership(context, Ownership.NONE)
 
 
+@then("the agent answers that it holds the flow")
+def check_held(context):
+    check_ownership(context, Ownership.CERTAIN)
+
+
+@then("the agent answers that it probably holds a flow")
+def check_likely(context):
+    check_ownership(context, Ownership.LIKELY)
+
+
 @then("the agent answers that it is unsure")
 def check_unsure(context):
     check_ownership(context, Ownership.UNSURE)
@@ -357,7 +454,7 @@
         a.message.token
         for a in context.all_actions
         if isinstance(a, SendMessage) and isinstance(a.message, LookupRequest)
-    ][0]
+    ][-1]
     message = LookupReply(token, Ownership.CERTAIN)
     record_actions(
         context,
@@ -365,6 +462,167 @@
     )
 
 
+@when("member {number:d} returns a packet of the flow")
+def return_held(context, number):
+    # The caller has acknowledged more since the member was found.
+    return_packet(context, get_member(number), make_segment(ack=177, size=5))
+    await_queries(context)
+
+
+def await_queries(context):
+    """Let the rate limit of lookups pass."""
+    for _ in range(5):
+        if list_messages(context, LookupRequest):
+            return
+        pass_time(context, 0.01)
+
+
+def return_packet(context, member, segment):
+    actions = context.balancer.handle_returned_packet(member, segment, context.now)
+    record_actions(context, actions)
+
+
+@when("the caller of a flow without a known owner retransmits for {seconds:d} s")
+def retransmit(context, seconds):
+    end_s = context.now + seconds
+    while context.now < end_s:
+        send_unknown(context)
+        await_queries(context)
+        if list_messages(context, LookupRequest):
+            reply_none_all(context)
+        for number in range(context.count):
+            report(context, number)
+        pass_time(context, 0.2)
+
+
+@when("a fourth member is added")
+def add_member(context):
+    entries = [make_entry(n, f"zone-{n}") for n in range(4)]
+    context.balancer.set_members(entries, context.now)
+    context.all_actions = []
+
+
+@then("the flow was looked up {least:d} to {most:d} times")
+def check_lookup_count(context, least, most):
+    messages = [a.message for a in context.all_actions if isinstance(a, SendMessage)]
+    tokens = {m.token for m in messages if isinstance(m, LookupRequest)}
+    assert least <= len(tokens) <= most, tokens
+
+
+@then("the store was asked to confirm the members at most {most:d} times")
+def check_confirmation_count(context, most):
+    asked = [a for a in context.all_actions if isinstance(a, ConfirmMembers)]
+    assert 1 <= len(asked) <= most, asked
+
+
+def open_at_member(context, flow, sequence=1):
+    """Open a flow, and return the member that has accepted it."""
+    segment = make_segment(flow, first=True, sequence=sequence)
+    record_actions(context, context.balancer.handle_segment(segment, context.now))
+    (opening,) = list_messages(context, OpenFlow)
+    reply = OpenReply(opening.message.token, Refusal.NONE, Load(slots=2))
+    record_actions(
+        context,
+        context.balancer.handle_message(opening.address, reply, context.now),
+    )
+    return opening.address
+
+
+def send_later(context, flow, acknowledgement):
+    segment = make_segment(flow, ack=acknowledgement, size=5)
+    record_actions(context, context.balancer.handle_segment(segment, context.now))
+    return segment
+
+
+@when("a flow is opened at a member, which returns the caller's next packet")
+def return_after_opening(context):
+    member = open_at_member(context, FLOW)
+    return_packet(context, member, send_later(context, FLOW, 77))
+
+
+@when("the owners of {count:d} flows return packets of them")
+def return_many(context, count):
+    held = []
+    for number in range(count):
+        flow = number.to_bytes(4, "big") + FLOW[4:]
+        member = open_at_member(context, flow)
+        send_later(context, flow, 77)
+        held.append((member, send_later(context, flow, 177)))
+    context.all_actions = []
+    for member, segment in held:
+        return_packet(context, member, segment)
+
+
+@when("a flow is opened at a member with the sequence number {sequence:d}")
+def open_numbered(context, sequence):
+    context.member = open_at_member(context, FLOW, sequence)
+    context.sequence, context.acknowledged = sequence, sequence
+
+
+@when("the caller sends {count:d} packets of {size:d} bytes and acknowledges as much")
+def send_numbered(context, count, size):
+    context.receivers = []
+    for _ in range(count):
+        send_with_numbers(context, context.sequence, context.acknowledged)
+        context.receivers += [a.address for a in list_messages(context, Relay)]
+        context.sequence = (context.sequence + size) % 2**32
+        context.acknowledged = (context.acknowledged + size) % 2**32
+    context.count_sent = count
+
+
+def send_with_numbers(context, sequence, acknowledged):
+    segment = make_segment(sequence=sequence, ack=acknowledged, size=5)
+    record_actions(context, context.balancer.handle_segment(segment, context.now))
+
+
+@then("all of them went to that member")
+def check_receivers(context):
+    assert context.receivers == [context.member] * context.count_sent
+
+
+@when(
+    "its next packet has the sequence number {sequence:d} and acknowledges {number:d}"
+)
+def send_other(context, sequence, number):
+    send_with_numbers(context, sequence, number)
+
+
+@then("the members are queried for its owner")
+def check_queried_for_owner(context):
+    assert not list_messages(context, Relay)
+    check_queried(context, context.count)
+
+
+@when("a packet of a later flow from the same port reaches the balancer")
+def send_later_flow(context):
+    send_later(context, FLOW, 2**31)
+
+
+@when("the queried members reply that they do not hold the flow")
+def reply_none_queried(context):
+    queries = list_messages(context, LookupRequest)
+    assert queries
+    for query in queries:
+        reply = LookupReply(query.message.token, Ownership.NONE)
+        send_reply(context, query.address, reply)
+
+
+@then(
+    "the line reset / no_owner tells that {asked:d} of {count:d} members were asked, "
+    "and names member {number:d}"
+)
+def check_reset_line(context, asked, count, number):
+    lines = [a for a in context.all_actions if isinstance(a, Decision)]
+    (line,) = [a for a in lines if (a.step, a.outcome) == ("reset", "no_owner")]
+    assert (line.inputs["asked"], line.inputs["members"]) == (asked, count), line
+    assert line.inputs["agent"] == get_member(number)[0]
+
+
+@when("member {number:d} replies that it does not hold the flow")
+def reply_none_one(context, number):
+    reply_none(context, (number,))
+
+
 def reply_none(context, numbers):
     token = list_messages(context, LookupRequest)[0].message.token
     actions = []
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -41,7 +41,7 @@
     Verdict,
     get_identity,
 )
-from bramleystair.steering._segments import Segment
+from bramleystair.steering._segments import Segment, are_of_one_flow
 from bramleystair.steering._types import (
     Address,
     Load,
@@ -62,6 +62,10 @@
 # One such flow may have been lost otherwise, for example if its caller used the port
 # again.
 LOST_FLOWS_OF_REPLACED_SERVER = 2
+# Tolerance, in report intervals, when the start of a new server is estimated from the
+# number of its reports: they are sent at about the interval, the first one soon after
+# the start.
+START_ESTIMATE_MARGIN_HEARTBEATS = 1.5
 
 
 @attrs.define(eq=False)
@@ -76,6 +80,20 @@
     due_s: float
 
 
+@attrs.frozen
+class _ReturnedFlow:
+    """Flow of which the server has returned a packet since it does not hold it.
+
+    Parameters
+    ----------
+    acknowledgement : int
+        Acknowledgement number of that packet.
+    """
+
+    acknowledgement: int
+    returned_s: float
+
+
 class AgentSteering:
     """Admit new flows to the backend server and answer lookups of those that it holds.
 
@@ -89,9 +107,6 @@
         Timeouts and limits.
     now : float
         Time of the start in seconds.
-    started_ms : int
-        Wall-clock time of the start of the process in Unix milliseconds, or 0 if
-        unknown.
     """
 
     def __init__(
@@ -100,17 +115,17 @@
         zone: str,
         settings: AgentSteeringSettings,
         now: float,
-        started_ms: int = 0,
     ) -> None:
         self._address = address
         self._zone = zone
-        self._started_ms = started_ms
         self._settings = settings
         self._report: ServerReport | None = None
         # Whether `_report` was assumed after a health check instead of received.
         self._is_report_assumed = False
-        # Whether no server listened at the server's address when this agent started.
+        # Whether no server listens at the server's address, and the time at which this
+        # was noticed.
         self.is_server_absent = False
+        self._absence_noticed_s: float | None = None
         self._reports = ReportHistory(settings)
         # The server in whose place another one reported, and the time of its last
         # report; its flows are marked as `is_former`.
@@ -119,6 +134,7 @@
         self._lost_flows: set[bytes] = set()
         self._service_id = 0
         self._flows: dict[bytes, AgentFlow] = {}
+        self._returned_flows: dict[bytes, _ReturnedFlow] = {}
         self._pending_lookups: dict[bytes, list[_PendingLookup]] = {}
         self._lookup_deadlines: deque[tuple[float, bytes]] = deque()
         # Time until which the server may hold flows that this agent does not track.
@@ -204,7 +220,7 @@
             case Verdict.REPLACED if previous is not None:
                 self._replace_server(previous, previous_s, report, now)
             case Verdict.REPLACED:
-                if self._has_seen_all_flows(report):
+                if self._has_seen_all_flows(report, now):
                     self._may_hold_untracked_until_s = now
                 self._use_report(report, now)
             case Verdict.CURRENT:
@@ -248,7 +264,7 @@
         self._send_load_reports(now)
         return self._outbox.take()
 
-    def set_server_absent(self) -> None:
+    def set_server_absent(self, now: float) -> None:
         """Record that no server listens at the server's address.
 
         The record is cleared once a server reports, passes a health check or sends a
@@ -256,7 +272,10 @@
         listen, as after a power loss, holds no flow, so lookups of untracked flows are
         answered `NONE` at once.
         """
+        was_absent = self.is_server_absent
         self.is_server_absent = self._report is None
+        if self.is_server_absent and not was_absent:
+            self._absence_noticed_s = now
 
     def remove_server(self, shutdown: ServerShutdown, now: float) -> list[Action]:
         """Handle a shutdown report of the server; one of another server is ignored.
@@ -309,8 +328,14 @@
         if flow is not None:
             self._remove_flow(segment.flow, now)
         self._flows[segment.flow] = AgentFlow(
-            sender, now, message.token, segment.sequence, now
+            sender,
+            now,
+            message.token,
+            segment.sequence,
+            now,
+            caller_position=segment.sequence,
         )
+        self._returned_flows.pop(segment.flow, None)
         self._admission.admit(segment.flow, now)
         if self._unanswered_since_s is None:
             self._unanswered_since_s = now
@@ -332,12 +357,17 @@
         """Deliver a packet of a flow that the sender assigns to this server."""
         flow = self._flows.get(segment.flow)
         if flow is not None:
-            if self._is_handshake_with_other_server(flow, segment):
+            if self._is_handshake_with_other_server(
+                flow, segment
+            ) or self._is_of_other_flow(flow, segment):
                 self._outbox.send(sender, ReturnPacket(segment.data))
                 return self._outbox.take()
+            flow.is_probe_only = False
             self._deliver_tracked(sender, flow, segment, now)
             return self._outbox.take()
-        if not self._may_hold_untracked_flow(now):
+        if not self._may_hold_untracked_flow(
+            segment.flow, segment.acknowledgement, now
+        ):
             self._outbox.send(sender, ReturnPacket(segment.data))
             return self._outbox.take()
         self._deliver_tracked(
@@ -349,32 +379,48 @@
         self, sender: Address, message: LookupRequest, now: float
     ) -> list[Action]:
         """Answer a lookup."""
-        flow = self._flows.get(message.flow)
-        if flow is None:
-            may_hold = self._may_hold_untracked_flow(now)
-            ownership = Ownership.UNSURE if may_hold else Ownership.NONE
-        elif acknowledges_other_server(flow, message.acknowledgement):
-            ownership = Ownership.NONE
-        elif flow.is_certain or flow.server_sequence is not None:
-            ownership = Ownership.CERTAIN
-        else:
-            ownership = Ownership.UNSURE
+        ownership = self._determine_ownership(message, now)
         self._reply_to_lookup(sender, message.token, ownership)
         return self._outbox.take()
 
+    def _determine_ownership(self, message: LookupRequest, now: float) -> Ownership:
+        flow = self._flows.get(message.flow)
+        if flow is None:
+            may_hold = self._may_hold_untracked_flow(
+                message.flow, message.acknowledgement, now
+            )
+            return Ownership.UNSURE if may_hold else Ownership.NONE
+        if acknowledges_other_server(flow, message.acknowledgement):
+            return Ownership.NONE
+        if not flow.includes(message.acknowledgement):
+            # The server has sent packets of the tracked flow through this process, so a
+            # later one would have been opened through it.
+            self._outbox.count("flow_mismatch", "lookup")
+            return Ownership.NONE
+        if not flow.is_certain and flow.server_sequence is None:
+            return Ownership.UNSURE
+        # The server still answers what the caller sends on a flow that has ended.
+        return Ownership.LIKELY if flow.has_ended else Ownership.CERTAIN
+
     def handle_lookup_probe(
         self, sender: Address, message: LookupProbe, segment: Segment, now: float
     ) -> list[Action]:
         """Deliver a packet to find out whether the server holds its flow."""
         flow = self._flows.get(segment.flow)
-        if flow is None and self.is_server_absent:
+        if flow is None:
+            is_denied = not self._may_hold_untracked_flow(
+                segment.flow, segment.acknowledgement, now
+            )
+        else:
+            is_denied = self._is_handshake_with_other_server(
+                flow, segment
+            ) or self._is_of_other_flow(flow, segment)
+        if is_denied:
             self._reply_to_lookup(sender, message.token, Ownership.NONE)
             return self._outbox.take()
         if flow is None:
             flow = self._track_flow(sender, segment, now)
-        elif self._is_handshake_with_other_server(flow, segment):
-            self._reply_to_lookup(sender, message.token, Ownership.NONE)
-            return self._outbox.take()
+            flow.is_probe_only = True
         self._deliver_tracked(sender, flow, segment, now)
         if flow.is_certain:
             self._reply_to_lookup(sender, message.token, Ownership.CERTAIN)
@@ -392,10 +438,20 @@
             self._handle_returned(segment, now)
             return self._outbox.take()
         flow = self._flows.get(segment.flow)
+        if flow is not None and segment.is_reset and flow.is_probe_only:
+            self._handle_reset_of_probe(segment, now)
+            return self._outbox.take()
+        if flow is not None and not flow.includes_of_server(segment):
+            # A later flow of the same port, opened while another process ran here.
+            self._outbox.count("flow_mismatch", "server")
+            self._remove_flow(segment.flow, now)
+            flow = None
         if flow is None:
             flow = self._flows[segment.flow] = AgentFlow(None, now)
         elif not segment.is_syn:
             self._record_held_flow(flow, now)
+        flow.record_server_packet(segment)
+        flow.is_probe_only = False
         flow.last_seen_s = now
         flow.last_server_packet_s = now
         if segment.is_syn:
@@ -408,7 +464,6 @@
             self._admission.meter.end_request(flow.request_started_s, now)
             flow.request_started_s = None
         if segment.is_reset or segment.is_fin:
-            flow.has_ended = True
             self._admission.cancel_reservation(segment.flow)
             self._end_request(flow, now)
         self._outbox.add(DeliverToCaller(segment.flow, segment.data))
@@ -616,7 +671,7 @@
 
     def _must_hold(self, flow: AgentFlow, now: float) -> bool:
         """Return whether the server would only lose a flow by its own end."""
-        if flow.has_ended or not flow.opened_s or flow.last_server_packet_s is None:
+        if flow.is_closing or not flow.opened_s or flow.last_server_packet_s is None:
             return False
         recent_s = RECENT_USE_HEARTBEATS * self._settings.heartbeat_s
         return (
@@ -630,19 +685,32 @@
         for flow in self._flows.values():
             flow.is_former = False
 
-    def _has_seen_all_flows(self, report: ServerReport) -> bool:
+    def _has_seen_all_flows(self, report: ServerReport, now: float) -> bool:
         """Return whether this process has seen every flow of the server.
 
-        The remaining cold time is checked as well, since the wall clock may have been
-        set back after the server started.
+        It has if it found the server's address without a listener before: the server
+        started after that. A server that has sent more reports than it can have since
+        then contradicts this. No times of day are compared, as they may be set between
+        the starts of two processes.
         """
-        margin_ms = self._settings.start_margin_s * 1000
-        is_younger = report.started_ms >= self._started_ms - margin_ms
-        return bool(self._started_ms) and report.cold_left_s > 0 and is_younger
+        noticed_s = self._absence_noticed_s
+        if noticed_s is None:
+            return False
+        elapsed_intervals = (now - noticed_s) / self._settings.heartbeat_s
+        return (
+            report.sequence <= 1 + elapsed_intervals + START_ESTIMATE_MARGIN_HEARTBEATS
+        )
 
-    def _may_hold_untracked_flow(self, now: float) -> bool:
-        """Return whether the server may hold flows that this agent does not track."""
-        return now < self._may_hold_untracked_until_s and not self.is_server_absent
+    def _may_hold_untracked_flow(
+        self, flow: bytes, acknowledgement: int, now: float
+    ) -> bool:
+        """Return whether the server may hold a flow that this agent does not track."""
+        if now >= self._may_hold_untracked_until_s or self.is_server_absent:
+            return False
+        returned = self._returned_flows.get(flow)
+        return returned is None or not are_of_one_flow(
+            returned.acknowledgement, acknowledgement
+        )
 
     def _check_admission(self, message: OpenFlow, now: float) -> Refusal:
         report = self._report
@@ -717,6 +785,24 @@
         flow.is_established = True
         return False
 
+    def _is_of_other_flow(self, flow: AgentFlow, segment: Segment) -> bool:
+        """Return whether a caller's packet is of another flow of the same port."""
+        if segment.is_reset or flow.includes(segment.acknowledgement, segment.sequence):
+            return False
+        self._outbox.count("flow_mismatch", "packet")
+        return True
+
+    def _handle_reset_of_probe(self, segment: Segment, now: float) -> None:
+        """Drop the server's reset of a flow of which it got nothing but a probe.
+
+        The server resets data on a flow that has ended there; the caller's flow may be
+        a later one of the same port, at another server.
+        """
+        self._outbox.count("packet_dropped", "reset_of_probe")
+        self._remove_flow(segment.flow, now)
+        for lookup in self._pending_lookups.pop(segment.flow, ()):
+            self._reply_to_lookup(lookup.balancer, lookup.token, Ownership.NONE)
+
     def _track_flow(self, sender: Address, segment: Segment, now: float) -> AgentFlow:
         flow = self._flows[segment.flow] = AgentFlow(sender, now, is_established=True)
         return flow
@@ -727,13 +813,13 @@
         flow.last_balancer = sender
         flow.last_seen_s = now
         flow.acknowledgement = segment.acknowledgement
+        flow.record_caller_packet(segment)
         if starts_request(flow, segment):
             flow.request_started_s = now
             self._admission.start_request(segment.flow, now)
         if carries_new_data(flow, segment):
             flow.highest_sequence = segment.sequence
         if segment.is_reset or segment.is_fin:
-            flow.has_ended = True
             self._admission.cancel_reservation(segment.flow)
             self._end_request(flow, now)
         self._deliver(segment)
@@ -753,6 +839,7 @@
                     flow.last_balancer, flow.token, segment.flow, Refusal.RETURNED, now
                 )
             return
+        self._returned_flows[segment.flow] = _ReturnedFlow(segment.acknowledgement, now)
         if lookups or flow.last_balancer is None:
             return
         self._outbox.log(
@@ -816,6 +903,11 @@
                 )
                 self._end_request(flow, now)
         oldest_s = now - settings.flow_lifetime_s
+        self._returned_flows = {
+            key: returned
+            for key, returned in self._returned_flows.items()
+            if returned.returned_s >= oldest_s
+        }
         for key in [
             k for k, flow in self._flows.items() if flow.last_seen_s < oldest_s
         ]:
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -31,7 +31,11 @@
 )
 from bramleystair.steering._openings import FlowOpener
 from bramleystair.steering._outbox import Outbox
-from bramleystair.steering._segments import Segment, get_service_endpoint
+from bramleystair.steering._segments import (
+    Segment,
+    are_of_one_flow,
+    get_service_endpoint,
+)
 from bramleystair.steering._startup_buffer import StartupPacketBuffer
 from bramleystair.steering._types import (
     Address,
@@ -53,14 +57,51 @@
     ----------
     first_sequence : int or None
         Sequence number of the first packet; None if the owner was looked up.
+    sequence : int
+        Latest sequence number of the caller.
     acknowledgement : int
-        Latest acknowledgement number of the caller, which accepts a reset near it.
+        Latest acknowledgement number of the caller, which accepts a reset near it; 0
+        before its first packet.
+    is_confirmed : bool
+        Whether the member's server held the flow for certain: its agent said so, or the
+        caller has acknowledged data since the member was recorded. Another server than
+        that of the accepted opening may own a flow that was opened at two.
     """
 
     address: Address
     first_sequence: int | None
     last_packet_s: float
+    sequence: int
     acknowledgement: int = 0
+    is_confirmed: bool = False
+
+    def record_packet(self, segment: Segment, now: float) -> None:
+        """Record a packet of the caller."""
+        self.last_packet_s = now
+        if self.acknowledgement not in (0, segment.acknowledgement):
+            self.is_confirmed = True
+        self.sequence = segment.sequence
+        self.acknowledgement = segment.acknowledgement
+
+    def includes(self, segment: Segment) -> bool:
+        """Return whether a packet of the caller can be of the flow.
+
+        If not, it belongs to another flow of the same addresses and ports, or many
+        packets went through another balancer.
+        """
+        if segment.is_reset:
+            return True
+        if not are_of_one_flow(self.sequence, segment.sequence):
+            return False
+        return not self.acknowledgement or are_of_one_flow(
+            self.acknowledgement, segment.acknowledgement
+        )
+
+    def held_flow_of(self, segment: Segment) -> bool:
+        """Return whether the member's server held the flow of a returned packet."""
+        return self.is_confirmed and are_of_one_flow(
+            self.acknowledgement, segment.acknowledgement
+        )
 
 
 class BalancerSteering:
@@ -290,7 +331,16 @@
         owner = self._owners.get(segment.flow)
         if owner is not None and owner.address == sender:
             del self._owners[segment.flow]
-            self._outbox.log("owner_lost", segment.flow, "lookup", agent=sender[0])
+            was_held = owner.held_flow_of(segment)
+            if was_held:
+                self._lookups.record_former_owner(segment, sender, now)
+            self._outbox.log(
+                "owner_lost",
+                segment.flow,
+                "lookup",
+                agent=sender[0],
+                was_held=was_held,
+            )
         if segment.is_reset or segment.is_syn:
             return self._outbox.take()
         self._lookups.look_up(segment, now, non_owner=sender)
@@ -384,7 +434,10 @@
             self._outbox.send(sender, DeclineSlot())
 
     def _record_opened(self, segment: Segment, owner: Address, now: float) -> None:
-        self._owners[segment.flow] = _OwnerRecord(owner, segment.sequence, now)
+        self._lookups.forget(segment.flow)
+        self._owners[segment.flow] = _OwnerRecord(
+            owner, segment.sequence, now, segment.sequence
+        )
         self._subscribe_to_owner(owner, now)
 
     def _remove_owner(self, flow: bytes) -> None:
@@ -392,9 +445,12 @@
 
     def _handle_later_packet(self, segment: Segment, now: float) -> None:
         owner = self._owners.get(segment.flow)
+        if owner is not None and not owner.includes(segment):
+            self._outbox.count("flow_mismatch", "owner")
+            self._remove_owner(segment.flow)
+            owner = None
         if owner is not None:
-            owner.last_packet_s = now
-            owner.acknowledgement = segment.acknowledgement
+            owner.record_packet(segment, now)
             if segment.is_reset:
                 del self._owners[segment.flow]
             self._outbox.send(owner.address, Relay(segment.data))
@@ -410,9 +466,11 @@
             return
         self._lookups.look_up(segment, now)
 
-    def _record_owner(self, segment: Segment, owner: Address, now: float) -> None:
+    def _record_owner(
+        self, segment: Segment, owner: Address, now: float, is_certain: bool = False
+    ) -> None:
         self._owners[segment.flow] = _OwnerRecord(
-            owner, None, now, segment.acknowledgement
+            owner, None, now, segment.sequence, segment.acknowledgement, is_certain
         )
         self._subscribe_to_owner(owner, now)
 
@@ -430,8 +488,8 @@
         if now - self._last_purge_s < self._settings.owner_lifetime_s / 4:
             return
         self._last_purge_s = now
-        self._lookups.purge_backoffs(now)
         oldest_s = now - self._settings.owner_lifetime_s
+        self._lookups.purge(oldest_s, now)
         for flow in [f for f, o in self._owners.items() if o.last_packet_s < oldest_s]:
             del self._owners[flow]
         self.members.retain_owners({o.address for o in self._owners.values()}, now)
