Reserve the loopback network of scenarios, as the soak does

Scenarios with real nodes derived their network from the number of the process modulo 40, so two features that ran at the same time could use the same addresses. Seen twice today while several features ran in parallel: all scenarios of lost_responses.feature ended with 'Address already in use', and 22 of odd_entries.feature in another run. The network is reserved by a listening socket now, in one function that the soak uses as well.

--- a/features/steps/lost_responses_steps.py
+++ b/features/steps/lost_responses_steps.py
@@ -1,4 +1,3 @@
-import os
 import time
 
 from behave import given, then, when
@@ -12,9 +11,8 @@
 from bramleystair.platform.standins import _settings as standin_settings
 from bramleystair.platform.standins._server import BackendServer
 from bramleystair.timers import MonotonicClock
+from support.networks import NETWORK
 
-# A subnet of its own for each process, so that concurrent runs do not collide.
-NETWORK = f"127.{130 + os.getpid() % 40}"
 STORE = (f"{NETWORK}.2.1", standin_settings.STORE_PORT)
 START_LIMIT_S = 5.0
 
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -1,4 +1,3 @@
-import os
 import threading
 import time
 
@@ -20,10 +19,9 @@
 from bramleystair.platform.standins._server import BackendServer, pack_endpoint
 from bramleystair.platform.standins._store import create_store_server
 from bramleystair.timers import MonotonicClock
+from support.networks import NETWORK
 
 RETRANSMISSION_S = 0.2
-# A subnet of its own for each process, so that concurrent runs do not collide.
-NETWORK = f"127.{211 + os.getpid() % 40}"
 STORE = (f"{NETWORK}.2.1", standin_settings.STORE_PORT)
 OTHER_STORE = (f"{NETWORK}.2.2", standin_settings.STORE_PORT)
 BALANCER_IP, CALLER_IP = f"{NETWORK}.3.1", f"{NETWORK}.5.1"
--- a/src/bramleystair/soak/_fleet.py
+++ b/src/bramleystair/soak/_fleet.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -18,7 +17,7 @@
 from bramleystair.platform.standins import _settings
 from bramleystair.platform.standins._writer import StoreWriter
 from bramleystair.soak._proxy import Proxy
-from bramleystair.standins import try_call, wait_until
+from bramleystair.standins import reserve_network, try_call, wait_until
 
 ROOT = Path(__file__).resolve().parents[3]
 READY_TIMEOUT_S = 30.0
@@ -26,8 +25,6 @@
 BALANCERS, SERVERS, CALLERS = 3, 4, 30
 # Above the time for which a planned restart of an agent delays responses.
 RESPONSE_TIMEOUT_S = 6.0
-FIRST_SUBNET, SUBNETS = 10, 200
-GUARD_PORT = 8160
 
 
 @attrs.define
@@ -88,7 +85,7 @@
     """
 
     def __init__(self, folder: Path, seed: int, reuse_share: float = 0.0) -> None:
-        self._guard, self._network = _reserve_network()
+        self._guard, self._network = reserve_network()
         self.version = 0
         self._configuration_lock = threading.Lock()
         self.proxies: dict[str, Proxy] = {}
@@ -214,20 +211,3 @@
             {"PYTHONPATH": str(ROOT / "src")},
             self._folder / f"{name}.log",
         )
-
-
-def _reserve_network() -> tuple[socket.socket, str]:
-    """Return a network that no other run uses, and the socket that reserves it.
-
-    The first candidate depends on the process, so that concurrent runs rarely meet.
-    """
-    for number in range(SUBNETS):
-        subnet = FIRST_SUBNET + (os.getpid() + number) % SUBNETS
-        network = f"127.{subnet}"
-        try:
-            guard = socket.create_server((f"{network}.1.1", GUARD_PORT))
-        except OSError:
-            # Another run has reserved it.
-            continue
-        return guard, network
-    raise RuntimeError("no network is free for the run")
