--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -199,16 +199,19 @@
         member = self.members.get(change.address)
         if member is None and change.condition is not EntryCondition.OTHER_PORT:
             member = self.members.find_by_host(change.address[0])
-        if member is None:
+        is_new = member is None
+        if is_new:
             if change.condition in (EntryCondition.READABLE, EntryCondition.MISSING):
                 return
             member = self.members.add_unlisted(change.address, now)
-            self._subscribe(change.address, now)
-            self._record_unlisted("added", change.condition.value, member)
         is_missing = change.condition is EntryCondition.MISSING
         member.change = EntryChanged(change.epoch, change.revision, is_missing)
         member.change_announced_until_s = now + CHANGE_ANNOUNCEMENT_S
-        self._outbox.send(member.entry.address, member.change)
+        if is_new:
+            self._record_unlisted("added", change.condition.value, member)
+            self._subscribe(change.address, now)
+        else:
+            self._outbox.send(member.entry.address, member.change)
 
     def _handle_withdrawal(self, sender: Address, now: float) -> None:
         self.members.record_message(sender, now)
