Delete the entry of a server that is silent after its shutdown report

The entry of a server that reported its shutdown stayed in the store as long as anything listened at its address. "A server that left before the restoration is not listed again" (restored_store.feature) failed: its server reports its shutdown and stays silent, but keeps its socket.

A server that goes on serving its flows keeps its entry. The added scenario needs both; restored_store.feature passes unchanged.

--- a/features/odd_reports.feature
+++ b/features/odd_reports.feature
@@ -147,6 +147,16 @@
     When nobody listens at the server's address
     Then the agent publishes no entry
 
+  Scenario: The entry of a server that is not heard after its shutdown report is removed
+    # Guards against a deleted entry while the server serves its flows, and against one
+    # that stays for good.
+    Given an agent with a server that holds 4 flows
+    When the server reports its shutdown
+    And for 5 s the server sends packets
+    Then the agent publishes an entry
+    When for 5 s the server is silent
+    Then the agent publishes no entry
+
   Scenario Outline: A shutdown report of another server is not of the known one
     Given an agent with a server that holds 4 flows
     Then a shutdown report of <server> with the start <start> is <outcome>
--- a/features/steps/odd_reports_steps.py
+++ b/features/steps/odd_reports_steps.py
@@ -241,6 +241,15 @@
 @when("nobody listens at the server's address")
 def stop_listening(context):
     context.agent.set_server_absent()
+    context.agent.check_exit(context.now)
+
+
+@when("for {seconds:g} s the server {event}")
+def continue_after_shutdown(context, seconds, event):
+    is_sending = event == "sends packets"
+    calls = [(1.0, lambda: send_server_packets(context))] if is_sending else []
+    play(context, seconds, calls)
+    context.agent.check_exit(context.now)
 
 
 @then("no caller was reset")
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -59,9 +59,11 @@
 # Minimum interval between calls that ask the store for its epoch because balancers know
 # a later one; the timeout of a call.
 EPOCH_CHECK_INTERVAL_S = 1.5
-# Delay and number of the checks whether a server that reported its shutdown has exited.
+# Number of the checks whether a server that reported its shutdown has exited; delay of
+# the first one, and of the others in report intervals.
 EXIT_CHECKS = 10
 EXIT_CHECK_DELAY_S = 0.3
+EXIT_CHECK_INTERVAL_HEARTBEATS = 0.5
 # Minimum interval between reads of the settings because a report contradicts them.
 SETTINGS_CHECK_INTERVAL_S = 0.5
 
@@ -275,7 +277,7 @@
                 had_report = self._steering.has_report
                 self._execute(self._steering.remove_server(shutdown, now))
                 if had_report and not self._steering.has_report:
-                    self._check_exit(EXIT_CHECKS)
+                    self._check_exit(EXIT_CHECKS, EXIT_CHECK_DELAY_S)
         self._publish_entry()
         return HttpReply(200, b"{}")
 
@@ -302,11 +304,9 @@
         entry = self._steering.build_entry()
         self._publisher.publish(None if entry is None else encode_entry(entry))
 
-    def _check_exit(self, attempts_left: int) -> None:
+    def _check_exit(self, attempts_left: int, delay_s: float) -> None:
         """Remove the entry once the server that reported its shutdown has exited."""
-        call_later(
-            self._loop, EXIT_CHECK_DELAY_S, lambda: self._send_exit_check(attempts_left)
-        )
+        call_later(self._loop, delay_s, lambda: self._send_exit_check(attempts_left))
 
     def _send_exit_check(self, attempts_left: int) -> None:
         if attempts_left == 0 or self._steering.has_report or self._is_stopping:
@@ -323,6 +323,8 @@
         response = call.result()
         if isinstance(response, HttpFailure) and response.is_connection_refused:
             self._steering.set_server_absent()
+        if self._steering.check_exit(self._loop.clock.now()):
             self._publish_entry()
             return
-        self._check_exit(attempts_left - 1)
+        delay_s = EXIT_CHECK_INTERVAL_HEARTBEATS * self._settings.heartbeat_s
+        self._check_exit(attempts_left - 1, delay_s)
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -117,6 +117,8 @@
         self._replaced: tuple[ServerReport, float] | None = None
         # Flows that the server must hold and whose packets it returned.
         self._lost_flows: set[bytes] = set()
+        # Whether the server that reported its shutdown has left.
+        self._has_left = False
         self._service_id = 0
         self._flows: dict[bytes, AgentFlow] = {}
         self._pending_lookups: dict[bytes, list[_PendingLookup]] = {}
@@ -147,14 +149,14 @@
     def build_entry(self) -> MemberEntry | None:
         """Return the entry to publish, or None while no server has reported.
 
-        The entry of a server that reported its shutdown is kept until nobody listens at
-        its address: another writer may have sent the report, and balancers would take
-        the flows of a member without an entry for lost.
+        The entry of a server that reported its shutdown is kept until it has left:
+        another writer may have sent the report, and balancers would take the flows of a
+        member without an entry for lost.
         """
         if self._is_report_assumed:
             return None
         report = self._report
-        if self._reports.is_removed and not self.is_server_absent:
+        if self._reports.is_removed and not self._has_left:
             report = self._reports.known
         if report is None:
             return None
@@ -273,9 +275,23 @@
             self._reports.remove(now)
         self._report = None
         self._is_report_assumed = False
+        self._has_left = False
         self._send_load_reports(now)
         return self._outbox.take()
 
+    def check_exit(self, now: float) -> bool:
+        """Return whether the server has left since it reported its shutdown.
+
+        It has if nobody listens at its address, or if it sent neither packets nor
+        reports for some intervals.
+        """
+        settings = self._settings
+        last_s = max(self._reports.known_s, self._server_last_seen_s)
+        is_silent = now - last_s > settings.silent_heartbeats * settings.heartbeat_s
+        if self._reports.is_removed and (self.is_server_absent or is_silent):
+            self._has_left = True
+        return self._has_left
+
     def stop(self, now: float) -> list[Action]:
         """Refuse new flows from now on, and report this to the subscribers."""
         self._is_stopping = True
