Keep the flows of an agent that announced its restart

The agent had announced its stop only to the balancers that had subscribed by then.

An agent that stops now tells each balancer that forwarded the last packet of a flow, and those that send packets or queries meanwhile, and repeats it until it ends. The flows of a member that announced a restart are not released, however long it is silent (before: 8 s), and another writer's change of its entry does not end the announcement. A member that was never heard is not released either.

The release of the flows of a member that was heard, announced nothing and is silent for 2 s stays.

--- a/features/steering.feature
+++ b/features/steering.feature
@@ -388,6 +388,37 @@
     And 1 s pass at the balancer
     Then the caller is not reset by the balancer
 
+  Scenario Outline: Flows of an agent that announced a restart are never released
+    # Guards against resets of open flows by a restart that takes longer than the limit of
+    # silence, and by an entry that another writer changes meanwhile.
+    Given a balancer with 3 members
+    When a packet of an unknown flow reaches the balancer
+    And member 2 replies that it holds the flow
+    And member 2 announces a restart
+    And <event>
+    And for 40 s only members 0 and 1 report their loads
+    Then the caller is not reset by the balancer
+    When member 2 reports its load
+    And for 4 s only members 0 and 1 report their loads
+    Then the caller is reset by the balancer
+
+    Examples:
+      | event                                |
+      | 0.1 s pass at the balancer           |
+      | the entry of member 2 names a server |
+
+  Scenario: An agent that stops tells every balancer whose flows it has
+    # Guards against resets by a balancer that has just started, so that it has not
+    # subscribed, and that takes a planned restart for the loss of the VM.
+    Given an agent whose server is ready
+    When a packet of an unknown flow arrives
+    And the agent stops
+    Then it announces a restart to the balancer
+    When 0.15 s pass at the agent
+    Then it has announced the restart at least twice more
+    When another balancer looks up a flow
+    Then it announces a restart to that balancer
+
   Scenario: A silent member is sent more subscriptions
     # Guards against an agent that is back but reports only after the next subscription.
     Given a balancer with 3 members
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -47,6 +47,7 @@
 from bramleystair.steering.balancer import BalancerSteering, BalancerSteeringSettings
 
 BALANCER = ("10.0.0.1", 7)
+OTHER_BALANCER = ("10.0.0.2", 7)
 AGENT = ("10.0.1.1", 8)
 FIRST_SEQUENCE = 500
 
@@ -281,6 +282,45 @@
     context.actions = context.agent.stop(context.now)
 
 
+@when("the agent stops")
+def stop_agent(context):
+    context.actions = context.agent.stop(context.now)
+
+
+@when("{seconds:g} s pass at the agent")
+def pass_agent_time(context, seconds):
+    context.actions = []
+    for _ in range(round(seconds * 100)):
+        context.now += 0.01
+        context.actions += context.agent.run_timers(context.now)
+
+
+def list_announced(context):
+    reports = list_messages(context, LoadReport)
+    return [action.address for action in reports if action.message.load.is_stopping]
+
+
+@then("it announces a restart to the balancer")
+def check_announced(context):
+    assert list_announced(context) == [BALANCER], context.actions
+
+
+@then("it has announced the restart at least twice more")
+def check_announced_again(context):
+    assert list_announced(context).count(BALANCER) >= 2, context.actions
+
+
+@when("another balancer looks up a flow")
+def ask_other(context):
+    message = LookupRequest(5, FLOW, 77)
+    context.actions = context.agent.handle_lookup(OTHER_BALANCER, message, context.now)
+
+
+@then("it announces a restart to that balancer")
+def check_announced_to_other(context):
+    assert list_announced(context) == [OTHER_BALANCER], context.actions
+
+
 @then("the agent's last report does not announce a restart")
 def check_last_report(context):
     reports = [action.message.load for action in list_messages(context, LoadReport)]
@@ -693,6 +733,13 @@
     record_actions(context, actions)
 
 
+@when("the entry of member {number:d} names a server")
+def change_entry(context, number):
+    entries = [make_entry(n, f"zone-{n}") for n in range(context.count)]
+    entries[number] = attrs.evolve(entries[number], server="i-9", started_ms=5000)
+    context.balancer.set_members(entries, context.now)
+
+
 @when("the balancer is paused for {seconds:d} s")
 def pause_balancer(context, seconds):
     context.now += seconds
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -252,9 +252,18 @@
         return self._outbox.take()
 
     def stop(self, now: float) -> list[Action]:
-        """Refuse new flows from now on, and report this to the subscribers."""
+        """Refuse new flows from now on, and announce the restart.
+
+        The announcement goes to the subscribers and to each balancer that forwarded the
+        last packet of a flow, since a balancer that has just started may not have
+        subscribed yet. It is repeated in case it is lost.
+        """
         self._is_stopping = True
+        for flow in self._flows.values():
+            if flow.last_balancer is not None:
+                self._subscribers.setdefault(flow.last_balancer, now)
         self._send_load_reports(now)
+        self._next_load_report_s = now + self._settings.stop_report_period_s
         return self._outbox.take()
 
     def handle_open(
@@ -306,6 +315,7 @@
         self, sender: Address, segment: Segment, now: float
     ) -> list[Action]:
         """Deliver a packet of a flow that the sender assigns to this server."""
+        self._announce_stop(sender, now)
         flow = self._flows.get(segment.flow)
         if flow is not None:
             if self._is_handshake_with_other_server(
@@ -330,6 +340,7 @@
         self, sender: Address, message: LookupRequest, now: float
     ) -> list[Action]:
         """Answer a lookup."""
+        self._announce_stop(sender, now)
         ownership = self._determine_ownership(message, now)
         self._reply_to_lookup(sender, message.token, ownership)
         return self._outbox.take()
@@ -436,14 +447,19 @@
             self._answer_likely(flow, now)
         self._offer_slots(now)
         if now >= self._next_load_report_s:
-            self._next_load_report_s = now + max(
-                self._settings.report_period_s,
-                self._settings.report_gap_s * len(self._subscribers),
-            )
+            self._next_load_report_s = now + self._compute_report_period()
             self._send_load_reports(now)
             self._expire_requests_and_flows(now)
         return self._outbox.take()
 
+    def _compute_report_period(self) -> float:
+        settings = self._settings
+        if self._is_stopping:
+            return settings.stop_report_period_s
+        return max(
+            settings.report_period_s, settings.report_gap_s * len(self._subscribers)
+        )
+
     def is_server_silent(self, now: float) -> bool:
         """Return whether the server stopped reporting or answering first packets."""
         settings = self._settings
@@ -738,6 +754,12 @@
         ]:
             self._remove_flow(key, now)
 
+    def _announce_stop(self, balancer: Address, now: float) -> None:
+        """Announce the restart to a balancer that has not been told yet."""
+        if self._is_stopping and balancer not in self._subscribers:
+            self._subscribers[balancer] = now
+            self._outbox.send(balancer, self._build_report(now))
+
     def _send_load_reports(self, now: float) -> None:
         oldest_s = now - self._settings.subscription_s
         for address, subscribed_s in list(self._subscribers.items()):
--- a/src/bramleystair/steering/_agent_settings.py
+++ b/src/bramleystair/steering/_agent_settings.py
@@ -43,6 +43,8 @@
     report_gap_s : float
         Minimum interval between load reports, divided by the number of subscribers. It
         bounds the rate of reports on the low-bandwidth links of large deployments.
+    stop_report_period_s : float
+        Interval at which the agent repeats that it stops; a few times before it ends.
     subscription_s : float
         Time after which a subscription that is not renewed ends.
     busy_window_s : float
@@ -68,6 +70,7 @@
     interest_s: float = 0.5
     report_period_s: float = 0.25
     report_gap_s: float = 0.025
+    stop_report_period_s: float = 0.05
     subscription_s: float = 3.0
     busy_window_s: float = 1.0
     assumed_slots: int = 3
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -142,7 +142,7 @@
         self._next_subscription_s = 0.0
         self._next_check_s = 0.0
         self._last_event_s: float | None = None
-        self._lost_members: frozenset[Address] = frozenset()
+        self._released_members: frozenset[Address] = frozenset()
         self._last_purge_s = 0.0
         self._startup_buffer = StartupPacketBuffer(
             settings.max_pending, settings.hold_s
@@ -358,7 +358,7 @@
     ) -> None:
         member = self.members.record_message(sender, now)
         if member is not None:
-            member.load = message.load
+            member.set_load(message.load)
         self._flow_opener.handle_reply(sender, message, now)
 
     def _handle_offer(self, sender: Address, now: float) -> None:
@@ -437,8 +437,9 @@
         """Reset the flows of newly lost members, unless this balancer is isolated."""
         if self.members.is_isolated(now):
             return
-        known, self._lost_members = self._lost_members, self.members.list_lost(now)
-        lost = self._lost_members - known
+        known = self._released_members
+        self._released_members = self.members.list_released(now)
+        lost = self._released_members - known
         if not lost:
             return
         for flow, owner in list(self._owners.items()):
--- a/src/bramleystair/steering/_member.py
+++ b/src/bramleystair/steering/_member.py
@@ -31,6 +31,9 @@
     is_message_expected : bool
         Whether silence indicates a failure: the balancer subscribes to the member, or
         the member has not answered a request yet.
+    is_restarting : bool
+        Whether the agent announced that it stops while its server keeps running. Holds
+        until its next load report, whatever is published of it meanwhile.
     """
 
     entry: MemberEntry
@@ -43,11 +46,7 @@
     has_been_heard: bool = False
     is_subscribed: bool = False
     is_message_expected: bool = False
-
-    @property
-    def is_restarting(self) -> bool:
-        """Whether the agent announced that it stops while its server keeps running."""
-        return self.load is not None and self.load.is_stopping
+    is_restarting: bool = False
 
     @property
     def is_unavailable(self) -> bool:
@@ -69,6 +68,11 @@
         self.suspect_until_s = 0.0
         self.failures = 0
 
+    def set_load(self, load: Load) -> None:
+        """Set the load that the agent has sent."""
+        self.load = load
+        self.is_restarting = load.is_stopping
+
     def mark_subscribed(self, now: float) -> None:
         """Mark the member as subscribed and expect its load reports.
 
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -187,7 +187,7 @@
         """Store a load report."""
         member = self.record_message(address, now)
         if member is not None:
-            member.load = load
+            member.set_load(load)
             member.flows_since_report = 0
 
     def record_failure(self, member: Member, now: float) -> None:
@@ -320,6 +320,19 @@
             if self.is_lost(member, now)
         )
 
+    def list_released(self, now: float) -> frozenset[Address]:
+        """Return the lost members whose flows are released.
+
+        The silence of an agent that announced a restart, or that this process has never
+        heard, says nothing about its server, however long it lasts.
+        """
+        return frozenset(
+            address
+            for address in self.list_lost(now)
+            if self._members[address].has_been_heard
+            and not self._members[address].is_restarting
+        )
+
     def list_probe_targets(self, now: float) -> list[Address]:
         """Return the members that are asked for their load at each check.
 
