--- a/features/odd_reports.feature
+++ b/features/odd_reports.feature
@@ -113,7 +113,7 @@
     # Guards against new flows after the acknowledgement of a drain.
     Given an agent with a server that holds 4 flows
     When 0.05 s after its last report another server reports with another id and draining
-    And 1.2 s pass at the agent
+    And 1.2 s pass without a report
     Then a new flow is refused as draining
     And no caller was reset
 
--- a/features/steps/odd_reports_steps.py
+++ b/features/steps/odd_reports_steps.py
@@ -199,7 +199,7 @@
     context.agent = AgentSteering(AGENT, "z", settings, context.now)
 
 
-@when("{seconds:g} s pass at the agent")
+@when("{seconds:g} s pass without a report")
 def wait(context, seconds):
     play(context, seconds, [])
 
