Play other writers, odd reports, lost responses and turns of restarts in the soak

Its faults came from two series of twelve kinds, its callers never used a port again, and a reset was excused by any unplanned fault of any balancer, and for ever after a kill of the flow's server.

New kinds: changed or deleted entries, odd objects of the operator's kinds, foreign and own odd reports, responses lost on open connections (per node, or per kind of objects), restarts of balancers and agents in turn and in pairs with 0.3 to 4 s between stop and start, and servers that start while the time of day is wrong. Server and caller stand-ins end flows with a FIN of both sides, answer data on an ended flow with a reset, and use ports again.

Checks: a reset is excused only by an unplanned fault of the flow's agent, of a balancer that took the packet or sent the reset, or by a kill of the server process at which the flow was opened. Two measures are new: flows whose requests ran at two servers, and flows whose packets reached only other servers for 2 s. Series that restart the same program exclude each other now; before, the second start left a process behind. Each run reserves its network, and a folder that is used again no longer adds the logs of the earlier run.

The steps of "The check detects each violation" and "A fault explains" build the same runs with the fields that events now have; the row "a balancer was paused" names the balancer that took the packet, and the invariants also demand the final share.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -5,14 +5,14 @@
   ever failed is listed here.
 
   Scenario Outline: Invariants hold under random faults
-    # Guards against resets of established flows by planned work, requests that run twice,
-    # and responses that reach another caller.
-    When the soak test runs with seed <seed> for 5 s
+    # Guards against resets of established flows by planned work, other writers and lost
+    # responses, requests that run twice, and responses that reach another caller.
+    When the soak test runs with seed <seed> and the faults <faults> for <seconds> s
     Then callers made requests and no invariant was violated
 
     Examples:
-      | seed |
-      | 1    |
+      | faults | seed | seconds |
+      | all    | 1    | 5       |
 
   Scenario Outline: The check detects each violation
     # Guards against checks that cannot fail.
@@ -21,12 +21,23 @@
     Then it counts 1 of <measure>
 
     Examples:
-      | condition                                    | measure       |
-      | a request ran at two servers                 | doubled       |
-      | a caller got the response to another request | misdelivered  |
-      | an open flow was reset without a fault       | broken_flows  |
-      | an open flow was reset by a planned restart  | broken_flows  |
-      | a request ran on a flow that never opened    | false_not_run |
+      | condition                                        | measure         |
+      | a request ran at two servers                     | doubled         |
+      | a caller got the response to another request     | misdelivered    |
+      | an open flow was reset without a fault           | broken_flows    |
+      | an open flow was reset by a planned restart      | broken_flows    |
+      | an open flow was reset by restarts in turn       | broken_flows    |
+      | an open flow was reset by another writer         | broken_flows    |
+      | an open flow was reset by odd reports            | broken_flows    |
+      | an open flow was reset by lost responses         | broken_flows    |
+      | an open flow was reset by another agent's kill   | broken_flows    |
+      | an open flow was reset by another path's pause   | broken_flows    |
+      | an open flow was reset by a kill long before     | broken_flows    |
+      | an open flow was reset by an earlier server      | broken_flows    |
+      | a request ran on a flow that never opened        | false_not_run   |
+      | requests of a flow ran at two servers            | flows_elsewhere |
+      | packets of a flow reached only other servers     | misrouted_flows |
+      | packets of a flow reached others by planned work | misrouted_flows |
 
   Scenario Outline: A fault explains the reset of a flow
     Given a run in which an open flow was reset after <fault>
@@ -38,3 +49,16 @@
       | its server was killed |
       | its agent was killed  |
       | a balancer was paused |
+
+  Scenario Outline: A flow is not misrouted
+    Given a run in which packets of a flow <condition>
+    When the run is checked
+    Then it counts 0 of misrouted_flows
+
+    Examples:
+      | condition                              |
+      | reached others twice                   |
+      | reached others as copies of one        |
+      | reached others and its own             |
+      | reached others after its agent's kill  |
+      | reached others after its server's kill |
--- a/src/bramleystair/platform/standins/_settings.py
+++ b/src/bramleystair/platform/standins/_settings.py
@@ -72,7 +72,12 @@
 
 
 def build_caller_options(
-    host: str, balancers: list[str], users: int, seed: int
+    host: str,
+    balancers: list[str],
+    users: int,
+    seed: int,
+    response_timeout_s: float,
+    reuse_share: float,
 ) -> dict[str, Any]:
     """Return the options of the stand-in for callers."""
     return {
@@ -80,9 +85,15 @@
         "port": PACKET_PORT,
         "service": [SERVICE_HOST, SERVICE_PORT],
         "balancers": [
-            {"packets": [ip, PACKET_PORT], "ready": [ip, READY_PORT]}
-            for ip in balancers
+            {
+                "name": f"balancer-{number}",
+                "packets": [ip, PACKET_PORT],
+                "ready": [ip, READY_PORT],
+            }
+            for number, ip in enumerate(balancers)
         ],
         "users": users,
         "seed": seed,
+        "response_timeout_s": response_timeout_s,
+        "reuse_share": reuse_share,
     }
--- a/src/bramleystair/platform/standins/_store.py
+++ b/src/bramleystair/platform/standins/_store.py
@@ -1,7 +1,9 @@
 """Stand-in for the platform's store: objects, revisions and watches in memory.
 
 `POST /control` with `age_s` and `away_s` makes the store close all connections for
-`away_s` seconds and return with its state of `age_s` seconds ago.
+`away_s` seconds and return with its state of `age_s` seconds ago. With `lose_s` and
+`kind`, calls for objects of that kind are executed without a response for `lose_s`
+seconds.
 """
 
 import json
@@ -156,22 +158,27 @@
             self._send_json(*self.objects.list_items(kind))
 
     def do_POST(self) -> None:  # noqa: N802
-        """Create an object, or restore the store."""
+        """Create an object, restore the store, or let it lose responses."""
         kind, _, _ = self._parse_target()
         body = self._read_body()
         if self.path == CONTROL_PATH:
-            self.objects.restore(body["age_s"], body["away_s"])
+            if "lose_s" in body:
+                self.objects.lose_responses(body["lose_s"], body["kind"])
+            else:
+                self.objects.restore(body["age_s"], body["away_s"])
             self._send_response(200, {})
             return
         name = body["meta"]["Name"]
-        self._send_json(*self.objects.write(kind, name, body["spec"], None, True))
+        spec = _get_spec(body)
+        self._send_json(*self.objects.write(kind, name, spec, None, True))
 
     def do_PUT(self) -> None:  # noqa: N802
         """Replace an object."""
         kind, name, _ = self._parse_target()
         body = self._read_body()
         revision = body["meta"].get("Rev")
-        self._send_json(*self.objects.write(kind, name, body["spec"], revision, False))
+        spec = _get_spec(body)
+        self._send_json(*self.objects.write(kind, name, spec, revision, False))
 
     def do_DELETE(self) -> None:  # noqa: N802
         """Delete an object."""
@@ -210,6 +217,12 @@
         self.wfile.write(body)
 
 
+def _get_spec(body: dict[str, Any]) -> Any:
+    """Return the content of an object; `write` would delete it if that is None."""
+    spec = body["spec"]
+    return RawJson("null") if spec is None else spec
+
+
 def _encode(document: Any) -> bytes:
     raw_texts: list[str] = []
 
--- a/src/bramleystair/soak/_fleet.py
+++ b/src/bramleystair/soak/_fleet.py
@@ -1,9 +1,9 @@
 """Processes of one soak run."""
 
-import http.client
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -12,24 +12,22 @@
 
 import attrs
 
-from bramleystair.logs import get_logger
-from bramleystair.platform._configuration import CONFIG_KIND
+from bramleystair.platform._configuration import CONFIG_KIND, CONFIG_NAME
 from bramleystair.platform._main import SETTINGS_PATH_VARIABLE
 from bramleystair.platform._store import OBJECTS_PATH
 from bramleystair.platform.standins import _settings
-from bramleystair.platform.standins._store import CONTROL_PATH
+from bramleystair.platform.standins._writer import StoreWriter
 from bramleystair.soak._proxy import Proxy
 from bramleystair.standins import try_call, wait_until
 
-log = get_logger("soak")
-
 ROOT = Path(__file__).resolve().parents[3]
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 8.0
-STORE_CALL_TIMEOUT_S = 5.0
-STORE_RETRY_DELAY_S = 0.05
 BALANCERS, SERVERS, CALLERS = 3, 4, 30
-NOT_FOUND = 404
+# Above the time for which a planned restart of an agent delays responses.
+RESPONSE_TIMEOUT_S = 6.0
+FIRST_SUBNET, SUBNETS = 10, 200
+GUARD_PORT = 8160
 
 
 @attrs.define
@@ -42,12 +40,15 @@
         Arguments of the Python interpreter.
     output : Path
         File to which standard output and error of all its processes are appended.
+    lock : threading.RLock
+        Held while the process is stopped or paused, by one series of faults at a time.
     """
 
     arguments: list[str]
     environment: dict[str, str]
     output: Path
     process: subprocess.Popen | None = None
+    lock: threading.RLock = attrs.field(factory=threading.RLock)
 
     def start(self) -> None:
         """Start the process."""
@@ -82,18 +83,20 @@
         Folder for settings files and process outputs.
     seed : int
         Random seed of the callers.
+    reuse_share : float
+        Share of flows that are short, and whose ports are used again.
     """
 
-    def __init__(self, folder: Path, seed: int) -> None:
-        # A subnet of its own for each process, so that concurrent runs do not collide.
-        subnet = 10 + os.getpid() % 200
-        self._network = f"127.{subnet}"
+    def __init__(self, folder: Path, seed: int, reuse_share: float = 0.0) -> None:
+        self._guard, self._network = _reserve_network()
         self.version = 0
         self._configuration_lock = threading.Lock()
         self.proxies: dict[str, Proxy] = {}
         self.programs: dict[str, Program] = {}
         self._folder = folder
+        self._server_options: list[dict] = []
         self._store = (f"{self._network}.2.1", _settings.STORE_PORT)
+        self.writer = StoreWriter(self._store)
         self._add_standin(
             "store", "store", {"host": self._store[0], "port": self._store[1]}
         )
@@ -101,14 +104,20 @@
         for number, ip in enumerate(balancers):
             self._add_node(f"balancer-{number}", ip, number, tuple(balancers), False)
         for number in range(SERVERS):
-            ip = f"{self._network}.4.{number + 1}"
+            ip = self.get_agent_host(number)
             self._add_node(f"agent-{number}", ip, number, tuple(balancers), True)
             options = _settings.build_server_options(
                 f"s{number}", ip, f"zone-{number % 2}"
             )
+            self._server_options.append(options)
             self._add_standin(f"server-{number}", "server", options)
         options = _settings.build_caller_options(
-            f"{self._network}.5.1", balancers, CALLERS, seed
+            f"{self._network}.5.1",
+            balancers,
+            CALLERS,
+            seed,
+            RESPONSE_TIMEOUT_S,
+            reuse_share,
         )
         self._add_standin("callers", "callers", options)
 
@@ -129,6 +138,30 @@
             program.kill()
         for proxy in self.proxies.values():
             proxy.close()
+        self._guard.close()
+
+    def get_agent_host(self, number: int) -> str:
+        """Return the address of an agent, which names its entry in the store."""
+        return f"{self._network}.4.{number + 1}"
+
+    def get_control_address(self, number: int) -> tuple[str, int]:
+        """Return the address at which an agent receives the reports of its server."""
+        return self.get_agent_host(number), _settings.CONTROL_PORT
+
+    def get_server_address(self, number: int) -> tuple[str, int]:
+        """Return the address of a server."""
+        return self.get_agent_host(number), _settings.APP_PORT
+
+    def get_server_options(self, number: int) -> dict:
+        """Return the options with which a server was started first."""
+        return self._server_options[number]
+
+    def start_server(self, number: int, changes: dict) -> None:
+        """Start a server with changed options; later starts keep them."""
+        program = self.programs[f"server-{number}"]
+        options = self._server_options[number] | changes
+        program.arguments[-1] = json.dumps(options)
+        program.start()
 
     def change_configuration(self) -> None:
         """Write the next version of the configuration to the store."""
@@ -141,40 +174,14 @@
 
         Like the operator, write the present configuration again.
         """
-        values = {"age_s": age_s, "away_s": away_s}
-        self._call_store("POST", CONTROL_PATH, values)
+        self.writer.restore(age_s, away_s)
         time.sleep(away_s)
         with self._configuration_lock:
             self._write_configuration()
 
     def _write_configuration(self) -> None:
-        path = OBJECTS_PATH + CONFIG_KIND
-        spec = _settings.build_configuration(self.version)
-        document = {"meta": {"Name": "main"}, "spec": spec}
-        if self._call_store("PUT", f"{path}/main", document) == NOT_FOUND:
-            self._call_store("POST", path, document)
-
-    def _call_store(self, method: str, path: str, document: dict) -> int:
-        """Repeat a call until it gets a response, and return the response's status."""
-        deadline_s = time.monotonic() + READY_TIMEOUT_S
-        while True:
-            connection = http.client.HTTPConnection(
-                *self._store, timeout=STORE_CALL_TIMEOUT_S
-            )
-            try:
-                connection.request(method, path, json.dumps(document))
-                response = connection.getresponse()
-                response.read()
-                return response.status
-            except (OSError, http.client.HTTPException) as error:
-                # Expected while the store is away or paused; a longer failure ends
-                # the run.
-                if time.monotonic() > deadline_s:
-                    raise
-                log.debug("%s %s: no response (%r), retrying", method, path, error)
-                time.sleep(STORE_RETRY_DELAY_S)
-            finally:
-                connection.close()
+        document = _settings.build_configuration(self.version)
+        self.writer.write(CONFIG_KIND, CONFIG_NAME, document)
 
     def _wait_for_store(self) -> None:
         url = f"http://{self._store[0]}:{self._store[1]}{OBJECTS_PATH}{CONFIG_KIND}"
@@ -207,3 +214,20 @@
             {"PYTHONPATH": str(ROOT / "src")},
             self._folder / f"{name}.log",
         )
+
+
+def _reserve_network() -> tuple[socket.socket, str]:
+    """Return a network that no other run uses, and the socket that reserves it.
+
+    The first candidate depends on the process, so that concurrent runs rarely meet.
+    """
+    for number in range(SUBNETS):
+        subnet = FIRST_SUBNET + (os.getpid() + number) % SUBNETS
+        network = f"127.{subnet}"
+        try:
+            guard = socket.create_server((f"{network}.1.1", GUARD_PORT))
+        except OSError:
+            # Another run has reserved it.
+            continue
+        return guard, network
+    raise RuntimeError("no network is free for the run")
--- a/src/bramleystair/soak/_proxy.py
+++ b/src/bramleystair/soak/_proxy.py
@@ -42,11 +42,19 @@
     def __init__(self, host: str, target: tuple[str, int]) -> None:
         self.mode = Mode.PASS
         self._target = target
+        self._losing_until_s = 0.0
         self._is_closed = False
         self._listener = socket.create_server((host, 0))
         self.address = self._listener.getsockname()
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def lose_responses(self, seconds: float) -> None:
+        """Drop the responses of the store for some seconds.
+
+        The connections stay open, and those with a lost response return nothing more.
+        """
+        self._losing_until_s = time.monotonic() + seconds
+
     def close(self) -> None:
         """Stop listening and let the relay threads close their connections."""
         self._is_closed = True
@@ -81,6 +89,7 @@
     def _relay(
         self, source: socket.socket, sink: socket.socket, is_response: bool
     ) -> None:
+        has_lost_response = False
         while not self._is_closed:
             if self.mode is Mode.RESET:
                 break
@@ -97,10 +106,10 @@
                 break
             if self.mode is Mode.DELAY:
                 time.sleep(DELAY_S)
-            is_dropped = self.mode is Mode.SILENT or (
-                self.mode is Mode.ONE_WAY and is_response
-            )
-            if is_dropped:
+            if is_response and time.monotonic() < self._losing_until_s:
+                has_lost_response = True
+            is_one_way = self.mode is Mode.ONE_WAY and is_response
+            if self.mode is Mode.SILENT or is_one_way or has_lost_response:
                 continue
             try:
                 sink.sendall(data)
