--- a/src/bramleystair/soak/_fleet.py
+++ b/src/bramleystair/soak/_fleet.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from bramleystair.logs import get_logger
 from bramleystair.platform._configuration import CONFIG_KIND, CONFIG_NAME
 from bramleystair.platform._main import SETTINGS_PATH_VARIABLE
 from bramleystair.platform._store import OBJECTS_PATH
@@ -20,6 +21,8 @@
 from bramleystair.soak._proxy import Proxy
 from bramleystair.standins import try_call, wait_until
 
+log = get_logger("soak")
+
 ROOT = Path(__file__).resolve().parents[3]
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 8.0
@@ -190,6 +193,8 @@
             READY_TIMEOUT_S,
             "the start of the store",
         )
+        if self.programs["store"].process.poll() is not None:
+            raise RuntimeError("the store ended, another program uses its address")
 
     def _add_node(
         self, name: str, ip: str, number: int, seeds: tuple[str, ...], is_agent: bool
@@ -225,9 +230,11 @@
         subnet = FIRST_SUBNET + (os.getpid() + number) % SUBNETS
         network = f"127.{subnet}"
         try:
+            # Other tests run the same programs in such networks and reserve nothing.
+            socket.create_server((f"{network}.2.1", _settings.STORE_PORT)).close()
             guard = socket.create_server((f"{network}.1.1", GUARD_PORT))
-        except OSError:
-            # Another run has reserved it.
+        except OSError as error:
+            log.info("network %s is in use: %s", network, error)
             continue
         return guard, network
     raise RuntimeError("no network is free for the run")
