--- a/features/soak.feature
+++ b/features/soak.feature
@@ -1,8 +1,9 @@
 Feature: Soak test of the programs
 
   The programs run as processes on loopback addresses, under signals and a faulty
-  connection to the store. `./scripts/soak --seeds 50` runs more seeds; each seed that
-  ever failed is listed here.
+  connection to the store, beside other writers. `./scripts/soak --seeds 50` runs more
+  seeds, with `--faults` the other mixes. Seeds that failed are listed here or in
+  docs/measurements.md.
 
   Scenario Outline: Invariants hold under random faults
     # Guards against resets of established flows by planned work, other writers and lost
@@ -14,6 +15,14 @@
       | faults | seed | seconds |
       | all    | 1    | 5       |
 
+    @known_red
+    Examples: Seeds that fail, see KNOWN-RED.txt
+      | faults   | seed | seconds |
+      | writer   | 1    | 5       |
+      | reports  | 3    | 5       |
+      | restarts | 1    | 4       |
+      | ports    | 1    | 3       |
+
   Scenario Outline: The check detects each violation
     # Guards against checks that cannot fail.
     Given a run in which <condition>
