--- a/features/soak.feature
+++ b/features/soak.feature
@@ -20,7 +20,7 @@
       | faults   | seed | seconds |
       | writer   | 1    | 5       |
       | reports  | 3    | 5       |
-      | restarts | 1    | 4       |
+      | restarts | 1    | 10      |
       | ports    | 1    | 3       |
 
   Scenario Outline: The check detects each violation
