--- a/src/bramleystair/soak/_fleet.py
+++ b/src/bramleystair/soak/_fleet.py
@@ -187,6 +187,8 @@
             READY_TIMEOUT_S,
             "the start of the store",
         )
+        if self.programs["store"].process.poll() is not None:
+            raise RuntimeError("the store ended, another program uses its address")
 
     def _add_node(
         self, name: str, ip: str, number: int, seeds: tuple[str, ...], is_agent: bool
--- a/src/bramleystair/standins/_networks.py
+++ b/src/bramleystair/standins/_networks.py
@@ -3,6 +3,10 @@
 import os
 import socket
 
+from bramleystair.logs import get_logger
+
+log = get_logger("networks")
+
 FIRST_SUBNET, SUBNETS = 10, 200
 GUARD_PORT = 8160
 
@@ -24,8 +28,8 @@
         network = f"127.{subnet}"
         try:
             guard = socket.create_server((f"{network}.1.1", GUARD_PORT))
-        except OSError:
-            # Another run has reserved it.
+        except OSError as error:
+            log.debug("network %s is reserved by another run: %s", network, error)
             continue
         return guard, network
     raise RuntimeError("no network is free for the run")
