Let only the server return a packet of a flow that its agent does not know

What an agent believes of its server's age could still lead to a reset: it returned packets of flows that it did not know, and a balancer that knows the server as their owner takes that as evidence. The belief denies lookups only now; a packet is delivered, and the server returns it if it does not hold the flow.

A cold server that reports within 0.5 s of the agent's start counts as started together with it. If that is wrong, callers wait; none is reset.

The scenario "An agent that was restarted does not take its server for a younger one" becomes an outline with the same packet delivered to the server, and with the lookup's answer early and late; an example of "An agent that found no server before ..." has 0.6 s in place of 0.3 s, which is past the new sign.

--- a/features/steering.feature
+++ b/features/steering.feature
@@ -543,18 +543,24 @@
       | seconds | sequence | answer                 |
       | 0.3     | 1        | does not hold the flow |
       | 4       | 6        | does not hold the flow |
-      | 0.3     | 8        | is unsure              |
+      | 0.6     | 8        | is unsure              |
 
-  Scenario: An agent that was restarted does not take its server for a younger one
+  Scenario Outline: An agent that was restarted returns no packet of its server's flows
     # Guards against resets of all open flows of a server after the time of day was set:
-    # its agent denied them because the server seemed to have started later.
+    # its agent returned them because the server seemed to have started later. Lookups may
+    # be answered by the signs of a loss of power, as a denial resets nobody.
     Given an agent that has just started
-    When 0.3 s later a cold server sends its report 2
+    When <seconds> s later a cold server sends its report 2
     And a balancer looks up the owner of a flow
-    Then the agent answers that it is unsure
+    Then the agent answers that it <answer>
     When a packet of an unknown flow arrives
     Then the packet is delivered to the server
 
+    Examples:
+      | seconds | answer                 |
+      | 0.3     | does not hold the flow |
+      | 0.8     | is unsure              |
+
   Scenario: A server gets no further probe of a flow that it returned
     # Guards against a packet to every server at each lookup of a flow that a loss of power
     # has ended; the callers are not reset, and their copies go on.
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -111,6 +111,11 @@
         # and the time at which this was noticed first.
         self.is_server_absent = False
         self._absence_noticed_s: float | None = None
+        self._started_s = now
+        # Whether the server seems to have started after this process, which has seen
+        # all its flows then. Lookups are answered accordingly; packets are returned by
+        # the server alone, since a balancer may reset their callers.
+        self._is_server_younger = False
         # The last server that reported its shutdown; late reports of it are ignored.
         self._removed_server: tuple[str, int] | None = None
         self._service_id = 0
@@ -189,8 +194,8 @@
             self._may_hold_untracked_until_s = now + self._settings.flow_lifetime_s
             self._admission.reset(now)
             self._release_replaced_flows(report, now)
-        elif is_new and self._has_seen_all_flows(report, now):
-            self._may_hold_untracked_until_s = now
+        elif is_new:
+            self._is_server_younger = self._seems_younger(report, now)
         self._report = report
         self.is_server_absent = False
         self._is_report_assumed = False
@@ -348,7 +353,7 @@
     def _determine_ownership(self, message: LookupRequest, now: float) -> Ownership:
         flow = self._flows.get(message.flow)
         if flow is None:
-            may_hold = self._may_hold_untracked_flow(
+            may_hold = not self._is_server_younger and self._may_hold_untracked_flow(
                 message.flow, message.acknowledgement, now
             )
             return Ownership.UNSURE if may_hold else Ownership.NONE
@@ -506,21 +511,23 @@
         is_previous_alive = now - self._last_server_report_s < silence_s
         return is_previous_alive and report.started_ms < previous.started_ms
 
-    def _has_seen_all_flows(self, report: ServerReport, now: float) -> bool:
-        """Return whether this process has seen every flow of the server.
+    def _seems_younger(self, report: ServerReport, now: float) -> bool:
+        """Return whether the server seems to have started after this process.
 
-        It has if it found the server's address without a listener before: the server
-        started after that. A server that has sent more reports than it can have since
-        then contradicts this. No times of day are compared, as they may be set between
-        the starts of two processes.
+        It did if this process found its address without a listener before, and has not
+        sent more reports than fit into the time since. Where both started together, as
+        after a power loss, a cold server reports as soon as the agent listens. No times
+        of day are compared, as they may be set between the starts of two processes.
         """
+        settings = self._settings
         noticed_s = self._absence_noticed_s
-        if noticed_s is None:
-            return False
-        elapsed_intervals = (now - noticed_s) / self._settings.heartbeat_s
-        return (
-            report.sequence <= 1 + elapsed_intervals + START_ESTIMATE_MARGIN_HEARTBEATS
-        )
+        if noticed_s is not None:
+            elapsed_intervals = (now - noticed_s) / settings.heartbeat_s
+            limit = 1 + elapsed_intervals + START_ESTIMATE_MARGIN_HEARTBEATS
+            if report.sequence <= limit:
+                return True
+        is_at_start = now - self._started_s <= settings.start_margin_s
+        return is_at_start and report.cold_left_s > 0
 
     def _may_hold_untracked_flow(
         self, flow: bytes, acknowledgement: int, now: float
--- a/src/bramleystair/steering/_agent_settings.py
+++ b/src/bramleystair/steering/_agent_settings.py
@@ -53,6 +53,10 @@
         Slots assumed for a server that has not reported yet; those of a small server.
     assumed_cold_s : float
         Maximum time for which such a server counts as cold.
+    start_margin_s : float
+        Time after the start of the agent within which the first report of a cold server
+        counts as a sign that both started together, as after a power loss: its calls
+        were refused until the agent listened.
     stuck_after_s : float
         Age from which a request without a response does not count as in progress.
     """
@@ -75,4 +79,5 @@
     busy_window_s: float = 1.0
     assumed_slots: int = 3
     assumed_cold_s: float = 3.0
+    start_margin_s: float = 0.5
     stuck_after_s: float = 5.0
