--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -126,6 +126,11 @@
         # was noticed.
         self.is_server_absent = False
         self._absence_noticed_s: float | None = None
+        self._started_s = now
+        # Whether the server seems to have started after this process, which has seen
+        # all its flows then. Lookups are answered accordingly; packets are returned by
+        # the server alone, since a balancer may reset their callers.
+        self._is_server_younger = False
         self._reports = ReportHistory(settings)
         # The server in whose place another one reported, and the time of its last
         # report; its flows are marked as `is_former`.
@@ -141,7 +146,6 @@
         self._lookup_deadlines: deque[tuple[float, bytes]] = deque()
         # Time until which the server may hold flows that this agent does not track.
         self._may_hold_untracked_until_s = now + settings.flow_lifetime_s
-        self._has_run_flow_lifetime_s = now + settings.flow_lifetime_s
         self._admission = AdmissionControl(settings)
         self._server_last_seen_s = now
         self._unanswered_since_s: float | None = None
@@ -222,8 +226,7 @@
             case Verdict.REPLACED if previous is not None:
                 self._replace_server(previous, previous_s, report, now)
             case Verdict.REPLACED:
-                if self._has_seen_all_flows(report, now):
-                    self._may_hold_untracked_until_s = now
+                self._is_server_younger = self._seems_younger(report, now)
                 self._use_report(report, now)
             case Verdict.CURRENT:
                 self._use_report(report, now)
@@ -413,7 +416,7 @@
     def _determine_ownership(self, message: LookupRequest, now: float) -> Ownership:
         flow = self._flows.get(message.flow)
         if flow is None:
-            may_hold = self._may_hold_untracked_flow(
+            may_hold = not self._is_server_younger and self._may_hold_untracked_flow(
                 message.flow, message.acknowledgement, now
             )
             return Ownership.UNSURE if may_hold else Ownership.NONE
@@ -590,9 +593,7 @@
         If the known one was the other writer, this agent may not have seen all flows.
         """
         self._end_silence(now)
-        self._may_hold_untracked_until_s = max(
-            self._may_hold_untracked_until_s, self._has_run_flow_lifetime_s
-        )
+        self._is_server_younger = False
         self._admission.extend_cold(report.cold_left_s, now)
         self._outbox.count("report_ignored", "unconfirmed")
         self._outbox.log(
@@ -630,6 +631,7 @@
         The server itself decides: it returns packets of flows that it does not hold.
         """
         self._may_hold_untracked_until_s = now + self._settings.flow_lifetime_s
+        self._is_server_younger = False
         former = self._replaced
         if former is not None and get_identity(former[0]) == get_identity(report):
             # The former server was not gone, so its flows need no confirmation.
@@ -717,21 +719,23 @@
         for flow in self._flows.values():
             flow.is_former = False
 
-    def _has_seen_all_flows(self, report: ServerReport, now: float) -> bool:
-        """Return whether this process has seen every flow of the server.
+    def _seems_younger(self, report: ServerReport, now: float) -> bool:
+        """Return whether the server seems to have started after this process.
 
-        It has if it found the server's address without a listener before: the server
-        started after that. A server that has sent more reports than it can have since
-        then contradicts this. No times of day are compared, as they may be set between
-        the starts of two processes.
+        It did if this process found its address without a listener before, and has not
+        sent more reports than fit into the time since. Where both started together, as
+        after a power loss, a cold server reports as soon as the agent listens. No times
+        of day are compared, as they may be set between the starts of two processes.
         """
+        settings = self._settings
         noticed_s = self._absence_noticed_s
-        if noticed_s is None:
-            return False
-        elapsed_intervals = (now - noticed_s) / self._settings.heartbeat_s
-        return (
-            report.sequence <= 1 + elapsed_intervals + START_ESTIMATE_MARGIN_HEARTBEATS
-        )
+        if noticed_s is not None:
+            elapsed_intervals = (now - noticed_s) / settings.heartbeat_s
+            limit = 1 + elapsed_intervals + START_ESTIMATE_MARGIN_HEARTBEATS
+            if report.sequence <= limit:
+                return True
+        is_at_start = now - self._started_s <= settings.start_margin_s
+        return is_at_start and report.cold_left_s > 0
 
     def _may_hold_untracked_flow(
         self, flow: bytes, acknowledgement: int, now: float
