Show that two changes of a zone in a row undo its evacuation

A balancer keeps one former zone of a member. If the entry names a second other zone before the agent has written it again, the member's own zone is forgotten: new flows are opened there although it is evacuated (EVAC). After the agent's own entry is back, the second other zone stays as the former one, so that its evacuation takes a sound member out of use.

--- a/features/contradicted_entries.feature
+++ b/features/contradicted_entries.feature
@@ -139,3 +139,22 @@
     When zone "zone-0" is evacuated
     And the entry of member 1 names the zone "zone-1"
     Then no new flow is placed on member 0
+
+  Scenario: Two changed zones do not take a member out of an evacuated zone
+    # Guards against flows that are opened in an evacuated zone because the entry named two
+    # other zones one after the other, before its agent wrote it again.
+    Given a balancer with 2 members
+    When zone "zone-1" is evacuated
+    And the entry of member 1 names the zone "zone-0"
+    And the entry of member 1 names the zone "zone-2"
+    Then no new flow is placed on member 1
+
+  Scenario: A member is used again once its entry names its zone again
+    # Guards against a member that stays out of use after the evacuation of a zone that
+    # another writer's entry had named.
+    Given a balancer with 2 members
+    When the entry of member 1 names the zone "zone-0"
+    And the entry of member 1 names the zone "zone-2"
+    And the entry of member 1 names the zone "zone-1"
+    And zone "zone-2" is evacuated
+    Then new flows are placed on member 1
--- a/features/steps/entry_changes_steps.py
+++ b/features/steps/entry_changes_steps.py
@@ -112,3 +112,10 @@
     candidates = context.balancer.members.list_candidates("web")
     addresses = {member.entry.address for member in candidates}
     assert addresses and get_member(number) not in addresses, addresses
+
+
+@then("new flows are placed on member {number:d}")
+def check_chosen(context, number):
+    candidates = context.balancer.members.list_candidates("web")
+    addresses = {member.entry.address for member in candidates}
+    assert get_member(number) in addresses, addresses
