Show reports that undo a drain or leave another service in use

- A late report of the known server is used when the server was not heard for 2.5 intervals, although its number is lower: the agent admits flows after the acknowledged drain (DRAIN).
- The first report of another service at the same address is unconfirmed for up to two intervals, for which the agent admits flows of the former service and delivers them to the new one (ROUTE).
- Reports with the identity of the server, a slightly higher number and the state ready undo its drain as often as they come (DRAIN).

--- a/features/odd_reports.feature
+++ b/features/odd_reports.feature
@@ -238,3 +238,36 @@
     When the server reports its shutdown and exits
     And the agent is stopped before it has noticed the exit
     Then its entry is removed
+
+  Scenario Outline: A late report does not take back the server's drain
+    # Guards against new flows after the acknowledgement of a drain, because a report from
+    # before it arrives when the server has not been heard for some intervals.
+    Given an agent with a server that holds 4 flows
+    When for 2 s the server reports that it drains
+    And <silence> s pass at the agent
+    And the server sends a packet of each flow
+    And a report of the server from before its drain arrives
+    Then a new flow is refused as draining
+
+    Examples:
+      | silence |
+      | 0.5     |
+      | 2.5     |
+
+  Scenario: A server of another service at the same address gets no flow of the former one
+    # Guards against requests that are run by another service (ROUTE) after the report of
+    # a server which replaced the known one without its shutdown report.
+    Given an agent with a server that holds 4 flows
+    When 0.7 s after its last report another server reports with another service
+    Then a new flow is refused as wrong_service
+
+  Scenario Outline: A drain holds although another writer reports that the server is ready
+    # Guards against new flows after the acknowledgement of a drain.
+    Given an agent with a server that holds 4 flows
+    When for 12 s the server reports that it drains, and another writer that it is ready each <period> s
+    Then no new flow was admitted later than 3 s after the first of these reports
+
+    Examples:
+      | period |
+      | 0.7    |
+      | 5      |
--- a/features/steps/odd_reports_steps.py
+++ b/features/steps/odd_reports_steps.py
@@ -13,6 +13,8 @@
 from bramleystair.steering import (
     LookupRequest,
     OpenFlow,
+    OpenReply,
+    Refusal,
     ResetCaller,
     ServerReport,
     ServerShutdown,
@@ -46,6 +48,12 @@
     },
     "a later start": {"started_ms": 9000, "sequence": 1},
     "an earlier start": {"started_ms": 10, "sequence": 1},
+    "another service": {
+        "server": "i-2",
+        "started_ms": 9000,
+        "sequence": 1,
+        "service": "api",
+    },
     "a sequence number of 1000000": {"sequence": 1_000_000},
     "a slightly higher sequence number": {"sequence": 23},
 }
@@ -184,6 +192,60 @@
     play(context, seconds, [(HEARTBEAT_S, send)])
 
 
+@when("a report of the server from before its drain arrives")
+def send_report_before_drain(context):
+    send_report(context, attrs.evolve(SERVER, sequence=SERVER.sequence + 1))
+
+
+@when(
+    "for {seconds:g} s the server reports that it drains, and another writer that it "
+    "is ready each {period:g} s"
+)
+def report_drain_and_ready(context, seconds, period):
+    start = context.now
+    context.admitted_s = []
+
+    def send_drain():
+        context.sequence += 1
+        report = attrs.evolve(SERVER, sequence=context.sequence)
+        send_report(context, attrs.evolve(report, state=ServerState.DRAINING))
+
+    def send_ready():
+        context.other_count += 1
+        sequence = context.sequence + context.other_count
+        send_report(context, attrs.evolve(SERVER, sequence=sequence))
+
+    def try_open():
+        context.flow_number = getattr(context, "flow_number", 100) + 1
+        flow = get_flow(context.flow_number)
+        first = make_segment(flow, first=True, sequence=FIRST_SEQUENCE)
+        agent = context.agent
+        for action in agent.handle_open(
+            BALANCER, make_open_message(), first, context.now
+        ):
+            message = getattr(action, "message", None)
+            if isinstance(message, OpenReply) and message.refusal is Refusal.NONE:
+                context.admitted_s.append(round(context.now - start - HEARTBEAT_S, 2))
+        answer = make_segment(flow, first=True, sequence=1000, ack=FIRST_SEQUENCE + 1)
+        agent.handle_server_segment(answer, context.now)
+        end = make_segment(flow, sequence=FIRST_SEQUENCE + 1, ack=1001, fin=True)
+        agent.handle_relay(BALANCER, end, context.now)
+
+    play(
+        context,
+        seconds,
+        [(HEARTBEAT_S, send_drain), (period, send_ready), (0.2, try_open)],
+    )
+
+
+@then(
+    "no new flow was admitted later than {seconds:g} s after the first of these reports"
+)
+def check_admission_times(context, seconds):
+    late = [second for second in context.admitted_s if second > seconds]
+    assert not late, late
+
+
 @when("a balancer looks up a flow that the agent has not seen")
 def look_up(context):
     message = LookupRequest(5, get_flow(77), 7)
