Refuse flows once a server of another service has reported

Another service could run a caller's request (ROUTE): a server that replaced the known one at its address, without a shutdown report, is used after up to two report intervals since reports are confirmed. Until then the agent admitted flows of the former service.

The report passes the checks of the settings, so it is one of the service that they name. Flows are refused from it on, until it is confirmed or the known server reports again.

--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -718,7 +718,8 @@
             return Refusal.STOPPING
         if report is None:
             return Refusal.UNKNOWN_SERVER
-        if message.service_id != self._service_id:
+        # A server that has reported another service may already be at the address.
+        if message.service_id != self._service_id or self._reports.has_other_service:
             return Refusal.WRONG_SERVICE
         if report.state is ServerState.DRAINING:
             return Refusal.DRAINING
--- a/src/bramleystair/steering/_report_history.py
+++ b/src/bramleystair/steering/_report_history.py
@@ -76,6 +76,14 @@
         """Whether a server with another identity has reported since the known one."""
         return any(identity != self._get_known() for identity in self._claims)
 
+    @property
+    def has_other_service(self) -> bool:
+        """Whether a server of another service has reported since the known one."""
+        return any(
+            claim.report.service != self.known.service
+            for claim in self._claims.values()
+        )
+
     def judge(self, report: ServerReport, now: float) -> Verdict:
         """Record a report and return what it says about the server."""
         identity = get_identity(report)
@@ -187,7 +195,8 @@
 
     def _is_confirmed(self, claim: _Claim, now: float) -> bool:
         silence_s = now - self.known_s
-        if silence_s >= self.settings.silent_heartbeats * self.settings.heartbeat_s:
+        silent_s = self.settings.silent_heartbeats * self.settings.heartbeat_s
+        if silence_s >= silent_s:
             return True
         needed_s = CONFIRMED_SILENCE_HEARTBEATS * self.settings.heartbeat_s
         return claim.count > 1 and silence_s >= needed_s
