Keep a drain although a late report arrives after a silence

New flows were admitted after the acknowledgement of a drain (DRAIN) if one report from before it arrived when the server had not been heard for 2.5 intervals: silence confirmed any report, also one of the same server with a lower number.

Such a report is now used only if a second one follows, as where a report of another writer had taken the server for draining.

"A late report does not take back the server's drain" failed before with 2.5 s of silence. The two examples of "A drain holds although another writer reports that the server is ready" still fail.

--- a/src/bramleystair/steering/_report_history.py
+++ b/src/bramleystair/steering/_report_history.py
@@ -196,11 +196,19 @@
     def _is_confirmed(self, claim: _Claim, now: float) -> bool:
         silence_s = now - self.known_s
         silent_s = self.settings.silent_heartbeats * self.settings.heartbeat_s
-        if silence_s >= silent_s:
+        if silence_s >= silent_s and not self._takes_back_drain(claim.report):
             return True
         needed_s = CONFIRMED_SILENCE_HEARTBEATS * self.settings.heartbeat_s
         return claim.count > 1 and silence_s >= needed_s
 
+    def _takes_back_drain(self, report: ServerReport) -> bool:
+        """Return whether a report may be a late one from before the server's drain."""
+        return (
+            get_identity(report) == self._get_known()
+            and self.known.state is ServerState.DRAINING
+            and report.state is not ServerState.DRAINING
+        )
+
 
 def get_identity(report: ServerReport) -> Identity:
     """Return what distinguishes a server from one that was started later."""
