--- a/features/contradicted_entries.feature
+++ b/features/contradicted_entries.feature
@@ -139,3 +139,32 @@
     When zone "zone-0" is evacuated
     And the entry of member 1 names the zone "zone-1"
     Then no new flow is placed on member 0
+
+  Scenario: Two changed zones do not take a member out of an evacuated zone
+    # Guards against flows that are opened in an evacuated zone because the entry named two
+    # other zones one after the other, before its agent wrote it again.
+    Given a balancer with 2 members
+    When zone "zone-1" is evacuated
+    And the entry of member 1 names the zone "zone-0"
+    And the entry of member 1 names the zone "zone-2"
+    Then no new flow is placed on member 1
+
+  Scenario: A member is used again once its entry names its zone again
+    # Guards against a member that stays out of use after the evacuation of a zone that
+    # another writer's entry had named.
+    Given a balancer with 2 members
+    When the entry of member 1 names the zone "zone-0"
+    And the entry of member 1 names the zone "zone-2"
+    And the entry of member 1 names the zone "zone-1"
+    And zone "zone-2" is evacuated
+    Then new flows are placed on member 1
+
+  Scenario: Many unreadable entries of unknown hosts select the neighbours once
+    # Guards against a balancer that is busy for seconds, since it selected its neighbours
+    # among all members for each of the entries.
+    Given a balancer with 2 members
+    When 500 unreadable entries of unknown hosts are found
+    Then the balancer has 502 members and has selected its neighbours at most 2 times
+    And each of the 500 hosts was sent a subscription and the change
+    When all members but the unknown ones report their loads for 2.0 s
+    Then the balancer has members 0 and 1
