Keep a drain while the server goes on reporting it

The two examples of 'A drain holds although another writer reports that the server is ready' failed before; odd_reports.feature: 67 scenarios passed.

--- a/src/bramleystair/steering/_report_history.py
+++ b/src/bramleystair/steering/_report_history.py
@@ -69,6 +69,8 @@
         self.known_s = float("-inf")
         # Whether a shutdown of the known server was reported.
         self.is_removed = False
+        # Time of the last report of the known server, used or not, that it drains.
+        self._drain_s = float("-inf")
         self._claims: dict[Identity, _Claim] = {}
 
     @property
@@ -91,6 +93,10 @@
         if self.known is None or (self.is_removed and not is_same):
             self._use(report, now)
             return Verdict.REPLACED
+        if is_same and report.state is ServerState.DRAINING:
+            self._drain_s = now
+        elif is_same and self._has_drained(now):
+            return Verdict.OUTDATED
         if is_same and not self.is_removed and self._continues(report, now):
             self._use(report, now)
             return Verdict.CURRENT
@@ -160,6 +166,10 @@
         )
 
     def _use(self, report: ServerReport, now: float) -> None:
+        if report.state is ServerState.DRAINING:
+            self._drain_s = now
+        elif get_identity(report) != self._get_known():
+            self._drain_s = float("-inf")
         self.known = report
         self.known_s = now
         self.is_removed = False
@@ -168,6 +178,15 @@
     def _get_known(self) -> Identity | None:
         return None if self.known is None else get_identity(self.known)
 
+    def _has_drained(self, now: float) -> bool:
+        """Return whether the known server has just said that it drains.
+
+        A server that drains does not become ready again, but another writer may report
+        that it does, or may have reported the drain.
+        """
+        silent_s = self.settings.silent_heartbeats * self.settings.heartbeat_s
+        return now - self._drain_s < silent_s
+
     def _continues(self, report: ServerReport, now: float) -> bool:
         """Return whether the sequence number may follow the one of the known report."""
         step = report.sequence - self.known.sequence
