Take a packet for another flow's only if both of its numbers are far off

A packet that was delayed while the other end, or its own, sent more than 76,800 bytes made the agent return it as one of another flow of the same port, and the balancer took the returned packet for the loss of the flow: four of five examples of late_packets.feature ended with a reset (no_owner), one with a flow that was left alone.

Both ends of another flow start at unrelated numbers, so one number that fits is enough. A lookup has the caller's acknowledgement only: an agent answers it as unsure if that is far off, and decides by the numbers of the probe.

The examples of steering.feature with one number far off asked for a packet that is returned, looked up or denied.

--- a/features/steering.feature
+++ b/features/steering.feature
@@ -70,7 +70,8 @@
 
   Scenario Outline: An agent claims no later flow from a port that was used before
     # Guards against data of an open flow that go to the server at which an earlier flow of
-    # the same port has ended, and which resets them. The server's numbers reach 1001.
+    # the same port has ended, and which resets them. The server's numbers reach 1001. A
+    # probe, which has the numbers of both ends, tells another flow from a late packet.
     Given an agent whose server is ready and that started 100 s ago
     When a new flow for web arrives
     And the server answers the first packet with the sequence number 1000
@@ -84,8 +85,8 @@
       | 1001         | holds the flow         |
       | 20001        | holds the flow         |
       | 4294967000   | holds the flow         |
-      | 1000000      | does not hold the flow |
-      | 4000000000   | does not hold the flow |
+      | 1000000      | is unsure              |
+      | 4000000000   | is unsure              |
 
   Scenario: A probe of another flow leaves the one that is known as it is
     # Guards against an agent that takes a late packet of an earlier flow for the present
@@ -132,8 +133,10 @@
       | sequence   | acknowledged | result                   |
       | 600        | 1010         | delivered to the server  |
       | 15000      | 1010         | delivered to the server  |
-      | 600        | 3000000      | returned to the balancer |
-      | 3000000    | 1010         | returned to the balancer |
+      | 600        | 3000000      | delivered to the server  |
+      | 3000000    | 1010         | delivered to the server  |
+      | 3000000    | 3000000      | returned to the balancer |
+      | 4000000000 | 4000000000   | returned to the balancer |
 
   Scenario: A server's reset of a probe does not reach the caller
     # Guards against a reset by the server of an earlier flow of the same port, to which an
@@ -171,8 +174,8 @@
 
     Examples:
       | sequence   | acknowledged |
-      | 3000000000 | 7000         |
-      | 3000       | 3000000000   |
+      | 3000000000 | 3000000000   |
+      | 300000     | 300000       |
 
   Scenario: A report of another server alone resets no flow
     # Guards against a reset of flows of the sound server because of a report that another
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -189,7 +189,7 @@
 
 @when("a probe of another flow from the same port arrives")
 def probe_other(context):
-    probe(context, 3_000_000)
+    probe(context, 3_000_000, 3_000_000)
 
 
 @when("a probe of an unknown flow arrives")
@@ -197,8 +197,8 @@
     probe(context, 1001)
 
 
-def probe(context, acknowledged):
-    segment = make_segment(ack=acknowledged, size=5)
+def probe(context, acknowledged, sequence=1):
+    segment = make_segment(sequence=sequence, ack=acknowledged, size=5)
     message = LookupProbe(5, segment.data)
     context.actions = context.agent.handle_lookup_probe(
         BALANCER, message, segment, context.now
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -422,11 +422,10 @@
             return Ownership.UNSURE if may_hold else Ownership.NONE
         if acknowledges_other_server(flow, message.acknowledgement):
             return Ownership.NONE
-        if not flow.includes(message.acknowledgement):
-            # The server has sent packets of the tracked flow through this process, so a
-            # later one would have been opened through it.
+        if not flow.may_acknowledge(message.acknowledgement):
+            # The numbers of a whole packet tell a late one from that of another flow.
             self._outbox.count("flow_mismatch", "lookup")
-            return Ownership.NONE
+            return Ownership.UNSURE
         if not flow.is_certain and flow.server_sequence is None:
             return Ownership.UNSURE
         # The server still answers what the caller sends on a flow that has ended.
--- a/src/bramleystair/steering/_agent_flows.py
+++ b/src/bramleystair/steering/_agent_flows.py
@@ -98,12 +98,23 @@
         self.has_server_ended |= segment.is_fin
         self.server_position = _advance(self.server_position, segment.sequence)
 
-    def includes(self, acknowledgement: int, sequence: int | None = None) -> bool:
-        """Return whether a caller's packet with these numbers can be of this flow."""
-        return _is_near(self.server_position, acknowledgement) and (
-            sequence is None or _is_near(self.caller_position, sequence)
+    def includes(self, acknowledgement: int, sequence: int) -> bool:
+        """Return whether a caller's packet with these numbers can be of this flow.
+
+        One of them may be far off: a packet may have been delayed while the other end
+        sent much. Both ends of another flow start at unrelated numbers.
+        """
+        return _is_near(self.server_position, acknowledgement) or _is_near(
+            self.caller_position, sequence
         )
 
+    def may_acknowledge(self, acknowledgement: int) -> bool:
+        """Return whether the caller of this flow acknowledges such a number at present.
+
+        If not, its packet is late, or of another flow.
+        """
+        return _is_near(self.server_position, acknowledgement)
+
     def includes_of_server(self, segment: Segment) -> bool:
         """Return whether a packet of the server can be of this flow."""
         return segment.is_reset or _is_near(self.server_position, segment.sequence)
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -87,13 +87,12 @@
         """Return whether a packet of the caller can be of the flow.
 
         If not, it belongs to another flow of the same addresses and ports, or many
-        packets went through another balancer.
+        packets of both ends went through another balancer. Only one of its numbers is
+        far off if it was delayed while one end sent much.
         """
-        if segment.is_reset:
+        if segment.is_reset or are_of_one_flow(self.sequence, segment.sequence):
             return True
-        if not are_of_one_flow(self.sequence, segment.sequence):
-            return False
-        return not self.acknowledgement or are_of_one_flow(
+        return bool(self.acknowledgement) and are_of_one_flow(
             self.acknowledgement, segment.acknowledgement
         )
 
