Remember the zone of a member until its agent had time to write its entry

A balancer kept one former zone of a member. After two changes of the entry in a row by another writer, the member's own zone was forgotten, and new flows were opened there although it was evacuated (EVAC); after the agent had written again, the other writer's second zone stayed as the former one, so that its evacuation took a sound member out of use.

The zone that the entry named first counts, beside the present one, until another one has stood for 10 s. A balancer that starts in between does not know the zone before (open).

--- a/features/contradicted_entries.feature
+++ b/features/contradicted_entries.feature
@@ -168,3 +168,13 @@
     And each of the 500 hosts was sent a subscription and the change
     When all members but the unknown ones report their loads for 2.0 s
     Then the balancer has members 0 and 1
+
+  Scenario: The zone of another VM at the address is taken over
+    # Guards against a member that stays out of use for good because of the zone of the VM
+    # that had its address before.
+    Given a balancer with 2 members
+    When the entry of member 1 names the zone "zone-2"
+    And zone "zone-1" is evacuated
+    Then no new flow is placed on member 1
+    When all members report their loads for 11.0 s
+    Then new flows are placed on member 1
--- a/src/bramleystair/steering/_member.py
+++ b/src/bramleystair/steering/_member.py
@@ -7,6 +7,9 @@
 
 # Assumed load of a new flow, in concurrent requests, until a report shows the real one.
 NEW_FLOW_LOAD = 0.08
+# Time in which an agent writes its entry again after another writer has changed it,
+# also if the response to a balancer's watch was lost.
+ZONE_CONFIRMATION_S = 10.0
 
 
 @attrs.define(eq=False)
@@ -35,8 +38,10 @@
     is_restarting : bool
         Whether the agent announced that it stops while its server keeps running. Holds
         until its next load report, whatever is published of it meanwhile.
-    former_zone : str or None
-        Availability zone that the entry named before its last change, if another one.
+    own_zone : str
+        Availability zone that the entry named at first, or for `ZONE_CONFIRMATION_S`.
+    zone_changed_s : float
+        Time at which the entry named another availability zone than before.
     is_unlisted : bool
         Whether the store has no usable entry of the member.
     change : EntryChanged or None
@@ -55,7 +60,10 @@
     is_subscribed: bool = False
     is_message_expected: bool = False
     is_restarting: bool = False
-    former_zone: str | None = None
+    own_zone: str = attrs.field(
+        default=attrs.Factory(lambda member: member.entry.zone, takes_self=True)
+    )
+    zone_changed_s: float = 0.0
     is_unlisted: bool = False
     change: EntryChanged | None = None
     change_announced_until_s: float = 0.0
@@ -66,6 +74,17 @@
         load = self.load
         return load is not None and not load.is_accepting and load.running < load.slots
 
+    def set_entry(self, entry: MemberEntry, now: float) -> None:
+        """Set the published entry, which may be another writer's."""
+        if entry.zone != self.entry.zone:
+            self.zone_changed_s = now
+        self.entry = entry
+
+    def confirm_zone(self, now: float) -> None:
+        """Take over the zone of the entry once its agent had time to write it again."""
+        if now - self.zone_changed_s >= ZONE_CONFIRMATION_S:
+            self.own_zone = self.entry.zone
+
     def expect_message(self, now: float) -> None:
         """Start the silence timeout, unless it is already running."""
         if not self.is_message_expected:
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -114,10 +114,7 @@
                 entry.started_ms,
             ):
                 known.load = None
-            if known.entry.zone != entry.zone:
-                is_restored = entry.zone == known.former_zone
-                known.former_zone = None if is_restored else known.entry.zone
-            known.entry = entry
+            known.set_entry(entry, now)
             known.is_unlisted = False
             members[entry.address] = known
         newly_unlisted = [m for m in kept.values() if not m.is_unlisted]
@@ -187,6 +184,8 @@
 
     def refresh_neighbours(self, now: float) -> None:
         """Reselect the neighbours if the set of usable members has changed."""
+        for member in self:
+            member.confirm_zone(now)
         if self._list_unusable(now) != self._unusable:
             self.reselect_neighbours(now)
 
@@ -457,7 +456,7 @@
         return (
             member.entry.state is ServerState.READY
             and member.entry.zone not in self._evacuated_zones
-            and member.former_zone not in self._evacuated_zones
+            and member.own_zone not in self._evacuated_zones
             and (member.load is None or member.load.state is ServerState.READY)
         )
 
