Bound the writes against a fast writer, and check an entry without reports

- A writer that was faster than the store was followed call by call: 225 calls a second in a simulation with an answer in 4 ms and a foreign write each 3 ms.
After two conflicts in a row the next write waits 0.5 s.
- One EntryChanged with a revision that the store never had made a publisher ignore all later changes, and its own check every 18 s as well, until the store was restored.
The check now goes by what the store returned alone.

Both were found by a review before they landed.

--- a/features/mirror.feature
+++ b/features/mirror.feature
@@ -409,6 +409,28 @@
     Then the store holds ready
     And the store took at most 14 writes
 
+  Scenario: Another writer that is faster than the store is not followed call by call
+    # Guards against hundreds of calls a second while each write meets a later one.
+    Given an empty store and a publisher
+    When it publishes ready
+    And another writer replaces its object before each write
+    And another writer replaces its object and it is told
+    And the store's clock advances by 4 s
+    Then the store took at most 12 writes
+    When the other writer stops
+    And the store's clock advances by 1 s
+    Then the store holds ready
+
+  Scenario: A report of a revision that the store never had hides no later change
+    # Guards against a publisher that ignores all changes after one wrong report.
+    Given an empty store and a publisher
+    When it publishes ready
+    And it is told of a change at revision 9223372036854775808
+    And the store's clock advances by 15 s
+    And another writer replaces its object
+    And the publisher checks its object
+    Then the store holds ready
+
   Scenario: An object of another writer in place of a withdrawn one is deleted
     Given an empty store and a publisher
     When it publishes ready
--- a/features/steps/mirror_steps.py
+++ b/features/steps/mirror_steps.py
@@ -50,6 +50,8 @@
     reads: int = 0
     lost_write: str = ""
     write_delay_s: float = 0.0
+    # Whether another writer replaces the object before each write.
+    is_contended: bool = False
     delayed_listing: Future | None = None
     # Revision up to which stale reads see changes, and the number of stale reads.
     stale_revision: int | None = None
@@ -174,6 +176,8 @@
         write_delay_s, self.write_delay_s = self.write_delay_s, 0.0
         if lost_write == "not executed":
             return complete(fail())
+        if self.is_contended:
+            self.put(name, {"state": "theirs"})
         if write_delay_s:
             self.timers.subscribe_once(
                 write_delay_s, lambda _: self.execute(name, value, condition)
@@ -626,6 +630,21 @@
         context.publisher.handle_change(item.revision, is_deleted)
 
 
+@when("another writer replaces its object before each write")
+def contend(context):
+    context.store.is_contended = True
+
+
+@when("the other writer stops")
+def end_contention(context):
+    context.store.is_contended = False
+
+
+@when("it is told of a change at revision {revision:d}")
+def tell_revision(context, revision):
+    context.publisher.handle_change(revision)
+
+
 @when("the publisher checks its object")
 def check_object(context):
     context.publisher.check()
--- a/src/bramleystair/mirror/_publisher.py
+++ b/src/bramleystair/mirror/_publisher.py
@@ -23,6 +23,9 @@
 # Minimum interval between verifications, so that two writers of one object do not write
 # at the rate at which the store answers.
 VERIFICATION_INTERVAL_S = 0.5
+# Conflicts in a row after which the next write waits for that interval: another writer
+# writes faster than the store answers.
+MAX_PROMPT_CONFLICTS = 2
 # A stale read may lack a write of the last seconds.
 STALE_READ_S = 10.0
 # Characters of another writer's content in a log line.
@@ -74,6 +77,8 @@
         self._is_stored_known = False
         self._is_call_pending = False
         self._has_called = False
+        # Number of writes in a row that met the write of another writer.
+        self._conflicts = 0
         # Whether the desired content was stored in the store's present epoch, the time
         # at which that was last confirmed, and whether another writer has changed it.
         self._was_settled = False
@@ -144,7 +149,9 @@
     def _handle_read(self, future: Future) -> None:
         match future.result():
             case StoredItem(revision=revision):
-                self.handle_change(revision)
+                # Reported revisions do not count here: the reports may be wrong.
+                if revision > (self._last_revision or 0):
+                    self._write_again()
             case StoreFailure(kind=FailureKind.NOT_FOUND):
                 elapsed_s = self._timers.clock.now() - self._settled_s
                 if self._desired is not None and elapsed_s > STALE_READ_S:
@@ -217,9 +224,15 @@
                 self._timers.subscribe_once(self._backoff.compute_delay(), self._retry)
                 return
             case StoredItem() as item:
+                self._conflicts = 0
                 self._record_stored(item)
             case None:
+                self._conflicts = 0
                 self._record_stored(None)
+        if self._conflicts > MAX_PROMPT_CONFLICTS:
+            self._is_call_pending = True
+            self._timers.subscribe_once(VERIFICATION_INTERVAL_S, self._retry)
+            return
         self._reconcile()
         self._verify_reported()
 
@@ -229,6 +242,7 @@
 
     def _record_found(self, item: StoredItem | None) -> None:
         """Record a stored state that differs from the condition of a write."""
+        self._conflicts += 1
         if self._was_settled and not self._is_desired(item):
             self._record_contradiction(item)
         self._record_stored(item)
