--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -41,7 +41,7 @@
     Verdict,
     get_identity,
 )
-from bramleystair.steering._segments import Segment, are_of_one_flow
+from bramleystair.steering._segments import Segment
 from bramleystair.steering._types import (
     Address,
     Load,
@@ -51,6 +51,7 @@
     ServerState,
     compute_service_id,
 )
+from bramleystair.steering._untracked_flows import UntrackedFlows
 
 # A flow opened within this number of report intervals before the last report of a
 # server may have been completed by the server that replaced it.
@@ -62,10 +63,6 @@
 # One such flow may have been lost otherwise, for example if its caller used the port
 # again.
 LOST_FLOWS_OF_REPLACED_SERVER = 2
-# Tolerance, in report intervals, when the start of a new server is estimated from the
-# number of its reports: they are sent at about the interval, the first one soon after
-# the start.
-START_ESTIMATE_MARGIN_HEARTBEATS = 1.5
 
 
 @attrs.define(eq=False)
@@ -80,20 +77,6 @@
     due_s: float
 
 
-@attrs.frozen
-class _ReturnedFlow:
-    """Flow of which the server has returned a packet since it does not hold it.
-
-    Parameters
-    ----------
-    acknowledgement : int
-        Acknowledgement number of that packet.
-    """
-
-    acknowledgement: int
-    returned_s: float
-
-
 class AgentSteering:
     """Admit new flows to the backend server and answer lookups of those that it holds.
 
@@ -122,15 +105,7 @@
         self._report: ServerReport | None = None
         # Whether `_report` was assumed after a health check instead of received.
         self._is_report_assumed = False
-        # Whether no server listens at the server's address, and the time at which this
-        # was noticed.
-        self.is_server_absent = False
-        self._absence_noticed_s: float | None = None
-        self._started_s = now
-        # Whether the server seems to have started after this process, which has seen
-        # all its flows then. Lookups are answered accordingly; packets are returned by
-        # the server alone, since a balancer may reset their callers.
-        self._is_server_younger = False
+        self._untracked = UntrackedFlows(settings, now)
         self._reports = ReportHistory(settings)
         # The server in whose place another one reported, and the time of its last
         # report; its flows are marked as `is_former`.
@@ -141,11 +116,8 @@
         self._has_left = False
         self._service_id = 0
         self._flows: dict[bytes, AgentFlow] = {}
-        self._returned_flows: dict[bytes, _ReturnedFlow] = {}
         self._pending_lookups: dict[bytes, list[_PendingLookup]] = {}
         self._lookup_deadlines: deque[tuple[float, bytes]] = deque()
-        # Time until which the server may hold flows that this agent does not track.
-        self._may_hold_untracked_until_s = now + settings.flow_lifetime_s
         self._admission = AdmissionControl(settings)
         self._server_last_seen_s = now
         self._unanswered_since_s: float | None = None
@@ -161,6 +133,11 @@
         """Whether the server's state was reported or assumed."""
         return self._report is not None
 
+    @property
+    def is_server_absent(self) -> bool:
+        """Whether no server listens at the server's address."""
+        return self._untracked.is_server_absent
+
     @property
     def has_shutdown_report(self) -> bool:
         """Whether the server has reported its shutdown, and nothing since."""
@@ -200,7 +177,7 @@
         self._settings = attrs.evolve(
             self._settings, heartbeat_s=heartbeat_s, flow_lifetime_s=flow_lifetime_s
         )
-        self._reports.settings = self._settings
+        self._reports.settings = self._untracked.settings = self._settings
 
     def compute_wait(self, now: float) -> float:
         """Return the seconds until `run_timers` is due."""
@@ -226,7 +203,7 @@
             case Verdict.REPLACED if previous is not None:
                 self._replace_server(previous, previous_s, report, now)
             case Verdict.REPLACED:
-                self._is_server_younger = self._seems_younger(report, now)
+                self._untracked.handle_first_report(report, now)
                 self._use_report(report, now)
             case Verdict.CURRENT:
                 self._use_report(report, now)
@@ -258,7 +235,7 @@
         if self._report is not None or self._reports.is_removed:
             return []
         self._is_report_assumed = True
-        self.is_server_absent = False
+        self._untracked.set_server_absent(False, now)
         self._report = ServerReport(
             "", service, self._zone, ServerState.READY, self._settings.assumed_slots
         )
@@ -277,10 +254,7 @@
         listen, as after a power loss, holds no flow, so lookups of untracked flows are
         answered `NONE` at once.
         """
-        was_absent = self.is_server_absent
-        self.is_server_absent = self._report is None
-        if self.is_server_absent and not was_absent:
-            self._absence_noticed_s = now
+        self._untracked.set_server_absent(self._report is None, now)
 
     def remove_server(self, shutdown: ServerShutdown, now: float) -> list[Action]:
         """Handle a shutdown report of the server; one of another server is ignored.
@@ -363,7 +337,7 @@
             now,
             caller_position=segment.sequence,
         )
-        self._returned_flows.pop(segment.flow, None)
+        self._untracked.forget(segment.flow)
         self._admission.admit(segment.flow, now)
         if self._unanswered_since_s is None:
             self._unanswered_since_s = now
@@ -394,9 +368,7 @@
             flow.is_probe_only = False
             self._deliver_tracked(sender, flow, segment, now)
             return self._outbox.take()
-        if not self._may_hold_untracked_flow(
-            segment.flow, segment.acknowledgement, now
-        ):
+        if not self._untracked.may_hold(segment.flow, segment.acknowledgement, now):
             self._outbox.send(sender, ReturnPacket(segment.data))
             return self._outbox.take()
         self._deliver_tracked(
@@ -416,7 +388,7 @@
     def _determine_ownership(self, message: LookupRequest, now: float) -> Ownership:
         flow = self._flows.get(message.flow)
         if flow is None:
-            may_hold = not self._is_server_younger and self._may_hold_untracked_flow(
+            may_hold = self._untracked.may_be_claimed(
                 message.flow, message.acknowledgement, now
             )
             return Ownership.UNSURE if may_hold else Ownership.NONE
@@ -437,7 +409,7 @@
         """Deliver a packet to find out whether the server holds its flow."""
         flow = self._flows.get(segment.flow)
         if flow is None:
-            is_denied = not self._may_hold_untracked_flow(
+            is_denied = not self._untracked.may_hold(
                 segment.flow, segment.acknowledgement, now
             )
         else:
@@ -461,7 +433,7 @@
         """Handle a packet that the server sent."""
         self._server_last_seen_s = now
         self._unanswered_since_s = None
-        self.is_server_absent = False
+        self._untracked.set_server_absent(False, now)
         if segment.is_returned:
             self._record_lost_flow(segment, now)
             self._handle_returned(segment, now)
@@ -569,7 +541,7 @@
         previous = self._report
         self._end_silence(now)
         self._report = report
-        self.is_server_absent = False
+        self._untracked.set_server_absent(False, now)
         self._is_report_assumed = False
         self._service_id = compute_service_id(report.service)
         self._admission.set_cold(report.cold_left_s, now)
@@ -592,7 +564,7 @@
         If the known one was the other writer, this agent may not have seen all flows.
         """
         self._end_silence(now)
-        self._is_server_younger = False
+        self._untracked.handle_other_server()
         self._admission.extend_cold(report.cold_left_s, now)
         self._outbox.count("report_ignored", "unconfirmed")
         self._outbox.log(
@@ -629,8 +601,7 @@
 
         The server itself decides: it returns packets of flows that it does not hold.
         """
-        self._may_hold_untracked_until_s = now + self._settings.flow_lifetime_s
-        self._is_server_younger = False
+        self._untracked.handle_replacement(now)
         former = self._replaced
         if former is not None and get_identity(former[0]) == get_identity(report):
             # The former server was not gone, so its flows need no confirmation.
@@ -718,35 +689,6 @@
         for flow in self._flows.values():
             flow.is_former = False
 
-    def _seems_younger(self, report: ServerReport, now: float) -> bool:
-        """Return whether the server seems to have started after this process.
-
-        It did if this process found its address without a listener before, and has not
-        sent more reports than fit into the time since. Where both started together, as
-        after a power loss, a cold server reports as soon as the agent listens. No times
-        of day are compared, as they may be set between the starts of two processes.
-        """
-        settings = self._settings
-        noticed_s = self._absence_noticed_s
-        if noticed_s is not None:
-            elapsed_intervals = (now - noticed_s) / settings.heartbeat_s
-            limit = 1 + elapsed_intervals + START_ESTIMATE_MARGIN_HEARTBEATS
-            if report.sequence <= limit:
-                return True
-        is_at_start = now - self._started_s <= settings.start_margin_s
-        return is_at_start and report.cold_left_s > 0
-
-    def _may_hold_untracked_flow(
-        self, flow: bytes, acknowledgement: int, now: float
-    ) -> bool:
-        """Return whether the server may hold a flow that this agent does not track."""
-        if now >= self._may_hold_untracked_until_s or self.is_server_absent:
-            return False
-        returned = self._returned_flows.get(flow)
-        return returned is None or not are_of_one_flow(
-            returned.acknowledgement, acknowledgement
-        )
-
     def _check_admission(self, message: OpenFlow, now: float) -> Refusal:
         report = self._report
         if self._is_stopping:
@@ -875,7 +817,7 @@
                     flow.last_balancer, flow.token, segment.flow, Refusal.RETURNED, now
                 )
             return
-        self._returned_flows[segment.flow] = _ReturnedFlow(segment.acknowledgement, now)
+        self._untracked.record_returned(segment, now)
         if lookups or flow.last_balancer is None:
             return
         self._outbox.log(
@@ -939,11 +881,7 @@
                 )
                 self._end_request(flow, now)
         oldest_s = now - settings.flow_lifetime_s
-        self._returned_flows = {
-            key: returned
-            for key, returned in self._returned_flows.items()
-            if returned.returned_s >= oldest_s
-        }
+        self._untracked.purge(oldest_s)
         for key in [
             k for k, flow in self._flows.items() if flow.last_seen_s < oldest_s
         ]:
