--- a/src/bramleystair/replicas/_balancer.py
+++ b/src/bramleystair/replicas/_balancer.py
@@ -166,9 +166,9 @@
         # that they live, so it refutes no down report.
         self._assumed_heard: set[str] = set()
         # Members of which this node has the latest proof that a down report was false.
-        # It measures their silence even if they send their heartbeats to other nodes,
-        # as nodes that cannot reach a member do not report it a second time.
-        self._vouched_for: set[str] = set()
+        # It monitors them even if they send their heartbeats to other nodes, as nodes
+        # that cannot reach a member do not report it a second time.
+        self._monitored: set[str] = set()
         self._last_contact_s = 0.0
         self._next_member_check_s = 0.0
         self._members_to_check: list[str] = []
@@ -303,9 +303,9 @@
         if not is_new:
             return actions
         if item.key.startswith(LIVENESS_PREFIX):
-            self._update_vouching(item, sender, now)
+            self._update_monitored(item, sender, now)
         if self._is_refutable(item, now):
-            self._vouched_for.add(item.key.removeprefix(LIVENESS_PREFIX))
+            self._monitored.add(item.key.removeprefix(LIVENESS_PREFIX))
             version = compute_refutation_version(item.version)
             self.store.put(build_liveness_report(item.key, version))
             # An empty sender excludes no peer: the sender of the report needs the
@@ -315,15 +315,15 @@
             self._queue_announcement(item.key, sender)
         return actions
 
-    def _update_vouching(self, report: StoredObject, sender: str, now: float) -> None:
-        """Vouch for a member that refutes a down report itself, and for no others.
+    def _update_monitored(self, report: StoredObject, sender: str, now: float) -> None:
+        """Monitor the subject of a report only if it has sent the refutation itself.
 
-        Of the others, the node that refuted the report has heard them later.
+        Otherwise, the node that refuted the report has heard from it later.
         """
         name = report.key.removeprefix(LIVENESS_PREFIX)
-        self._vouched_for.discard(name)
+        self._monitored.discard(name)
         if name == sender and not is_down_version(report.version):
-            self._vouched_for.add(name)
+            self._monitored.add(name)
             self._record_heard(name, now)
 
     def _is_refutable(self, report: StoredObject, now: float) -> bool:
@@ -588,12 +588,12 @@
         """Probe a silent member, and report it down after `down_after_s`.
 
         A member that sends its heartbeats to other nodes is forgotten instead, unless
-        this node vouches for it.
+        this node monitors it after a false report.
         """
         is_overdue = now - self._last_heard_s[name] >= self._settings.down_after_s
         is_known = self.store.find_member(name) is not None
         is_target = self._is_heartbeat_target_of(name) or (
-            is_known and name in self._vouched_for
+            is_known and name in self._monitored
         )
         if is_target and not is_overdue:
             return [Send(name, Pull((build_key(self.store.find_member(name)),)))]
