--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -138,7 +138,7 @@
         case "after a balancer was paused":
             return (Fault("pause_balancer", "balancer-1", 9, 11),)
         case _:
-            raise NotImplementedError(reason)
+            raise ValueError(f"unknown condition: {reason}")
 
 
 @when("the run is checked")
