Take only a server's own return for the loss of a flow

Under such load a first packet is tried at several servers. The logs show that agents returned 779 packets by their own judgement, 519 since the caller had completed the handshake with another server, 260 of flows that they did not track, and that the balancer took eight of these for the loss of a flow, if several packets had reached the member meanwhile.

An agent now tells a balancer with FlowLost when its server has returned a packet, and only that is evidence. A returned copy of the first packet of a flow on which the server has sent data is dropped.

--- a/features/steering.feature
+++ b/features/steering.feature
@@ -371,6 +371,30 @@
     And member 0 replies that it does not hold the flow
     Then the caller is reset by the balancer
 
+  Scenario: A packet that an agent itself denies is no evidence for a reset
+    # Guards against a reset of an open flow whose agent has forgotten it, or of one that was
+    # opened at two servers: only a server's return shows that it does not hold the flow.
+    Given a balancer that has just started with 3 members
+    When for 2 s all members report their loads
+    And a packet of an unknown flow reaches the balancer
+    And member 1 replies that it holds the flow
+    And the agent of member 1 denies a packet of the flow
+    And the queried members reply that they do not hold the flow
+    And 1 s pass at the balancer
+    Then the caller is not reset by the balancer
+
+  Scenario: A returned copy of the first packet ends no open flow
+    # Guards against an agent that forgets an open flow because its server, which is full,
+    # does not accept the caller's retransmitted first packet.
+    Given an agent whose server is ready and that started 100 s ago
+    When a new flow for web arrives
+    And the server answers the first packet with the sequence number 1000
+    And the caller acknowledges the sequence number 1001
+    And the server sends a packet
+    And the server returns a copy of the first packet
+    And a packet with the sequence number 600 acknowledges 1010
+    Then the packet is delivered to the server
+
   Scenario: A member that never sent a message does not block lookups
     Given a balancer that has just started with 3 members
     When for 2 s only members 0 and 1 report their loads
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -9,6 +9,7 @@
     EntryChanged,
     EntryCondition,
     EntryWithdrawn,
+    FlowLost,
     Load,
     LoadReport,
     LookupProbe,
@@ -126,6 +127,7 @@
                 StoreRestored(rng.choice((0, 2**63))),
                 EntryChanged(rng.choice((0, 2**63)), 5, rng.random() < 0.5),
                 EntryWithdrawn(),
+                FlowLost(bytes(12), rng.choice((0, 2**32 - 1))),
                 OfferSlot(),
                 DeclineSlot(),
             )
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -13,6 +13,7 @@
     DeliverToServer,
     EntryChanged,
     EntryWithdrawn,
+    FlowLost,
     Load,
     LoadReport,
     LookupProbe,
@@ -502,6 +503,18 @@
     )
 
 
+@when("the agent of member {number:d} denies a packet of the flow")
+def deny_held(context, number):
+    deny_packet(context, get_member(number), make_segment(ack=177, size=5))
+    await_queries(context)
+
+
+@when("the server returns a copy of the first packet")
+def return_first_copy(context):
+    segment = make_segment(first=True, returned=True)
+    context.actions = context.agent.handle_server_segment(segment, context.now)
+
+
 @when("member {number:d} returns a packet of the flow")
 def return_held(context, number):
     # The caller has acknowledged more since the member was found.
@@ -518,6 +531,12 @@
 
 
 def return_packet(context, member, segment):
+    lost = FlowLost(segment.flow, segment.acknowledgement)
+    record_actions(context, context.balancer.handle_message(member, lost, context.now))
+    deny_packet(context, member, segment)
+
+
+def deny_packet(context, member, segment):
     actions = context.balancer.handle_returned_packet(member, segment, context.now)
     record_actions(context, actions)
 
@@ -952,6 +971,7 @@
     StoreRestored(2),
     EntryChanged(2, 2**63, True),
     EntryWithdrawn(),
+    FlowLost(bytes(12), 2**32 - 1),
     OfferSlot(),
     DeclineSlot(),
 )
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -23,6 +23,7 @@
 )
 from bramleystair.steering._agent_settings import AgentSteeringSettings
 from bramleystair.steering._messages import (
+    FlowLost,
     LoadReport,
     LookupProbe,
     LookupReply,
@@ -804,6 +805,10 @@
 
     def _handle_returned(self, segment: Segment, now: float) -> None:
         flow = self._flows.get(segment.flow)
+        if segment.is_syn and flow is not None and flow.is_certain:
+            # A copy of the first packet that the server cannot accept a second time.
+            self._outbox.count("packet_dropped", "returned_copy")
+            return
         lookups = self._pending_lookups.pop(segment.flow, ())
         for lookup in lookups:
             self._reply_to_lookup(lookup.balancer, lookup.token, Ownership.NONE)
@@ -823,6 +828,9 @@
         self._outbox.log(
             "returned", segment.flow, "not_held", was_certain=flow.is_certain
         )
+        self._outbox.send(
+            flow.last_balancer, FlowLost(segment.flow, segment.acknowledgement)
+        )
         self._outbox.send(flow.last_balancer, ReturnPacket(segment.data))
 
     def _add_pending_lookup(
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -20,6 +20,7 @@
     DeclineSlot,
     EntryChanged,
     EntryWithdrawn,
+    FlowLost,
     LoadReport,
     LookupReply,
     Message,
@@ -66,6 +67,8 @@
         Whether the member's server held the flow for certain: its agent said so, or the
         caller has acknowledged data since the member was recorded. Another server than
         that of the accepted opening may own a flow that was opened at two.
+    lost_acknowledgement : int or None
+        Acknowledgement number of a packet that the member's server has returned.
     """
 
     address: Address
@@ -74,6 +77,7 @@
     sequence: int
     acknowledgement: int = 0
     is_confirmed: bool = False
+    lost_acknowledgement: int | None = None
 
     def record_packet(self, segment: Segment, now: float) -> None:
         """Record a packet of the caller."""
@@ -97,9 +101,11 @@
         )
 
     def held_flow_of(self, segment: Segment) -> bool:
-        """Return whether the member's server held the flow of a returned packet."""
-        return self.is_confirmed and are_of_one_flow(
-            self.acknowledgement, segment.acknowledgement
+        """Return whether the server held the flow of a packet that it has returned."""
+        return (
+            self.is_confirmed
+            and self.lost_acknowledgement == segment.acknowledgement
+            and are_of_one_flow(self.acknowledgement, segment.acknowledgement)
         )
 
 
@@ -337,6 +343,10 @@
                 self.newest_rules_version = max(
                     self.newest_rules_version, rules_version
                 )
+            case FlowLost(flow, acknowledgement):
+                owner = self._owners.get(flow)
+                if owner is not None and owner.address == sender:
+                    owner.lost_acknowledgement = acknowledgement
             case _:
                 self._outbox.count("message_dropped", "unexpected")
         return self._outbox.take()
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -135,6 +135,24 @@
     data: bytes
 
 
+@attrs.define
+class FlowLost:
+    """Tell that a server returned a packet, before the `ReturnPacket` that carries it.
+
+    An agent also returns packets that it does not pass to its server; these say nothing
+    about what the server holds.
+
+    Parameters
+    ----------
+    acknowledgement : int
+        Acknowledgement number of the packet, which tells the flow from another one of
+        the same addresses and ports.
+    """
+
+    flow: bytes
+    acknowledgement: int
+
+
 @attrs.define
 class Subscribe:
     """Subscribe to the load reports of an agent for the next seconds.
@@ -217,6 +235,7 @@
     | LookupProbe
     | LookupReply
     | ReturnPacket
+    | FlowLost
     | Subscribe
     | LoadReport
     | StoreRestored
@@ -235,6 +254,7 @@
 _LOAD_REPORT = struct.Struct("!BQ")
 _STORE_RESTORED = struct.Struct("!BQ")
 _ENTRY_CHANGED = struct.Struct("!BQQ?")
+_FLOW_LOST = struct.Struct("!B12sI")
 _LOAD = struct.Struct("!BHHfHf???")
 _STATES = tuple(ServerState)
 # First byte of each encoded message.
@@ -252,7 +272,7 @@
 # First byte of a datagram of several short messages, each preceded by its length.
 BUNDLE = 10
 OFFER_SLOT, DECLINE_SLOT, STORE_RESTORED = 11, 12, 13
-ENTRY_CHANGED, ENTRY_WITHDRAWN = 14, 15
+ENTRY_CHANGED, ENTRY_WITHDRAWN, FLOW_LOST = 14, 15, 16
 _MAX_U16 = 0xFFFF
 # An urgency is encoded in one byte: a bit for late flows, and the priority.
 _LATE, _MAX_PRIORITY, _NO_URGENCY = 0x80, 0x7E, 0xFF
@@ -287,6 +307,8 @@
             return _ENTRY_CHANGED.pack(ENTRY_CHANGED, epoch, revision, is_missing)
         case EntryWithdrawn():
             return bytes((ENTRY_WITHDRAWN,))
+        case FlowLost(flow, acknowledgement):
+            return _FLOW_LOST.pack(FLOW_LOST, flow, acknowledgement)
         case OfferSlot():
             return bytes((OFFER_SLOT,))
         case DeclineSlot():
@@ -369,6 +391,8 @@
         return StoreRestored(_STORE_RESTORED.unpack(data)[1])
     if kind == ENTRY_CHANGED:
         return EntryChanged(*_ENTRY_CHANGED.unpack(data)[1:])
+    if kind == FLOW_LOST:
+        return FlowLost(*_FLOW_LOST.unpack(data)[1:])
     if data == bytes((ENTRY_WITHDRAWN,)):
         return EntryWithdrawn()
     if data == bytes((OFFER_SLOT,)):
