Reset no ended flow when a server was replaced

The agent tracks an ended flow for 60 s after its last packet and reset it with those of the former server.

A flow that an end has closed needs no reset. The scenario 'Flows that have ended are not reset with those of a server that was replaced' failed before.

--- a/features/odd_reports.feature
+++ b/features/odd_reports.feature
@@ -109,6 +109,15 @@
       | 1       |
       | 3       |
 
+  Scenario: Flows that have ended are not reset with those of a server that was replaced
+    # Guards against a reset of an open flow from a port that an ended one had used before.
+    # Found by the soak, mix all, seed 202.
+    Given an agent with a server that holds 4 flows
+    When 1 s after its last report another server reports with another id
+    And the caller of the last flow closes it
+    And the server returns packets of 2 flows
+    Then the caller of the third flow alone was reset
+
   Scenario: A new server that drains at once gets no flow after two report intervals
     # Guards against new flows after the acknowledgement of a drain.
     Given an agent with a server that holds 4 flows
--- a/features/steps/odd_reports_steps.py
+++ b/features/steps/odd_reports_steps.py
@@ -371,3 +371,15 @@
     started_ms = None if start == "unknown" else int(start)
     is_known = context.agent.knows_server(ServerShutdown(server, started_ms))
     assert is_known == (outcome == "accepted")
+
+
+@when("the caller of the last flow closes it")
+def close_last(context):
+    flow = get_flow(context.flow_count - 1)
+    packet = make_segment(flow, sequence=FIRST_SEQUENCE + 1, ack=1010, fin=True)
+    handle(context, context.agent.handle_relay(BALANCER, packet, context.now))
+
+
+@then("the caller of the third flow alone was reset")
+def check_third_reset(context):
+    assert context.resets == [(get_flow(2), 1001)], context.resets
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -728,7 +728,8 @@
     ) -> None:
         self._remove_flow(key, now)
         self._outbox.count("flow_released", reason)
-        if not flow.acknowledgement:
+        if not flow.acknowledgement or flow.is_closing:
+            # The port of a flow that has ended may be used for another one.
             return
         self._outbox.add(ResetCaller(key, flow.acknowledgement))
         self._outbox.log("reset", key, reason)
