--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -103,6 +103,7 @@
             AgentSteeringSettings(
                 heartbeat_s=settings.heartbeat_s,
                 flow_lifetime_s=settings.flow_lifetime_s,
+                options=settings.options,
             ),
             loop.clock.now(),
         )
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -106,6 +106,7 @@
             BalancerSteeringSettings(
                 owner_lifetime_s=settings.flow_lifetime_s,
                 lookup_bytes_per_s=LOOKUP_LINK_FRACTION * settings.link_bytes_per_s,
+                options=settings.options,
             ),
             random,
             settings.zone,
--- a/src/bramleystair/nodes/_settings.py
+++ b/src/bramleystair/nodes/_settings.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from bramleystair.steering import Segment
+from bramleystair.steering import Segment, SteeringOptions
 
 Address = tuple[str, int]
 
@@ -50,6 +50,8 @@
         Capacity of the VM's network link.
     flow_lifetime_s : float
         Time after which the state of an idle flow may be dropped.
+    options : SteeringOptions
+        Options of the steering parts.
     """
 
     name: str
@@ -69,6 +71,7 @@
     grace_s: float = 6.0
     link_bytes_per_s: float = 12_500_000.0
     flow_lifetime_s: float = 60.0
+    options: SteeringOptions = SteeringOptions()
 
 
 class PacketCodec(Protocol):
--- a/src/bramleystair/platform/_main.py
+++ b/src/bramleystair/platform/_main.py
@@ -4,15 +4,22 @@
 import random
 import sys
 
+import attrs
+from result import Ok, Result
+
+from bramleystair.errors import StepError
 from bramleystair.loop import EventLoop
 from bramleystair.nodes import Node, NodeSettings, run_node
 from bramleystair.platform._packets import Codec
 from bramleystair.platform._settings import read_settings
 from bramleystair.platform._store import PlatformStore
+from bramleystair.steering import read_options
 from bramleystair.timers import MonotonicClock
 
 SETTINGS_PATH_VARIABLE = "BRAMLEYSTAIR_CONFIG"
 METRICS_PORT_VARIABLE = "METRICS_PORT"
+# Path of the options of the steering parts; without it, all parts are off.
+OPTIONS_PATH_VARIABLE = "STEERING_OPTIONS"
 
 
 def main(arguments: list[str]) -> int:
@@ -28,7 +35,14 @@
         return 2
     metrics_port = int(os.environ.get(METRICS_PORT_VARIABLE, "0"))
     path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
-    result = read_settings(path, metrics_port)
+    options_path = os.environ.get(OPTIONS_PATH_VARIABLE, "")
+
+    def read_all() -> Result[NodeSettings, StepError]:
+        return read_settings(path, metrics_port).and_then(
+            lambda settings: _add_options(settings, options_path)
+        )
+
+    result = read_all()
     if result.is_err():
         print(result.unwrap_err(), file=sys.stderr)
         return 1
@@ -39,7 +53,16 @@
         settings.name,
         loop,
         lambda: build(loop, settings),
-        lambda: read_settings(path, metrics_port),
+        read_all,
+    )
+
+
+def _add_options(settings: NodeSettings, path: str) -> Result[NodeSettings, StepError]:
+    """Add the options of the steering parts, if a file of them is named."""
+    if not path:
+        return Ok(settings)
+    return read_options(path).map(
+        lambda options: attrs.evolve(settings, options=options)
     )
 
 
--- a/src/bramleystair/steering/__init__.py
+++ b/src/bramleystair/steering/__init__.py
@@ -45,6 +45,7 @@
     encode_message,
     split_bundle,
 )
+from bramleystair.steering._options import SteeringOptions, read_options
 from bramleystair.steering._segments import Segment, get_service_endpoint
 from bramleystair.steering._types import (
     Load,
@@ -95,6 +96,7 @@
     "ServerState",
     "ServiceLevel",
     "ServiceLimits",
+    "SteeringOptions",
     "StoreRestored",
     "Subscribe",
     "Target",
@@ -107,5 +109,6 @@
     "encode_message",
     "is_node_host",
     "get_service_endpoint",
+    "read_options",
     "split_bundle",
 ]
--- a/src/bramleystair/steering/_agent_settings.py
+++ b/src/bramleystair/steering/_agent_settings.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from bramleystair.steering._options import SteeringOptions
+
 
 @attrs.frozen
 class AgentSteeringSettings:
@@ -59,6 +61,8 @@
         were refused until the agent listened.
     stuck_after_s : float
         Age from which a request without a response does not count as in progress.
+    options : SteeringOptions
+        Options of the parts that are switched on.
     """
 
     heartbeat_s: float = 1.0
@@ -81,3 +85,4 @@
     assumed_cold_s: float = 3.0
     start_margin_s: float = 0.5
     stuck_after_s: float = 5.0
+    options: SteeringOptions = SteeringOptions()
--- a/src/bramleystair/steering/_balancer_settings.py
+++ b/src/bramleystair/steering/_balancer_settings.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from bramleystair.steering._options import SteeringOptions
+
 
 @attrs.frozen
 class BalancerSteeringSettings:
@@ -112,6 +114,8 @@
         Limits per service of the members that report their loads to a balancer: at
         least `least_neighbours` usable members, if there are as many, and at most
         `most_neighbours` usable members of its own availability zone.
+    options : SteeringOptions
+        Options of the parts that are switched on.
     """
 
     open_timeout_s: float = 0.06
@@ -155,3 +159,4 @@
     zone_penalty: float = 0.15
     least_neighbours: int = 12
     most_neighbours: int = 32
+    options: SteeringOptions = SteeringOptions()
--- /dev/null
+++ b/src/bramleystair/steering/_options.py
@@ -0,0 +1,127 @@
+"""Options of the steering parts that an operator switches on.
+
+A part applies beside backend servers that process at most `max_slots` requests at a
+time, so that one settings file serves deployments with servers of different sizes.
+"""
+
+import json
+import math
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import attrs
+from result import Err, Ok, Result
+
+from bramleystair.errors import StepError
+from bramleystair.steering._types import MAX_SLOTS
+
+COMMENT_PREFIX = "//"
+
+
+def bounded(default: float, lowest: float, highest: float) -> Any:
+    """Return an attrs field for a number in the given range."""
+    return attrs.field(default=default, metadata={"lowest": lowest, "highest": highest})
+
+
+@attrs.frozen
+class RequestGateSettings:
+    """Options of the order of requests on open flows.
+
+    Parameters
+    ----------
+    max_slots : int
+        Highest number of slots of a server beside which the part applies; 0: none.
+    """
+
+    max_slots: int = bounded(0, 0, MAX_SLOTS)
+
+
+@attrs.frozen
+class PaceSettings:
+    """Options of the pace of a server that has started or recovered.
+
+    Parameters
+    ----------
+    max_slots : int
+        Highest number of slots of a server beside which the part applies; 0: none.
+    """
+
+    max_slots: int = bounded(0, 0, MAX_SLOTS)
+
+
+@attrs.frozen
+class ServerFaultSettings:
+    """Options of the avoidance of servers that fail or hang.
+
+    Parameters
+    ----------
+    max_slots : int
+        Highest number of slots of a server beside which the part applies; 0: none.
+    """
+
+    max_slots: int = bounded(0, 0, MAX_SLOTS)
+
+
+@attrs.frozen
+class SteeringOptions:
+    """Options of all parts; by default, all are off."""
+
+    request_gate: RequestGateSettings = RequestGateSettings()
+    pace: PaceSettings = PaceSettings()
+    server_faults: ServerFaultSettings = ServerFaultSettings()
+
+
+def read_options(path: str) -> Result[SteeringOptions, StepError]:
+    """Read the options from a JSON file; lines that start with // are comments.
+
+    Returns
+    -------
+    Result of SteeringOptions or StepError
+        The error names the option, its value and what is allowed.
+    """
+    try:
+        lines = Path(path).read_text(encoding="utf-8").splitlines()
+        kept = [line for line in lines if not line.lstrip().startswith(COMMENT_PREFIX)]
+        return Ok(_parse(json.loads("\n".join(kept))))
+    except OSError as error:
+        return Err(StepError("read options", path, error.strerror or "unreadable"))
+    except ValueError as error:
+        return Err(StepError("read options", path, str(error)))
+
+
+def _parse(document: Any) -> SteeringOptions:
+    parts = {field.name: type(field.default) for field in attrs.fields(SteeringOptions)}
+    _check_names(document, parts, "")
+    return SteeringOptions(
+        **{name: _parse_part(name, parts[name], document[name]) for name in document}
+    )
+
+
+def _parse_part(part: str, kind: type, document: Any) -> Any:
+    fields = attrs.fields_dict(kind)
+    _check_names(document, fields, part + ".")
+    for name, value in document.items():
+        _check_number(f"{part}.{name}", value, fields[name])
+    return kind(**document)
+
+
+def _check_names(document: Any, allowed: Mapping[str, Any], prefix: str) -> None:
+    names = ", ".join(allowed)
+    if not isinstance(document, dict):
+        where = prefix.rstrip(".") or "file"
+        raise ValueError(f"{where} is {document!r}; allowed: an object of {names}")
+    for name in document:
+        if name not in allowed:
+            raise ValueError(f"option '{prefix}{name}' is unknown; allowed: {names}")
+
+
+def _check_number(name: str, value: Any, field: attrs.Attribute) -> None:
+    lowest, highest = field.metadata["lowest"], field.metadata["highest"]
+    is_integer = type(field.default) is int
+    has_type = type(value) is int or (not is_integer and type(value) is float)
+    if not has_type or not math.isfinite(value) or not lowest <= value <= highest:
+        kind = "an integer" if is_integer else "a number"
+        raise ValueError(
+            f"option '{name}' is {value!r}; allowed: {kind} from {lowest} to {highest}"
+        )
