Choose the members compared for a flow by a hash instead of at random

After the end of all processes nobody remembers the owners of open flows, and any of all servers may hold one: with 59 agents, each lookup sends its packet to 59 servers. The members compared for a new flow are now those that rank highest by a hash of flow and member, which every balancer can compute again.

--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -131,7 +131,7 @@
     ) -> None:
         self._settings = settings
         self._rules: RoutingRules | None = None
-        self.members = Members(settings, random, zone, name)
+        self.members = Members(settings, zone, name)
         initial_token = random.randrange(TOKEN_MODULUS)
         self._owners: dict[bytes, _OwnerRecord] = {}
         self._outbox = Outbox()
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -4,10 +4,10 @@
 agent sends the messages that are recorded here.
 """
 
-import random as random_module
 from collections.abc import Collection, Iterable
 
 from bramleystair.steering._balancer_settings import BalancerSteeringSettings
+from bramleystair.steering._flow_ranking import select_highest
 from bramleystair.steering._member import Member
 from bramleystair.steering._neighbours import select_neighbours
 from bramleystair.steering._types import Address, Load, MemberEntry, ServerState
@@ -41,8 +41,6 @@
     ----------
     settings : BalancerSteeringSettings
         Timeouts for silent members, and weights for the choice.
-    random : random.Random
-        Random source for the sample of candidates.
     zone, name : str
         Availability zone and name of the balancer.
     """
@@ -50,14 +48,12 @@
     def __init__(
         self,
         settings: BalancerSteeringSettings,
-        random: random_module.Random,
         zone: str = "",
         name: str = "",
     ) -> None:
         self._settings = settings
         self._zone = zone
         self._name = name
-        self._random = random
         self._members: dict[Address, Member] = {}
         self._evacuated_zones: frozenset[str] = frozenset()
         self._neighbours: frozenset[Address] = frozenset()
@@ -306,6 +302,7 @@
 
     def choose(
         self,
+        flow: bytes,
         service: str,
         excluded: Collection[Address],
         responsive_only: bool,
@@ -320,7 +317,8 @@
         3. responsive ones that are not busy;
         4. all candidates, if none is responsive and `responsive_only` is false.
 
-        From a random sample of the group, the member with the lowest cost is chosen.
+        Of the members of the group that rank highest for the flow, the one with the
+        lowest cost is chosen.
 
         Parameters
         ----------
@@ -346,7 +344,7 @@
             pool = candidates
         if not pool:
             return None
-        sample = self._random.sample(pool, min(self._settings.sample, len(pool)))
+        sample = select_highest(flow, pool, self._settings.sample)
         fastest_s = min(
             (m.load.service_s for m in responsive if m.load and m.load.service_s > 0),
             default=0.0,
--- a/src/bramleystair/steering/_openings.py
+++ b/src/bramleystair/steering/_openings.py
@@ -383,7 +383,9 @@
         # After a busy refusal, the flow can wait for a slot of that member; an open
         # request to an unresponsive one would probably time out.
         responsive_only = Refusal.BUSY in pending.refusals
-        return self._members.choose(service, pending.tried, responsive_only, now)
+        return self._members.choose(
+            pending.segment.flow, service, pending.tried, responsive_only, now
+        )
 
     def _choose_from_other_services(
         self, pending: _PendingOpen, now: float
