Reset callers whose flows every member denies on evidence

Cause: after a loss of power of all VMs every flow is gone, all members deny it, and the lookup ends without a reset, as a list of members need not be complete and a denial may be an estimate. Callers wait for their deadlines.

Change: agents tell denials on evidence from estimates (returned packet, nobody listens, start of the server seen, its first report, lifetime of a flow, half-open flow of another server). A sign against the evidence takes it back, and flows that an agent tracked and gave up are not denied. A balancer resets a caller as `never_held` if each member has answered so in one lookup, the rosters show that the list is complete, and the store has confirmed it by a call after the lookup started, at most one in 0.2 s. Otherwise `reset_withheld` counts what was missing. Rosters are not kept yet, so no caller is reset by this rule so far.

--- a/features/steering.feature
+++ b/features/steering.feature
@@ -567,7 +567,7 @@
     # lookups that wait for its answer.
     Given an agent that has just started and finds no server at its server's address
     When a balancer looks up the owner of a flow
-    Then the agent answers that it does not hold the flow
+    Then the agent answers that it denies the flow on evidence: server_absent
     When a packet of an unknown flow arrives
     Then the packet is returned to the balancer
 
@@ -580,10 +580,10 @@
     Then the agent answers that it <answer>
 
     Examples:
-      | seconds | sequence | answer                 |
-      | 0.3     | 1        | does not hold the flow |
-      | 4       | 6        | does not hold the flow |
-      | 0.6     | 8        | is unsure              |
+      | seconds | sequence | answer                                  |
+      | 0.3     | 1        | denies the flow on evidence: seen_start |
+      | 4       | 6        | denies the flow on evidence: seen_start |
+      | 0.6     | 8        | is unsure                               |
 
   Scenario Outline: An agent that was restarted returns no packet of its server's flows
     # Guards against resets of all open flows of a server after the time of day was set:
@@ -608,9 +608,9 @@
     When a probe of an unknown flow arrives
     And the server returns the probe
     And a balancer looks up the owner of a flow whose caller acknowledges 1001
-    Then the agent answers that it does not hold the flow
+    Then the agent answers that it denies the flow on evidence: returned
     When a probe of an unknown flow arrives
-    Then the agent answers that it does not hold the flow
+    Then the agent answers that it denies the flow on evidence: returned
     And the packet is not delivered to the server
     When a balancer looks up the owner of a flow whose caller acknowledges 1000000
     Then the agent answers that it is unsure
@@ -624,7 +624,7 @@
     When 0.2 s later its server passes a health check
     And 0.1 s later a cold server sends its report 1
     And a balancer looks up the owner of a flow
-    Then the agent answers that it does not hold the flow
+    Then the agent answers that it denies the flow on evidence: seen_start
 
   Scenario: An agent lets its server decide on unknown flows once the server reports again
     Given an agent that has just started and finds no server at its server's address
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -165,6 +165,8 @@
     def _apply_change(self, change: SettingsChange) -> None:
         settings = change.settings
         self._steering.set_timing(settings.heartbeat_s, settings.flow_lifetime_s)
+        if "server_address" in change.applied:
+            self._steering.handle_server_moved()
         if "store_address" in change.applied:
             self._epoch_watch.restart()
             self._publisher.verify()
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -4,8 +4,6 @@
 hold the flow or cannot accept it; see `Segment.is_returned`.
 """
 
-from collections import deque
-
 import attrs
 
 from bramleystair.steering._actions import (
@@ -21,12 +19,12 @@
     carries_new_data,
     starts_request,
 )
+from bramleystair.steering._agent_lookups import AgentLookups, get_handshake_denial
 from bramleystair.steering._agent_settings import AgentSteeringSettings
 from bramleystair.steering._messages import (
     FlowLost,
     LoadReport,
     LookupProbe,
-    LookupReply,
     LookupRequest,
     OfferSlot,
     OpenFlow,
@@ -66,18 +64,6 @@
 LOST_FLOWS_OF_REPLACED_SERVER = 2
 
 
-@attrs.define(eq=False)
-class _PendingLookup:
-    """A lookup that waits for the server to return its packet.
-
-    A returned packet answers it with `Ownership.NONE`.
-    """
-
-    balancer: Address
-    token: int
-    due_s: float
-
-
 class AgentSteering:
     """Admit new flows to the backend server and answer lookups of those that it holds.
 
@@ -117,8 +103,6 @@
         self._has_left = False
         self._service_id = 0
         self._flows: dict[bytes, AgentFlow] = {}
-        self._pending_lookups: dict[bytes, list[_PendingLookup]] = {}
-        self._lookup_deadlines: deque[tuple[float, bytes]] = deque()
         self._admission = AdmissionControl(settings)
         self._server_last_seen_s = now
         self._unanswered_since_s: float | None = None
@@ -128,6 +112,7 @@
         self._last_expiry_s = now
         self._is_stopping = False
         self._outbox = Outbox()
+        self._lookups = AgentLookups(self._untracked, self._outbox)
 
     @property
     def has_report(self) -> bool:
@@ -182,9 +167,11 @@
 
     def compute_wait(self, now: float) -> float:
         """Return the seconds until `run_timers` is due."""
-        due_s = min(self._next_load_report_s, self._admission.next_offer_expiry_s)
-        if self._lookup_deadlines:
-            due_s = min(due_s, self._lookup_deadlines[0][0])
+        due_s = min(
+            self._next_load_report_s,
+            self._admission.next_offer_expiry_s,
+            self._lookups.due_s,
+        )
         return max(0.0, due_s - now)
 
     def handle_report(self, report: ServerReport, now: float) -> list[Action]:
@@ -199,6 +186,7 @@
             case Verdict.OUTDATED:
                 reason = "removed" if was_removed else "late"
                 self._outbox.count("report_ignored", reason)
+                self._untracked.handle_next_report(report, now)
             case Verdict.UNCONFIRMED:
                 self._handle_unconfirmed(report, now)
             case Verdict.REPLACED if previous is not None:
@@ -207,6 +195,7 @@
                 self._untracked.handle_first_report(report, now)
                 self._use_report(report, now)
             case Verdict.CURRENT:
+                self._untracked.handle_next_report(report, now)
                 self._use_report(report, now)
         return self._outbox.take()
 
@@ -253,10 +242,17 @@
         The record is cleared once a server reports, passes a health check or sends a
         packet; the call has no effect while a report is held. A server that does not
         listen, as after a power loss, holds no flow, so lookups of untracked flows are
-        answered `NONE` at once.
+        denied at once.
         """
         self._untracked.set_server_absent(self._report is None, now)
 
+    def handle_server_moved(self) -> None:
+        """Record that the server's address was another one than known before.
+
+        What was found at the former address says nothing about the server.
+        """
+        self._untracked.handle_server_moved()
+
     def remove_server(self, shutdown: ServerShutdown, now: float) -> list[Action]:
         """Handle a shutdown report of the server; one of another server is ignored.
 
@@ -337,6 +333,7 @@
             segment.sequence,
             now,
             caller_position=segment.sequence,
+            is_opened_here=True,
         )
         self._untracked.forget(segment.flow)
         self._admission.admit(segment.flow, now)
@@ -369,7 +366,7 @@
             flow.is_probe_only = False
             self._deliver_tracked(sender, flow, segment, now)
             return self._outbox.take()
-        if not self._untracked.may_hold(segment.flow, segment.acknowledgement, now):
+        if self._find_denial(segment, now) is not None:
             self._outbox.send(sender, ReturnPacket(segment.data))
             return self._outbox.take()
         self._deliver_tracked(
@@ -382,54 +379,39 @@
     ) -> list[Action]:
         """Answer a lookup."""
         self._announce_stop(sender, now)
-        ownership = self._determine_ownership(message, now)
-        self._reply_to_lookup(sender, message.token, ownership)
+        self._lookups.answer(sender, message, self._flows.get(message.flow), now)
         return self._outbox.take()
 
-    def _determine_ownership(self, message: LookupRequest, now: float) -> Ownership:
-        flow = self._flows.get(message.flow)
-        if flow is None:
-            may_hold = self._untracked.may_be_claimed(
-                message.flow, message.acknowledgement, now
-            )
-            return Ownership.UNSURE if may_hold else Ownership.NONE
-        if acknowledges_other_server(flow, message.acknowledgement):
-            return Ownership.NONE
-        if not flow.may_acknowledge(message.acknowledgement):
-            # The numbers of a whole packet tell a late one from that of another flow.
-            self._outbox.count("flow_mismatch", "lookup")
-            return Ownership.UNSURE
-        if not flow.is_certain and flow.server_sequence is None:
-            return Ownership.UNSURE
-        # The server still answers what the caller sends on a flow that has ended.
-        return Ownership.LIKELY if flow.has_ended else Ownership.CERTAIN
-
     def handle_lookup_probe(
         self, sender: Address, message: LookupProbe, segment: Segment, now: float
     ) -> list[Action]:
         """Deliver a packet to find out whether the server holds its flow."""
         flow = self._flows.get(segment.flow)
         if flow is None:
-            is_denied = not self._untracked.may_hold(
-                segment.flow, segment.acknowledgement, now
-            )
+            denial = self._find_denial(segment, now)
+        elif self._is_handshake_with_other_server(flow, segment):
+            denial = get_handshake_denial(flow)
         else:
-            is_denied = self._is_handshake_with_other_server(
-                flow, segment
-            ) or self._is_of_other_flow(flow, segment)
-        if is_denied:
-            self._reply_to_lookup(sender, message.token, Ownership.NONE)
+            is_other = self._is_of_other_flow(flow, segment)
+            denial = Ownership.NONE if is_other else None
+        if denial is not None:
+            self._lookups.reply(sender, message.token, denial)
             return self._outbox.take()
         if flow is None:
             flow = self._track_flow(sender, segment, now)
             flow.is_probe_only = True
         self._deliver_tracked(sender, flow, segment, now)
         if flow.is_certain:
-            self._reply_to_lookup(sender, message.token, Ownership.CERTAIN)
+            self._lookups.reply(sender, message.token, Ownership.CERTAIN)
         else:
-            self._add_pending_lookup(sender, message.token, segment.flow, now)
+            due_s = now + self._settings.return_wait_s
+            self._lookups.add_probe(sender, message.token, segment, due_s)
         return self._outbox.take()
 
+    def _find_denial(self, segment: Segment, now: float) -> Ownership | None:
+        """Return why the server cannot hold a flow that is not tracked, if so."""
+        return self._untracked.find_denial(segment.flow, segment.acknowledgement, now)
+
     def handle_server_segment(self, segment: Segment, now: float) -> list[Action]:
         """Handle a packet that the server sent."""
         self._server_last_seen_s = now
@@ -440,6 +422,7 @@
             self._handle_returned(segment, now)
             return self._outbox.take()
         flow = self._flows.get(segment.flow)
+        was_opened_here = self._untracked.was_opened_here(segment.flow)
         if flow is not None and segment.is_reset and flow.is_probe_only:
             self._handle_reset_of_probe(segment, now)
             return self._outbox.take()
@@ -449,9 +432,13 @@
             self._remove_flow(segment.flow, now)
             flow = None
         if flow is None:
-            flow = self._flows[segment.flow] = AgentFlow(None, now)
+            flow = AgentFlow(None, now, is_opened_here=was_opened_here)
+            self._flows[segment.flow] = flow
         elif not segment.is_syn:
             self._record_held_flow(flow, now)
+        if not flow.is_opened_here:
+            # An earlier process has passed packets to this server.
+            self._untracked.revoke_evidence()
         flow.record_server_packet(segment)
         flow.is_probe_only = False
         flow.last_seen_s = now
@@ -460,7 +447,7 @@
             flow.server_sequence = segment.sequence
         elif not flow.is_certain:
             flow.is_certain = True
-            self._answer_certain(segment.flow)
+            self._lookups.answer_probes(segment.flow, Ownership.CERTAIN)
         if segment.has_payload and flow.request_started_s is not None:
             self._outbox.observe("response", now - flow.request_started_s)
             self._admission.meter.end_request(flow.request_started_s, now)
@@ -485,9 +472,7 @@
 
     def run_timers(self, now: float) -> list[Action]:
         """Run what is due and return the actions."""
-        while self._lookup_deadlines and self._lookup_deadlines[0][0] <= now:
-            _, flow = self._lookup_deadlines.popleft()
-            self._answer_likely(flow, now)
+        self._lookups.answer_due(now, self.is_server_silent(now))
         self._offer_slots(now)
         self._use_draining_server(now)
         if now >= self._next_load_report_s:
@@ -565,7 +550,7 @@
         If the known one was the other writer, this agent may not have seen all flows.
         """
         self._end_silence(now)
-        self._untracked.handle_other_server()
+        self._untracked.revoke_evidence()
         self._admission.extend_cold(report.cold_left_s, now)
         self._outbox.count("report_ignored", "unconfirmed")
         self._outbox.log(
@@ -779,9 +764,9 @@
         a later one of the same port, at another server.
         """
         self._outbox.count("packet_dropped", "reset_of_probe")
+        self._untracked.revoke_evidence()
         self._remove_flow(segment.flow, now)
-        for lookup in self._pending_lookups.pop(segment.flow, ()):
-            self._reply_to_lookup(lookup.balancer, lookup.token, Ownership.NONE)
+        self._lookups.answer_probes(segment.flow, Ownership.NONE)
 
     def _track_flow(self, sender: Address, segment: Segment, now: float) -> AgentFlow:
         flow = self._flows[segment.flow] = AgentFlow(sender, now, is_established=True)
@@ -810,9 +795,7 @@
             # A copy of the first packet that the server cannot accept a second time.
             self._outbox.count("packet_dropped", "returned_copy")
             return
-        lookups = self._pending_lookups.pop(segment.flow, ())
-        for lookup in lookups:
-            self._reply_to_lookup(lookup.balancer, lookup.token, Ownership.NONE)
+        was_probed = self._lookups.answer_returned(segment)
         if flow is None:
             self._outbox.count("packet_dropped", "returned_unknown")
             return
@@ -824,7 +807,7 @@
                 )
             return
         self._untracked.record_returned(segment, now)
-        if lookups or flow.last_balancer is None:
+        if was_probed or flow.last_balancer is None:
             return
         self._outbox.log(
             "returned", segment.flow, "not_held", was_certain=flow.is_certain
@@ -834,35 +817,11 @@
         )
         self._outbox.send(flow.last_balancer, ReturnPacket(segment.data))
 
-    def _add_pending_lookup(
-        self, sender: Address, token: int, flow: bytes, now: float
-    ) -> None:
-        due_s = now + self._settings.return_wait_s
-        self._pending_lookups.setdefault(flow, []).append(
-            _PendingLookup(sender, token, due_s)
-        )
-        self._lookup_deadlines.append((due_s, flow))
-
-    def _answer_certain(self, flow: bytes) -> None:
-        for lookup in self._pending_lookups.pop(flow, ()):
-            self._reply_to_lookup(lookup.balancer, lookup.token, Ownership.CERTAIN)
-
-    def _answer_likely(self, flow: bytes, now: float) -> None:
-        lookups = self._pending_lookups.get(flow, [])
-        due = [lookup for lookup in lookups if lookup.due_s <= now]
-        remaining = [lookup for lookup in lookups if lookup.due_s > now]
-        if remaining:
-            self._pending_lookups[flow] = remaining
-        else:
-            self._pending_lookups.pop(flow, None)
-        for lookup in due:
-            if not self.is_server_silent(now):
-                self._reply_to_lookup(lookup.balancer, lookup.token, Ownership.LIKELY)
-
     def _remove_flow(self, flow: bytes, now: float) -> None:
         tracked = self._flows.pop(flow, None)
         self._admission.cancel_reservation(flow)
         if tracked is not None:
+            self._untracked.record_abandoned(flow, tracked.is_opened_here, now)
             self._end_request(tracked, now)
 
     def _end_request(self, flow: AgentFlow, now: float) -> None:
@@ -895,6 +854,7 @@
             k for k, flow in self._flows.items() if flow.last_seen_s < oldest_s
         ]:
             self._remove_flow(key, now)
+            self._untracked.forget(key)
 
     def _announce_stop(self, balancer: Address, now: float) -> None:
         """Announce the restart to a balancer that has not been told yet."""
@@ -932,10 +892,5 @@
         reply = OpenReply(token, refusal, self.build_load(now))
         self._outbox.send(sender, reply)
 
-    def _reply_to_lookup(
-        self, sender: Address, token: int, ownership: Ownership
-    ) -> None:
-        self._outbox.send(sender, LookupReply(token, ownership))
-
     def _deliver(self, segment: Segment) -> None:
         self._outbox.add(DeliverToServer(segment.data))
--- a/src/bramleystair/steering/_agent_flows.py
+++ b/src/bramleystair/steering/_agent_flows.py
@@ -51,6 +51,8 @@
         than an earlier flow of the same port that has ended.
     is_former : bool
         Whether the server held it before another one reported in its place.
+    is_opened_here : bool
+        Whether the first packet went through this process.
     """
 
     last_balancer: Address | None
@@ -71,6 +73,7 @@
     has_server_ended: bool = False
     is_probe_only: bool = False
     is_former: bool = False
+    is_opened_here: bool = False
 
     @property
     def has_ended(self) -> bool:
--- a/src/bramleystair/steering/_balancer_settings.py
+++ b/src/bramleystair/steering/_balancer_settings.py
@@ -64,6 +64,16 @@
     confirm_interval_s : float
         Minimum interval between the confirmations that only serve to find members that
         joined; one that precedes a reset is requested at once.
+    evidence_interval_s : float
+        Minimum interval between the confirmations on which resets of flows that all
+        members deny on evidence wait, which bounds the calls to the store.
+    evidence_pause_s : float
+        Same as `lookup_pause_s` if all members deny the flow on evidence, but the list
+        of members was not shown to be complete; the first delay of the caller's copies.
+    max_estimate_probes : int
+        Maximum number of members that deny a flow by an estimate and whose servers are
+        then sent its packet to find out. All of them are, or none: a flow's packets
+        must not reach several other servers and not its own.
     subscribe_period_s : float
         Minimum interval between subscriptions to load reports.
     subscribe_gap_s : float
@@ -139,6 +149,9 @@
     max_lookup_pause_s: float = 3.2
     confirm_timeout_s: float = 2.0
     confirm_interval_s: float = 3.2
+    evidence_interval_s: float = 0.2
+    evidence_pause_s: float = 0.2
+    max_estimate_probes: int = 4
     subscribe_period_s: float = 0.5
     subscribe_gap_s: float = 0.02
     stale_after_s: float = 1.5
--- a/src/bramleystair/steering/_lookups.py
+++ b/src/bramleystair/steering/_lookups.py
@@ -7,10 +7,9 @@
 import bisect
 from collections.abc import Callable
 
-import attrs
-
-from bramleystair.steering._actions import ConfirmMembers
 from bramleystair.steering._balancer_settings import BalancerSteeringSettings
+from bramleystair.steering._confirmations import Confirmations
+from bramleystair.steering._lookup import Lookup, LookupPauses
 from bramleystair.steering._members import Members
 from bramleystair.steering._messages import (
     TOKEN_MODULUS,
@@ -21,7 +20,14 @@
     Relay,
 )
 from bramleystair.steering._outbox import Outbox
-from bramleystair.steering._segments import Segment, are_of_one_flow
+from bramleystair.steering._reset_evidence import (
+    FormerOwner,
+    FormerOwners,
+    Gap,
+    find_gap,
+    list_estimates,
+)
+from bramleystair.steering._segments import Segment
 from bramleystair.steering._types import Address, Route
 
 # An IPv4 header of 20 bytes and a UDP header of 8 bytes.
@@ -31,93 +37,12 @@
 QUERY_BYTES = 22
 
 
-@attrs.define(eq=False)
-class _Lookup:
-    """A flow whose owner is being looked up.
-
-    Parameters
-    ----------
-    packets : list of bytes
-        Buffered packets, relayed to the owner once it is found.
-    token : int
-        Identifier of the lookup, repeated in the replies.
-    outstanding : set of address
-        Members that were sent a query or probe and have not replied yet.
-    remaining_stages : tuple of set of address
-        Groups of members that have not been queried yet. The next group is queried once
-        no reply is outstanding, and all groups at the first timeout.
-    queried_or_excluded : set of address
-        Members that were queried, and any member that was known from the start not to
-        be the owner and is never queried.
-    unsure_members : set of address
-        Members whose agent cannot tell whether its server holds the flow; a packet of
-        the flow is sent to the server to find out.
-    probed_members : set of address
-        Unsure members that were sent this packet in a lookup probe.
-    is_member_silent : bool
-        Whether a member that may be restarting has not replied; it may be the owner.
-    unresponsive_count : int
-        Number of members that had not replied after the last retry and do not count as
-        lost.
-    retries : int
-        Number of times that the outstanding queries or probes were repeated.
-    likely_owner : address or None
-        Member that probably owns the flow.
-    due_s : float
-        Time of the next retry. While the lookup waits for the confirmation of the
-        members, time at which it stops waiting.
-    are_members_confirmed : bool
-        Whether the set of members was confirmed to be complete after the lookup
-        started.
-    """
-
-    segment: Segment
-    token: int
-    started_s: float
-    packets: list[bytes]
-    outstanding: set[Address]
-    remaining_stages: tuple[set[Address], ...] = ()
-    queried_or_excluded: set[Address] = attrs.field(factory=set)
-    unsure_members: set[Address] = attrs.field(factory=set)
-    probed_members: set[Address] = attrs.field(factory=set)
-    is_member_silent: bool = False
-    unresponsive_count: int = 0
-    retries: int = 0
-    likely_owner: Address | None = None
-    due_s: float = 0.0
-    are_members_confirmed: bool = False
-
-
-@attrs.frozen
-class _FormerOwner:
-    """Member whose server held a flow and has returned a packet of it since.
-
-    Parameters
-    ----------
-    acknowledgement : int
-        Acknowledgement number of that packet, which tells the flow from a later one of
-        the same addresses and ports.
-    """
-
-    address: Address
-    acknowledgement: int
-    returned_s: float
-
-
-@attrs.frozen
-class _Pause:
-    """Time until which a flow is not looked up again, and its duration."""
-
-    until_s: float
-    duration_s: float
-
-
 class OwnerLookups:
     """Query the members for the owners of flows, at a limited rate.
 
-    That all members deny a flow does not show that it has no owner: the owner's member
-    may be missing in the store, and a flow cannot be taken back once its caller was
-    reset. Its caller is reset only if a member that owned the flow has returned it.
+    That no member claims a flow does not show that it has no owner: the owner's member
+    may be missing in the store, or be silent. `steering._reset_evidence` tells when the
+    caller is reset.
 
     Parameters
     ----------
@@ -151,16 +76,17 @@
         self._last_token = initial_token
         self._find_route = find_route
         self._on_found = on_found
-        self._lookups: dict[bytes, _Lookup] = {}
+        self._lookups: dict[bytes, Lookup] = {}
         # Lookups that found no owner. They wait here for the confirmation that the set
         # of members is complete, so that no unknown member can own the flow.
-        self._unconfirmed: dict[bytes, _Lookup] = {}
+        self._unconfirmed: dict[bytes, Lookup] = {}
         self._flows_by_token: dict[int, bytes] = {}
         # Latest packet of each flow whose lookup has not started, and the member that
         # is known not to be the owner.
         self._queued_packets: dict[bytes, tuple[Segment, Address | None]] = {}
-        self._pauses: dict[bytes, _Pause] = {}
-        self._former_owners: dict[bytes, _FormerOwner] = {}
+        self._pauses = LookupPauses(settings.max_lookup_pause_s)
+        self._former_owners = FormerOwners()
+        self._confirmations = Confirmations(outbox, settings.evidence_interval_s)
         self._timers: list[tuple[float, int, bytes]] = []
         self._next_start_s = 0.0
         # Time from which a lookup that ends without a reset requests a confirmation.
@@ -172,7 +98,7 @@
         due_s = self._timers[0][0] if self._timers else float("inf")
         if self._queued_packets and len(self._lookups) < self._settings.max_lookups:
             due_s = min(due_s, self._next_start_s)
-        return due_s
+        return min(due_s, self._confirmations.due_s)
 
     def run_timers(self, now: float) -> None:
         """Retry or end the lookups that are due, and start queued ones."""
@@ -185,7 +111,9 @@
                 self._handle_timeout(lookup, now)
             else:
                 # A member unknown to this balancer may own the flow.
-                self._end_unanswered(lookup, now, "unconfirmed")
+                gap = self._find_gap(lookup, now) or Gap.UNCONFIRMED
+                self._end_unanswered(lookup, now, "unconfirmed", gap)
+        self._confirmations.run_timers(now)
         if self._queued_packets and now >= self._next_start_s:
             self._start_queued(now)
 
@@ -193,8 +121,10 @@
         """Resume the lookups that waited, now that the set of members is confirmed.
 
         Each lookup queries the members that it has not queried yet. If there are none,
-        it ends without an owner.
+        it ends without an owner, or waits for the next confirmation if it started after
+        the call for this one.
         """
+        self._confirmations.record()
         unconfirmed, self._unconfirmed = self._unconfirmed, {}
         for flow, lookup in unconfirmed.items():
             lookup.are_members_confirmed = True
@@ -202,28 +132,15 @@
             self._advance(lookup, now)
 
     def purge(self, oldest_s: float, now: float) -> None:
-        """Remove the pauses that have ended, and former owners from before `oldest_s`.
-
-        A pause is kept for its maximum duration, so that the next one is longer.
-        """
-        self._pauses = {
-            flow: pause
-            for flow, pause in self._pauses.items()
-            if pause.until_s + self._settings.max_lookup_pause_s > now
-        }
-        self._former_owners = {
-            flow: former
-            for flow, former in self._former_owners.items()
-            if former.returned_s >= oldest_s
-        }
+        """Remove ended pauses, and former owners from before `oldest_s`."""
+        self._pauses.purge(now)
+        self._former_owners.purge(oldest_s)
 
     def record_former_owner(
         self, segment: Segment, address: Address, now: float
     ) -> None:
         """Record that the server of a member returned a packet of a flow it held."""
-        self._former_owners[segment.flow] = _FormerOwner(
-            address, segment.acknowledgement, now
-        )
+        self._former_owners.record(segment, address, now)
 
     def forget(self, flow: bytes) -> None:
         """Discard what concerns an earlier flow of the same addresses and ports."""
@@ -231,8 +148,8 @@
         if lookup is not None:
             self._remove(lookup)
         self._queued_packets.pop(flow, None)
-        self._pauses.pop(flow, None)
-        self._former_owners.pop(flow, None)
+        self._pauses.end(flow)
+        self._former_owners.forget(flow)
 
     def look_up(
         self, segment: Segment, now: float, non_owner: Address | None = None
@@ -250,8 +167,7 @@
             if len(lookup.packets) < self._settings.lookup_packets:
                 lookup.packets.append(segment.data)
             return
-        pause = self._pauses.get(flow)
-        if pause is not None and pause.until_s > now:
+        if self._pauses.is_paused(flow, now):
             self._outbox.count("packet_dropped", "lookup_unanswered")
             return
         is_free = len(self._lookups) < self._settings.max_lookups
@@ -267,7 +183,7 @@
         else:
             self._outbox.count("packet_dropped", "lookups")
 
-    def _get(self, flow: bytes) -> _Lookup | None:
+    def _get(self, flow: bytes) -> Lookup | None:
         return self._lookups.get(flow) or self._unconfirmed.get(flow)
 
     def _start_queued(self, now: float) -> None:
@@ -296,9 +212,12 @@
 
     def _start(self, segment: Segment, non_owner: Address | None, now: float) -> None:
         flow = segment.flow
+        if self._members.is_roster_complete(now):
+            # The evidence includes the answer of each member.
+            non_owner = None
         first, *later = self._plan_stages(flow, non_owner) or [set()]
         token = self._create_token(flow)
-        lookup = _Lookup(segment, token, now, [segment.data], first, tuple(later))
+        lookup = Lookup(segment, token, now, [segment.data], first, tuple(later))
         if non_owner is not None:
             lookup.queried_or_excluded.add(non_owner)
         self._lookups[flow] = lookup
@@ -328,7 +247,7 @@
         )
         return [stage for stage in stages if stage]
 
-    def _send_queries(self, lookup: _Lookup, now: float) -> None:
+    def _send_queries(self, lookup: Lookup, now: float) -> None:
         segment = lookup.segment
         lookup.queried_or_excluded |= lookup.outstanding
         for address in lookup.outstanding:
@@ -342,11 +261,11 @@
             self._outbox.send(address, message)
         self._schedule(lookup, now + self._settings.lookup_delays_s[lookup.retries])
 
-    def _schedule(self, lookup: _Lookup, due_s: float) -> None:
+    def _schedule(self, lookup: Lookup, due_s: float) -> None:
         lookup.due_s = due_s
         bisect.insort(self._timers, (due_s, lookup.token, lookup.segment.flow))
 
-    def _handle_timeout(self, lookup: _Lookup, now: float) -> None:
+    def _handle_timeout(self, lookup: Lookup, now: float) -> None:
         if lookup.remaining_stages:
             # A slow or lost member must not delay the queries to the others.
             self._add_targets(lookup, set().union(*lookup.remaining_stages), now)
@@ -368,24 +287,18 @@
         lookup = None if flow is None else self._get(flow)
         if lookup is None or lookup.token != message.token:
             return
+        lookup.record_answer(sender, message.ownership)
+        if message.ownership is Ownership.CERTAIN:
+            self._complete(lookup, sender, "certain", now)
+            return
         if flow in self._unconfirmed:
             # A member that counted as lost replied after all. A likely owner is not
             # enough: the confirmation may add a member that is certain.
-            if message.ownership is Ownership.CERTAIN:
-                self._complete(lookup, sender, "certain", now)
             return
         lookup.outstanding.discard(sender)
-        match message.ownership:
-            case Ownership.CERTAIN:
-                self._complete(lookup, sender, "certain", now)
-                return
-            case Ownership.LIKELY:
-                lookup.likely_owner = sender
-            case Ownership.UNSURE:
-                lookup.unsure_members.add(sender)
         self._advance(lookup, now)
 
-    def _advance(self, lookup: _Lookup, now: float) -> None:
+    def _advance(self, lookup: Lookup, now: float) -> None:
         """Start the next step of a lookup once no reply is outstanding."""
         if self._count_outstanding(lookup, now):
             return
@@ -404,7 +317,7 @@
             self._complete(lookup, lookup.likely_owner, "likely", now)
             return
         elif lookup.unsure_members - lookup.probed_members:
-            self._end_unanswered(lookup, now, "unanswered")
+            self._end_unanswered(lookup, now, "unanswered", Gap.MEMBER_SILENT)
             return
         elif unqueried := self._list_unqueried(lookup):
             lookup.outstanding = unqueried
@@ -414,7 +327,7 @@
         lookup.retries = 0
         self._send_queries(lookup, now)
 
-    def _record_silent_members(self, lookup: _Lookup, now: float) -> None:
+    def _record_silent_members(self, lookup: Lookup, now: float) -> None:
         """Record whether a member has not replied that may be restarting."""
         oldest_s = now - self._settings.restart_s
         members = (self._members.get(address) for address in lookup.outstanding)
@@ -422,7 +335,7 @@
             member is not None and member.last_heard_s > oldest_s for member in members
         )
 
-    def _list_unprobed(self, lookup: _Lookup) -> set[Address]:
+    def _list_unprobed(self, lookup: Lookup) -> set[Address]:
         """Return the unsure members that are probed next.
 
         While the owner may be a member that does not reply, one probe is sent in a
@@ -433,99 +346,130 @@
             return unprobed
         return set() if lookup.probed_members else {min(unprobed)}
 
-    def _add_targets(
-        self, lookup: _Lookup, addresses: set[Address], now: float
-    ) -> None:
+    def _add_targets(self, lookup: Lookup, addresses: set[Address], now: float) -> None:
         """Add members to the outstanding ones and reserve bandwidth for the queries."""
         lookup.outstanding |= addresses
         self._reserve_bandwidth(len(addresses) * QUERY_BYTES, now)
 
-    def _end_without_owner(self, lookup: _Lookup, now: float) -> None:
-        is_incomplete = self._members.may_be_incomplete(now)
-        if lookup.unresponsive_count or not len(self._members) or is_incomplete:
-            self._end_unanswered(lookup, now, "unanswered")
+    def _end_without_owner(self, lookup: Lookup, now: float) -> None:
+        gap = self._find_gap(lookup, now)
+        is_denied_by_all = gap in (None, Gap.UNCONFIRMED)
+        is_unknown = not len(self._members) or self._members.may_be_incomplete(now)
+        if not is_denied_by_all and (lookup.unresponsive_count or is_unknown):
+            self._end_unanswered(lookup, now, "unanswered", gap)
+            return
+        former = self._former_owners.get(lookup.segment)
+        if (
+            gap is Gap.ESTIMATE_ONLY
+            and former is None
+            and self._probe_estimates(lookup)
+        ):
+            lookup.retries = 0
+            self._send_queries(lookup, now)
             return
         flow = lookup.segment.flow
         self._remove(lookup)
-        former = self._get_former_owner(lookup.segment)
-        if self._must_confirm_members(lookup, former, now):
+        if self._must_confirm_members(lookup, former, gap, now):
             self._unconfirmed[flow] = lookup
             self._flows_by_token[lookup.token] = flow
             self._schedule(lookup, now + self._settings.confirm_timeout_s)
-            self._outbox.add(ConfirmMembers())
-            return
-        if former is None:
-            self._end_unanswered(lookup, now, "no_owner_found")
-            return
-        del self._former_owners[flow]
-        self._outbox.count("lookup_ended", "no_owner")
+        elif former is not None:
+            self._end_with_reset(lookup, "no_owner", agent=former.address[0])
+        elif gap is None:
+            self._end_with_reset(lookup, "never_held", **lookup.count_evidence())
+        else:
+            self._end_unanswered(lookup, now, "no_owner_found", gap)
+
+    def _find_gap(self, lookup: Lookup, now: float) -> Gap | None:
+        confirmed_s = self._confirmations.confirmed_s
+        return find_gap(
+            lookup.answers, self._members, lookup.started_s, confirmed_s, now
+        )
+
+    def _probe_estimates(self, lookup: Lookup) -> bool:
+        """Make all members that deny the flow by an estimate outstanding for a probe.
+
+        Return whether there are any, and they are few.
+        """
+        estimates = list_estimates(lookup.answers, self._members)
+        if len(estimates) > self._settings.max_estimate_probes:
+            return False
+        lookup.outstanding = estimates - lookup.probed_members
+        lookup.unsure_members |= lookup.outstanding
+        return bool(lookup.outstanding)
+
+    def _end_with_reset(self, lookup: Lookup, reason: str, **inputs: object) -> None:
+        self._former_owners.forget(lookup.segment.flow)
+        self._outbox.count("lookup_ended", reason)
         self._outbox.reset_caller(
             lookup.segment,
-            "no_owner",
-            agent=former.address[0],
+            reason,
             asked=len(lookup.queried_or_excluded),
             members=len(self._members),
+            **inputs,
         )
 
     def _must_confirm_members(
-        self, lookup: _Lookup, former: _FormerOwner | None, now: float
+        self,
+        lookup: Lookup,
+        former: FormerOwner | None,
+        gap: Gap | None,
+        now: float,
     ) -> bool:
         """Return whether a lookup without an owner waits for the list of members.
 
         A reset always does. Otherwise the confirmation only shows members that joined,
         so it is requested at a limited rate, as each one is a call to the store.
         """
-        if lookup.are_members_confirmed:
+        if former is None and gap is None:
             return False
-        if former is not None or self._unconfirmed:
+        if former is None and gap is Gap.UNCONFIRMED:
+            self._confirmations.request(now)
             return True
-        if now < self._next_confirmation_s:
+        if lookup.are_members_confirmed:
             return False
-        self._next_confirmation_s = now + self._settings.confirm_interval_s
+        if former is None and not self._unconfirmed:
+            if now < self._next_confirmation_s:
+                return False
+            self._next_confirmation_s = now + self._settings.confirm_interval_s
+        self._confirmations.request_now(now)
         return True
 
-    def _get_former_owner(self, segment: Segment) -> _FormerOwner | None:
-        former = self._former_owners.get(segment.flow)
-        if former is None or not are_of_one_flow(
-            former.acknowledgement, segment.acknowledgement
-        ):
-            return None
-        return former
-
-    def _end_unanswered(self, lookup: _Lookup, now: float, outcome: str) -> None:
-        """End a lookup without a reset: a member that did not answer may be the owner.
+    def _end_unanswered(
+        self, lookup: Lookup, now: float, outcome: str, gap: Gap
+    ) -> None:
+        """End a lookup without a reset, as the owner may be unknown or silent.
 
-        So may one that this balancer does not know. A retransmission of the caller
-        starts the next lookup.
+        A retransmission of the caller starts the next lookup.
         """
         flow = lookup.segment.flow
         self._remove(lookup)
-        self._pauses[flow] = self._create_pause(flow, outcome, now)
+        settings = self._settings
+        is_denied = not list_estimates(lookup.answers, self._members)
+        is_list_missing = gap in (Gap.ROSTER_INCOMPLETE, Gap.UNCONFIRMED)
+        is_short = is_denied and is_list_missing
+        duration_s = settings.evidence_pause_s if is_short else settings.lookup_pause_s
+        is_growing = is_short or outcome == "no_owner_found"
+        self._pauses.start(flow, now, duration_s, is_growing)
         self._outbox.count("lookup_ended", outcome)
+        self._outbox.count("reset_withheld", gap)
         self._outbox.log(
             "lookup",
             flow,
             outcome,
+            gap=gap,
             asked=len(lookup.queried_or_excluded),
             members=len(self._members),
             silent=lookup.unresponsive_count,
             members_incomplete=self._members.may_be_incomplete(now),
         )
 
-    def _create_pause(self, flow: bytes, outcome: str, now: float) -> _Pause:
-        settings = self._settings
-        duration_s = settings.lookup_pause_s
-        previous = self._pauses.get(flow)
-        if outcome == "no_owner_found" and previous is not None:
-            duration_s = min(2 * previous.duration_s, settings.max_lookup_pause_s)
-        return _Pause(now + duration_s, duration_s)
-
-    def _list_unqueried(self, lookup: _Lookup) -> set[Address]:
+    def _list_unqueried(self, lookup: Lookup) -> set[Address]:
         return {
             member.entry.address for member in self._members
         } - lookup.queried_or_excluded
 
-    def _count_outstanding(self, lookup: _Lookup, now: float) -> int:
+    def _count_outstanding(self, lookup: Lookup, now: float) -> int:
         """Return the number of outstanding members that are not lost."""
         members = (self._members.get(address) for address in lookup.outstanding)
         return sum(
@@ -534,12 +478,12 @@
         )
 
     def _complete(
-        self, lookup: _Lookup, owner: Address, outcome: str, now: float
+        self, lookup: Lookup, owner: Address, outcome: str, now: float
     ) -> None:
         flow = lookup.segment.flow
         self._remove(lookup)
-        self._former_owners.pop(flow, None)
-        self._pauses.pop(flow, None)
+        self._former_owners.forget(flow)
+        self._pauses.end(flow)
         self._on_found(lookup.segment, owner, now, outcome == "certain")
         self._outbox.count("lookup_ended", outcome)
         self._outbox.observe("lookup", now - lookup.started_s)
@@ -549,7 +493,7 @@
         for data in lookup.packets[start:]:
             self._outbox.send(owner, Relay(data))
 
-    def _remove(self, lookup: _Lookup) -> None:
+    def _remove(self, lookup: Lookup) -> None:
         self._lookups.pop(lookup.segment.flow, None)
         self._unconfirmed.pop(lookup.segment.flow, None)
         self._flows_by_token.pop(lookup.token, None)
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -39,13 +39,35 @@
     """An agent's answer to a lookup.
 
     `UNSURE` asks for a packet of the flow, which the server returns if it does not hold
-    the flow. `LIKELY` means that the server has not returned the packet in time.
+    the flow. `LIKELY` means that the server has not returned the packet in time. `NONE`
+    denies the flow by an estimate. The others from `RETURNED` on deny it on evidence:
+    the reset of a caller may rest on them, see `steering._reset_evidence`.
+
+    A node of an earlier version drops these as malformed, so that its lookup ends
+    unanswered, without a reset.
     """
 
     NONE = 0
     LIKELY = 1
     CERTAIN = 2
     UNSURE = 3
+    # The server has returned a packet of the flow.
+    RETURNED = 4
+    # Nobody listens at the server's address.
+    SERVER_ABSENT = 5
+    # This process found nobody there before the server started.
+    SEEN_START = 6
+    # The first report of the server reached this process.
+    FIRST_REPORT = 7
+    # This process has run for the lifetime of a flow.
+    LIFETIME_PASSED = 8
+    # The caller of a half-open flow acknowledged another server.
+    OTHER_SERVER = 9
+
+    @property
+    def is_evidence(self) -> bool:
+        """Whether it denies the flow on evidence."""
+        return self >= Ownership.RETURNED
 
 
 @attrs.define
