Probe the servers on which a flow was probably placed first, in batches

Cause: after the end of all processes, each lookup sent its packet to the servers of all members at once, and these bytes did not count towards the limit of lookups. On links of 5 Mbit/s the replies of all 59 members came too late: they counted as silent, so that lookups ended unanswered and open requests timed out (612 in the first second). While a member was silent, the third packet of a flow reached another server within 1.6 s.

Change: 8 servers are probed at a time, in the order in which the members rank for the flow; probes count towards the limit; a server that does not return a packet in time ends the search; a lookup that has probed while a member was silent is repeated after 1.1 s.

--- a/src/bramleystair/steering/_balancer_settings.py
+++ b/src/bramleystair/steering/_balancer_settings.py
@@ -57,6 +57,12 @@
     lookup_pause_s, max_lookup_pause_s : float
         Delay after a lookup without a result before the flow is looked up again. While
         all members deny the flow, the delay doubles up to the maximum.
+    probe_batch : int
+        Number of servers that are sent a packet of a flow at the same time to find its
+        owner.
+    probe_pause_s : float
+        Delay after a lookup that has probed a server while a member did not reply. At
+        most two packets of a flow reach other servers within two seconds.
     confirm_timeout_s : float
         Timeout for the confirmation that no other member may own a flow, while the
         store is unavailable. The flow is then left alone, and a retransmission of its
@@ -147,6 +153,8 @@
     max_pending: int = 1024
     lookup_pause_s: float = 0.8
     max_lookup_pause_s: float = 3.2
+    probe_batch: int = 8
+    probe_pause_s: float = 1.1
     confirm_timeout_s: float = 2.0
     confirm_interval_s: float = 3.2
     evidence_interval_s: float = 0.2
--- a/src/bramleystair/steering/_lookups.py
+++ b/src/bramleystair/steering/_lookups.py
@@ -5,10 +5,12 @@
 """
 
 import bisect
+import heapq
 from collections.abc import Callable
 
 from bramleystair.steering._balancer_settings import BalancerSteeringSettings
 from bramleystair.steering._confirmations import Confirmations
+from bramleystair.steering._flow_ranking import compute_rank
 from bramleystair.steering._lookup import Lookup, LookupPauses
 from bramleystair.steering._members import Members
 from bramleystair.steering._messages import (
@@ -35,6 +37,8 @@
 # One lookup request in a datagram of several messages, see `encode_bundle`: a length
 # byte, then message kind (1), token (4), flow (12) and acknowledgement (4).
 QUERY_BYTES = 22
+# What a lookup probe adds to its packet: the headers, message kind (1) and token (4).
+PROBE_HEADER_BYTES = IP_UDP_HEADER_BYTES + 5
 
 
 class OwnerLookups:
@@ -232,8 +236,7 @@
         Subscribed members own most flows. The route may have been moved to other
         services since the flow was opened, so members of other services are last.
         """
-        route = self._find_route(flow)
-        services = {target.service for target in route.targets} if route else set()
+        services = self._list_services(flow)
         subscribed, unsubscribed, other_services = set(), set(), set()
         for member in self._members:
             if member.entry.service not in services:
@@ -255,6 +258,7 @@
             if address in lookup.unsure_members:
                 lookup.probed_members.add(address)
                 self._outbox.send(address, LookupProbe(lookup.token, segment.data))
+                self._reserve_bandwidth(PROBE_HEADER_BYTES + len(segment.data), now)
                 continue
             # The acknowledgement tells whether a half-open flow is another server's.
             message = LookupRequest(lookup.token, segment.flow, segment.acknowledgement)
@@ -311,11 +315,11 @@
             stage, *later = lookup.remaining_stages
             lookup.remaining_stages = tuple(later)
             self._add_targets(lookup, stage, now)
-        elif unprobed:
-            lookup.outstanding = unprobed
         elif lookup.likely_owner is not None:
             self._complete(lookup, lookup.likely_owner, "likely", now)
             return
+        elif unprobed:
+            lookup.outstanding = unprobed
         elif lookup.unsure_members - lookup.probed_members:
             self._end_unanswered(lookup, now, "unanswered", Gap.MEMBER_SILENT)
             return
@@ -336,15 +340,36 @@
         )
 
     def _list_unprobed(self, lookup: Lookup) -> set[Address]:
-        """Return the unsure members that are probed next.
+        """Return the unsure members that are probed next, the most likely owners first.
 
-        While the owner may be a member that does not reply, one probe is sent in a
-        lookup: packets of a flow must not reach many other servers and none its own.
+        Each probe carries a whole packet, so that probes of all members at once would
+        fill the link. While the owner may be a member that does not reply, one probe is
+        sent in a lookup: packets of a flow must not reach many other servers and none
+        its own.
         """
         unprobed = lookup.unsure_members - lookup.probed_members
-        if not lookup.is_member_silent or not unprobed:
+        count = self._settings.probe_batch
+        if lookup.is_member_silent:
+            count = 0 if lookup.probed_members else 1
+        if len(unprobed) <= count:
             return unprobed
-        return set() if lookup.probed_members else {min(unprobed)}
+        flow = lookup.segment.flow
+        services = self._list_services(flow)
+
+        def rank(address: Address) -> tuple[bool, bool, int]:
+            member = self._members.get(address)
+            return (
+                member is not None and member.entry.service in services,
+                member is not None and member.is_subscribed,
+                compute_rank(flow, address),
+            )
+
+        return set(heapq.nlargest(count, unprobed, key=rank))
+
+    def _list_services(self, flow: bytes) -> set[str]:
+        """Return the services to which the route of a flow leads."""
+        route = self._find_route(flow)
+        return {target.service for target in route.targets} if route else set()
 
     def _add_targets(self, lookup: Lookup, addresses: set[Address], now: float) -> None:
         """Add members to the outstanding ones and reserve bandwidth for the queries."""
@@ -449,6 +474,8 @@
         is_list_missing = gap in (Gap.ROSTER_INCOMPLETE, Gap.UNCONFIRMED)
         is_short = is_denied and is_list_missing
         duration_s = settings.evidence_pause_s if is_short else settings.lookup_pause_s
+        if lookup.is_member_silent and lookup.probed_members:
+            duration_s = settings.probe_pause_s
         is_growing = is_short or outcome == "no_owner_found"
         self._pauses.start(flow, now, duration_s, is_growing)
         self._outbox.count("lookup_ended", outcome)
