--- a/src/bramleystair/steering/_lookups.py
+++ b/src/bramleystair/steering/_lookups.py
@@ -374,9 +374,9 @@
             self._flows_by_token[lookup.token] = flow
             self._schedule(lookup, now + self._settings.confirm_timeout_s)
         elif former is not None:
-            self._end_with_reset(lookup, "no_owner", agent=former.address[0])
+            self._end_with_reset(lookup, "no_owner", now, agent=former.address[0])
         elif gap is None:
-            self._end_with_reset(lookup, "never_held", **lookup.count_evidence())
+            self._end_with_reset(lookup, "never_held", now, **lookup.count_evidence())
         else:
             self._end_unanswered(lookup, now, "no_owner_found", gap)
 
@@ -398,7 +398,9 @@
         lookup.unsure_members |= lookup.outstanding
         return bool(lookup.outstanding)
 
-    def _end_with_reset(self, lookup: Lookup, reason: str, **inputs: object) -> None:
+    def _end_with_reset(
+        self, lookup: Lookup, reason: str, now: float, **inputs: object
+    ) -> None:
         self._former_owners.forget(lookup.segment.flow)
         self._outbox.count("lookup_ended", reason)
         self._outbox.reset_caller(
@@ -406,6 +408,7 @@
             reason,
             asked=len(lookup.queried_or_excluded),
             members=len(self._members),
+            seconds=round(now - lookup.started_s, 3),
             **inputs,
         )
 
