Keep lists of all members in the store

Cause: an agent's entry may be removed by another writer at any time. A balancer that starts then does not know the agent, and nobody tells it, so flows at a living server expire. For the same reason no balancer can tell whether its list of members is complete.

Change: balancers write the addresses of all members to further objects of the members' kind, the roster: three copies of each part of about 64 members. An address that any copy names and that has no usable entry becomes an unlisted member: it is subscribed, told that its entry is missing and queried by lookups. It stays until its agent says that it has withdrawn its entry, until it was silent for the lifetime of a flow, or until all copies agree without it. Agents announce a withdrawal to their subscribers by themselves, with their load reports for 6 s. Members.is_roster_complete() tells whether all copies of all parts agree with exactly the members known.

Each write is conditional on the revision that it replaces.

The steps of restored_store count the entries of members in the store and in a balancer's copy; they leave out the objects of the roster now.

--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -18,6 +18,7 @@
 from bramleystair.platform.standins._packets import build_packet, get_payload
 from bramleystair.platform.standins._server import BackendServer, pack_endpoint
 from bramleystair.platform.standins._store import create_store_server
+from bramleystair.steering.balancer import is_roster_name
 from bramleystair.timers import MonotonicClock
 from support.networks import NETWORK
 
@@ -112,7 +113,7 @@
     agent.start()
     count = len(context.agents)
     members = context.balancer._members
-    assert run_until(context, lambda: len(members.items) == count, 5)
+    assert run_until(context, lambda: count_entries(members.items) == count, 5)
 
 
 @given("a caller with an open flow at the late server")
@@ -201,7 +202,11 @@
 
 def count_members(context):
     _, listing = context.objects.list_items(MEMBER_KIND)
-    return len(listing["items"])
+    return count_entries(item["meta"]["Name"] for item in listing["items"])
+
+
+def count_entries(names):
+    return sum(not is_roster_name(name) for name in names)
 
 
 @then("the store lists {count:d} member within {seconds:d} s")
--- a/src/bramleystair/mirror/__init__.py
+++ b/src/bramleystair/mirror/__init__.py
@@ -1,5 +1,6 @@
 """Local copies of the platform's objects, and publishing of a node's own object."""
 
+from bramleystair.mirror._backoff import Backoff
 from bramleystair.mirror._epoch import REWRITE_TIMEOUT_S, StoreEpoch
 from bramleystair.mirror._mirror import Mirror
 from bramleystair.mirror._publisher import Publisher
@@ -15,6 +16,7 @@
 
 __all__ = [
     "REWRITE_TIMEOUT_S",
+    "Backoff",
     "Changes",
     "FailureKind",
     "Listing",
--- a/src/bramleystair/mirror/_mirror.py
+++ b/src/bramleystair/mirror/_mirror.py
@@ -278,9 +278,11 @@
         self._revision = self._listing_revision
         self._log_losses()
         listed, self._listed_items = self._listed_items, {}
+        # That the same objects are now known to be current is a change as well.
+        is_changed = self._is_copy_provisional or not self.is_complete
         self._update_retained(listed)
         items = self._retained | listed
-        is_changed = items != self._items or not self.is_complete
+        is_changed |= items != self._items
         self._items = items
         self.is_complete = True
         if is_changed:
--- a/src/bramleystair/nodes/_agent.py
+++ b/src/bramleystair/nodes/_agent.py
@@ -149,6 +149,7 @@
         if self._steering.is_server_absent or self._steering.has_shutdown_report:
             # No other process removes the entry of a VM that does not return.
             self._publisher.remove()
+            self._announce_withdrawal()
         log.info("agent stopping", extra={"flows": self._steering.flow_count})
         call_later(self._loop, SHUTDOWN_DELAY_S, self._loop.stop)
 
@@ -331,6 +332,12 @@
     def _publish_entry(self) -> None:
         entry = self._steering.build_entry()
         self._publisher.publish(None if entry is None else encode_entry(entry))
+        self._announce_withdrawal()
+
+    def _announce_withdrawal(self) -> None:
+        now = self._loop.clock.now()
+        is_withdrawn = self._publisher.is_withdrawn
+        self._execute(self._steering.set_withdrawn(is_withdrawn, now))
 
     def _check_exit(self, attempts_left: int, delay_s: float) -> None:
         """Remove the entry once the server that reported its shutdown has exited."""
--- a/src/bramleystair/nodes/_balancer.py
+++ b/src/bramleystair/nodes/_balancer.py
@@ -19,6 +19,7 @@
 from bramleystair.nodes._datagrams import DatagramSocket
 from bramleystair.nodes._node import NodeBase, call_later
 from bramleystair.nodes._reload import SettingsChange
+from bramleystair.nodes._roster_writer import RosterWriter
 from bramleystair.nodes._settings import MEMBER_KIND, NodeSettings, PacketCodec
 from bramleystair.nodes._snapshots import SnapshotClient, SnapshotServer
 from bramleystair.steering import (
@@ -33,7 +34,12 @@
     decode_entry,
     is_node_host,
 )
-from bramleystair.steering.balancer import BalancerSteering, BalancerSteeringSettings
+from bramleystair.steering.balancer import (
+    BalancerSteering,
+    BalancerSteeringSettings,
+    RosterSchedule,
+    is_roster_name,
+)
 
 log = get_logger("balancer")
 
@@ -151,6 +157,19 @@
             allow_stale=True,
             check_period_s=MEMBER_CHECK_PERIOD_S,
         )
+        self._roster_schedule = RosterSchedule(settings.name, not settings.peers)
+        self._rosters = RosterWriter(
+            store,
+            MEMBER_KIND,
+            settings.packet_address[1],
+            self._steering.members,
+            self._roster_schedule,
+            loop.clock,
+            random,
+            self.metrics,
+            self._may_write_rosters,
+            self._handle_roster_change,
+        )
         self._mirrors = {
             "rules": self._rules,
             "evacuations": self._evacuations,
@@ -208,7 +227,9 @@
         settings = change.settings
         self._steering.set_owner_lifetime(settings.flow_lifetime_s)
         self._snapshots.peers = settings.peers
+        self._roster_schedule.is_alone = not settings.peers
         if "store_address" in change.applied:
+            self._rosters.forget()
             for mirror in self._mirrors.values():
                 mirror.restart()
 
@@ -217,8 +238,19 @@
 
     def _run_timers(self, now: float) -> Iterable[Action]:
         self._refresh_outdated_rules(now)
+        self._rosters.run(now)
         return self._steering.run_timers(now)
 
+    def _may_write_rosters(self, now: float) -> bool:
+        """Return whether this balancer knows what a roster is to name."""
+        return (
+            not self._is_stopping
+            and self._members.is_connected
+            and self._members.revision > 0
+            and not self._steering.members.may_be_incomplete(now)
+            and not self._steering.is_isolated(now)
+        )
+
     def _refresh_outdated_rules(self, now: float) -> None:
         """List the configuration again if other nodes have had a newer one for long."""
         rules = self._steering.rules
@@ -298,7 +330,10 @@
 
     def _set_members(self, items: dict[str, StoredItem]) -> None:
         entries, changes = [], []
+        roster = self._rosters.read(items, self._members.revision)
         for item in items.values():
+            if is_roster_name(item.name):
+                continue
             result = decode_entry(item.name, item.value)
             if result.is_ok():
                 entries.append(result.unwrap())
@@ -319,7 +354,9 @@
         # An entry that is still missing may have been written and removed again since.
         self._missing_entries = {
             name
-            for name in self._missing_entries | self._member_items.keys()
+            for name in self._missing_entries
+            | self._member_items.keys()
+            | self._steering.members.list_unlisted_hosts()
             if name not in items and self._is_member_host(name)
         }
         changes += [
@@ -330,10 +367,15 @@
         log.info("members updated", extra={"count": len(entries)})
         self._execute(
             self._steering.set_members(
-                entries, self._loop.clock.now(), self._build_changes(changes)
+                entries, self._loop.clock.now(), self._build_changes(changes), roster
             )
         )
 
+    def _handle_roster_change(self) -> None:
+        """Use what the responses to this balancer's own writes have shown."""
+        roster = self._rosters.read(self._members.items, self._members.revision)
+        self._execute(self._steering.set_roster(roster, self._loop.clock.now()))
+
     def _classify(
         self, result: Result[MemberEntry, StepError], is_new: bool
     ) -> EntryCondition | None:
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -23,6 +23,7 @@
 )
 from bramleystair.steering._agent_settings import AgentSteeringSettings
 from bramleystair.steering._messages import (
+    EntryWithdrawn,
     FlowLost,
     LoadReport,
     LookupProbe,
@@ -64,6 +65,9 @@
 # One such flow may have been lost otherwise, for example if its caller used the port
 # again.
 LOST_FLOWS_OF_REPLACED_SERVER = 2
+# Time for which the withdrawal of the entry is announced with each load report: until
+# balancers have seen that the entry is gone, even if a response of the store was lost.
+WITHDRAWAL_ANNOUNCEMENT_S = 6.0
 
 
 @attrs.define(eq=False)
@@ -127,6 +131,8 @@
         self._next_load_report_s = now
         self._last_expiry_s = now
         self._is_stopping = False
+        self._is_withdrawn = False
+        self._withdrawal_announced_until_s = float("-inf")
         self._outbox = Outbox()
 
     @property
@@ -309,6 +315,21 @@
         self._next_load_report_s = now + self._settings.stop_report_period_s
         return self._outbox.take()
 
+    def set_withdrawn(self, is_withdrawn: bool, now: float) -> list[Action]:
+        """Announce to the subscribers that the entry is withdrawn, or end that.
+
+        Without the announcement, balancers keep looking for an agent without an entry.
+        """
+        is_new = is_withdrawn and not self._is_withdrawn
+        self._is_withdrawn = is_withdrawn
+        if not is_withdrawn:
+            self._withdrawal_announced_until_s = float("-inf")
+        elif is_new:
+            self._withdrawal_announced_until_s = now + WITHDRAWAL_ANNOUNCEMENT_S
+            for address in self._subscribers:
+                self._outbox.send(address, EntryWithdrawn())
+        return self._outbox.take()
+
     def handle_open(
         self, sender: Address, message: OpenFlow, segment: Segment, now: float
     ) -> list[Action]:
@@ -910,8 +931,11 @@
         if not self._subscribers:
             return
         report = self._build_report(now)
+        is_withdrawal_announced = now < self._withdrawal_announced_until_s
         for address in self._subscribers:
             self._outbox.send(address, report)
+            if is_withdrawal_announced:
+                self._outbox.send(address, EntryWithdrawn())
 
     def _build_report(self, now: float) -> LoadReport:
         return LoadReport(self.build_load(now), self._rules_version)
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -32,6 +32,7 @@
 )
 from bramleystair.steering._openings import FlowOpener
 from bramleystair.steering._outbox import Outbox
+from bramleystair.steering._rosters import Roster
 from bramleystair.steering._segments import (
     Segment,
     are_of_one_flow,
@@ -161,6 +162,7 @@
             settings.max_pending, settings.hold_s
         )
         self._has_members = False
+        self._roster = Roster()
         self._has_evacuated_zones = False
         self.newest_rules_version = 0
         # Message that each subscription is followed by until the given time.
@@ -170,6 +172,7 @@
     def set_owner_lifetime(self, seconds: float) -> None:
         """Change the time for which the owner of an idle flow is cached."""
         self._settings = attrs.evolve(self._settings, owner_lifetime_s=seconds)
+        self.members.set_flow_lifetime(seconds)
 
     @property
     def rules(self) -> RoutingRules | None:
@@ -220,6 +223,7 @@
         entries: Iterable[MemberEntry],
         now: float,
         changes: Collection[EntryChange] = (),
+        roster: Roster | None = None,
     ) -> list[Action]:
         """Replace the members by the published ones, except for unlisted members.
 
@@ -227,6 +231,8 @@
         ----------
         changes : collection of EntryChange
             Changes of which the agents are told.
+        roster : Roster or None
+            Copies of the roster; None if they have not changed.
         """
         self._has_members = True
         unlisted = self.members.update(entries, now)
@@ -250,11 +256,32 @@
         conditions = {change.address[0]: change.condition for change in changes}
         for member in unlisted:
             address = member.entry.address
+            if member.is_withdrawn(now):
+                self._withdraw(address, now)
+                continue
             condition = conditions.get(address[0], EntryCondition.MISSING)
             self._record_unlisted("kept", condition.value, member)
             self._subscribe(address, now)
+        if roster is not None:
+            self._roster = roster
+            self._subscribe_to_added(self.members.set_roster(roster, now), now)
+        return self._outbox.take()
+
+    def set_roster(self, roster: Roster, now: float) -> list[Action]:
+        """Use the copies of the roster, and query members that only they name."""
+        self._roster = roster
+        self._subscribe_to_added(self.members.set_roster(roster, now), now)
         return self._outbox.take()
 
+    def _subscribe_to_added(self, added: Iterable[Member], now: float) -> None:
+        """Tell the agents that only a roster names that their entries are missing."""
+        for member in added:
+            member.change = EntryChanged(
+                self._roster.epoch, self._roster.revision, is_missing=True
+            )
+            self._subscribe(member.entry.address, now)
+            self._record_unlisted("added", "roster", member)
+
     def _find_member(
         self, change: EntryChange, hosts: dict[str, Member]
     ) -> Member | None:
@@ -278,7 +305,10 @@
 
     def _handle_withdrawal(self, sender: Address, now: float) -> None:
         self.members.record_message(sender, now)
-        member = self.members.withdraw(sender, now)
+        self._withdraw(sender, now)
+
+    def _withdraw(self, address: Address, now: float) -> None:
+        member = self.members.withdraw(address, now)
         if member is not None:
             self._record_unlisted("dropped", "withdrawn", member)
 
@@ -408,7 +438,9 @@
             self._subscribe(address, now)
         self._release_lost_flows(now)
         for member in self.members.remove_gone(now):
-            self._record_unlisted("dropped", "lost", member)
+            reason = "silent" if member.is_named else "lost"
+            self._record_unlisted("dropped", reason, member)
+        self._subscribe_to_added(self.members.add_named(now), now)
 
     def _process_startup_buffer(self, now: float) -> None:
         """Handle the buffered packets, or refuse those that have expired."""
--- a/src/bramleystair/steering/_member.py
+++ b/src/bramleystair/steering/_member.py
@@ -10,6 +10,9 @@
 # Time in which an agent writes its entry again after another writer has changed it,
 # also if the response to a balancer's watch was lost.
 ZONE_CONFIRMATION_S = 10.0
+# Time for which the withdrawal of an entry that is still listed is remembered. Its
+# agent announces it for longer.
+WITHDRAWAL_S = 3.0
 
 
 @attrs.define(eq=False)
@@ -44,6 +47,12 @@
         Time at which the entry named another availability zone than before.
     is_unlisted : bool
         Whether the store has no usable entry of the member.
+    has_answered : bool
+        Whether the member has sent a message since it is unlisted.
+    is_named : bool
+        Whether a copy of the roster names the member, or did before copies were lost.
+    withdrawn_s : float
+        Time at which its agent said last that it has withdrawn its entry.
     change : EntryChanged or None
         Latest change of its entry, of which its agent is told with each subscription
         until `change_announced_until_s`, or as long as the member is unlisted.
@@ -65,6 +74,9 @@
     )
     zone_changed_s: float = 0.0
     is_unlisted: bool = False
+    has_answered: bool = False
+    is_named: bool = False
+    withdrawn_s: float = float("-inf")
     change: EntryChanged | None = None
     change_announced_until_s: float = 0.0
 
@@ -117,6 +129,10 @@
         self.is_subscribed = False
         self.is_message_expected = False
 
+    def is_withdrawn(self, now: float) -> bool:
+        """Return whether its agent has just said that it has withdrawn its entry."""
+        return now - self.withdrawn_s <= WITHDRAWAL_S
+
     def get_announced_change(self, now: float) -> EntryChanged | None:
         """Return the change of its entry of which the agent is still told."""
         if self.is_unlisted or now < self.change_announced_until_s:
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -10,8 +10,14 @@
 from bramleystair.steering._balancer_settings import BalancerSteeringSettings
 from bramleystair.steering._member import Member
 from bramleystair.steering._neighbours import select_neighbours
+from bramleystair.steering._rosters import Roster, RosterChange
 from bramleystair.steering._types import Address, Load, MemberEntry, ServerState
 
+# Maximum number of members that only a roster names and that have not been heard.
+# Others are added once these are heard or removed: odd rosters then cost few queries,
+# and any number of agents is still found within seconds.
+MAX_UNHEARD_NAMED = 1024
+
 
 class Members:
     """The members of all services.
@@ -26,6 +32,9 @@
     - unlisted: the store has no usable entry of it, for example because another writer
       has replaced or removed it. The member is kept, and subscribed, until it is lost
       or its agent says that it has withdrawn its entry.
+    - named: a copy of the roster names it; see `_rosters`. It is kept until its agent
+      says that it has withdrawn its entry, until it was silent for the lifetime of a
+      flow, or until no copy names it.
     - eligible: new flows may be placed on it; see `is_eligible`.
     - candidate: an eligible member of the service in question.
     - busy: it refused a flow as busy within the last `round_delay_s`.
@@ -66,6 +75,13 @@
         self._subscribed_owners: frozenset[Address] = frozenset()
         self._incomplete_until_s = float("-inf")
         self._published: tuple[MemberEntry, ...] = ()
+        self._flow_lifetime_s = settings.owner_lifetime_s
+        self._roster = Roster()
+        # Addresses that a copy of the roster names although they were removed here.
+        self._removed: frozenset[Address] = frozenset()
+        # Counts the changes of what a roster is to name.
+        self.roster_generation = 0
+        self._agreement: tuple[int, bool] = (-1, False)
 
     def __iter__(self):
         """Iterate over all members."""
@@ -120,10 +136,17 @@
         newly_unlisted = [m for m in kept.values() if not m.is_unlisted]
         for member in newly_unlisted:
             member.is_unlisted = True
+            member.has_answered = False
         self._members = members | kept
+        self._removed = self._removed.difference(members)
+        self.roster_generation += 1
         self.reselect_neighbours(now)
         return newly_unlisted
 
+    def list_unlisted_hosts(self) -> set[str]:
+        """Return the hosts of the unlisted members."""
+        return {member.entry.address[0] for member in self if member.is_unlisted}
+
     def index_by_host(self) -> dict[str, Member]:
         """Return the members by host; any one of those at the same host."""
         return {member.entry.address[0]: member for member in self}
@@ -134,15 +157,24 @@
         for address in addresses:
             entry = MemberEntry(address, "", "", ServerState.DRAINING, 0)
             member = self._members[address] = Member(entry, now, is_unlisted=True)
+            member.is_named = address in self._roster.named
             added.append(member)
         if added:
+            self._removed = self._removed.difference(self._members)
+            self.roster_generation += 1
             self.reselect_neighbours(now)
         return added
 
     def withdraw(self, address: Address, now: float) -> Member | None:
-        """Remove and return the unlisted member that has withdrawn its entry."""
+        """Remove and return the unlisted member that has withdrawn its entry.
+
+        A member whose entry is still listed is removed once it is not.
+        """
         member = self._members.get(address)
-        if member is None or not member.is_unlisted:
+        if member is None:
+            return None
+        member.withdrawn_s = now
+        if not member.is_unlisted:
             return None
         self._remove_unlisted({address}, now)
         return member
@@ -159,13 +191,87 @@
         """Remove members, in whose place other entries of their hosts may be used."""
         for address in addresses:
             del self._members[address]
+        self._removed |= self._roster.named & frozenset(addresses)
         self.update(self._published, now)
 
     def _list_gone(self, now: float) -> frozenset[Address]:
-        """Return the lost members, or none if this balancer is isolated instead."""
-        if self.is_isolated(now) and not all(member.is_unlisted for member in self):
+        """Return the lost members, or none if this balancer is isolated instead.
+
+        A named one may be an agent that is away for some time, whose server lives.
+        """
+        is_isolated = self.is_isolated(now)
+        if is_isolated and not all(member.is_unlisted for member in self):
             return frozenset()
-        return self.list_lost(now)
+        oldest_s = float("-inf") if is_isolated else now - self._flow_lifetime_s
+        return frozenset(
+            address
+            for address in self.list_lost(now)
+            if not self._members[address].is_named
+            or self._members[address].last_heard_s < oldest_s
+        )
+
+    def set_flow_lifetime(self, seconds: float) -> None:
+        """Set the silence after which a member that a roster names is removed."""
+        self._flow_lifetime_s = seconds
+
+    def set_roster(self, roster: Roster, now: float) -> list[Member]:
+        """Use the copies of the roster in the store; return members that are added.
+
+        A name that is missing in some copies counts, as another writer may have changed
+        the others. If all copies agree, a balancer has removed it.
+        """
+        self._roster = roster
+        for address, member in self._members.items():
+            if address in roster.named:
+                member.is_named = True
+            elif roster.agreed is not None:
+                member.is_named = False
+        self._removed &= roster.named
+        self.roster_generation += 1
+        return self.add_named(now)
+
+    def add_named(self, now: float) -> list[Member]:
+        """Add the members that only the roster names, a limited number at a time."""
+        missing = self._roster.named.difference(self._members, self._removed)
+        if not missing:
+            return []
+        unheard = sum(m.is_named and not m.has_been_heard for m in self)
+        order = sorted(missing, key=lambda a: (-self._roster.count_copies(a), a))
+        return self.add_unlisted(order[: max(0, MAX_UNHEARD_NAMED - unheard)], now)
+
+    def writes_roster(self) -> bool:
+        """Return whether this balancer has written most copies of the roster."""
+        return self._roster.find_writer() == self._name
+
+    def list_roster_changes(self) -> list[RosterChange]:
+        """Return the objects to write so that the roster names all members."""
+        return self._roster.list_changes(
+            {
+                address
+                for address, member in self._members.items()
+                if address[1] == self._roster.port
+                and (not member.is_unlisted or member.is_named or member.has_answered)
+            },
+            self._name,
+        )
+
+    def is_roster_complete(self, now: float) -> bool:
+        """Return whether the members are all that exist, on the word of the roster.
+
+        That is so if all copies of all its parts are present, can be read and name
+        exactly the members of this balancer, as of a response of the store. A living
+        agent that a roster has named is then unknown only if another writer has changed
+        four objects, its entry and the three copies, before any balancer wrote one of
+        them again. One changed, odd or missing copy makes the answer False until a
+        balancer has written it again, within 2 to 4 s.
+        """
+        if self.may_be_incomplete(now) or not self._roster.revision:
+            return False
+        generation, is_agreed = self._agreement
+        if generation != self.roster_generation:
+            is_agreed = self._roster.agreed == self._members.keys()
+            self._agreement = self.roster_generation, is_agreed
+        return is_agreed
 
     def expect_more(self, until_s: float) -> None:
         """Record that members may be missing until then.
@@ -256,8 +362,12 @@
     def record_message(self, address: Address, now: float) -> Member | None:
         """Record that the member at `address` is alive, and return it."""
         member = self._members.get(address)
-        if member is not None:
-            member.record_message(now)
+        if member is None:
+            return None
+        member.record_message(now)
+        if member.is_unlisted and not member.has_answered:
+            member.has_answered = True
+            self.roster_generation += 1
         return member
 
     def record_load(self, address: Address, load: Load, now: float) -> None:
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -214,7 +214,10 @@
 
 @attrs.define
 class EntryWithdrawn:
-    """Answer `EntryChanged`: the agent has no entry, as its server has left."""
+    """Tell that the agent has no entry, as its server has left.
+
+    Answers `EntryChanged`, and is sent to all subscribers when the entry is withdrawn.
+    """
 
 
 @attrs.define
--- a/src/bramleystair/steering/balancer.py
+++ b/src/bramleystair/steering/balancer.py
@@ -2,5 +2,26 @@
 
 from bramleystair.steering._balancer import BalancerSteering
 from bramleystair.steering._balancer_settings import BalancerSteeringSettings
+from bramleystair.steering._members import Members
+from bramleystair.steering._roster_schedule import RosterSchedule
+from bramleystair.steering._rosters import (
+    Roster,
+    RosterChange,
+    RosterCopy,
+    decode_roster_copy,
+    is_roster_name,
+    parse_roster_name,
+)
 
-__all__ = ["BalancerSteering", "BalancerSteeringSettings"]
+__all__ = [
+    "BalancerSteering",
+    "BalancerSteeringSettings",
+    "Members",
+    "Roster",
+    "RosterChange",
+    "RosterCopy",
+    "RosterSchedule",
+    "decode_roster_copy",
+    "is_roster_name",
+    "parse_roster_name",
+]
