Send subscriptions in time while a roster names many unknown hosts

Cause: the interval of subscriptions grows with the members that are subscribed. A copy of the roster that another writer fills with unknown hosts would stretch it to 20 s, while agents forget a subscription after 3 s.

Change: of unlisted members that were never heard, 32 are sent a subscription each time, in turn; they do not count towards the interval, and are not asked for their load between. At most 256 of them are known at a time instead of 1,024. A load report of an agent that accepts flows ends the memory of its withdrawal.

Result: "Odd copies add a limited number of members" in features/roster.feature.

--- a/features/roster.feature
+++ b/features/roster.feature
@@ -234,7 +234,9 @@
     Given 1 balancers and 10 agents
     When 1.0 s pass
     And another writer adds copies that name 10000 hosts of no agent
-    Then it has added at most 1024 members, among them the one of two copies
+    Then it has added at most 256 members, among them the one of two copies
+    When 5.0 s pass
+    Then it has heard each of the 10 agents in the last 0.8 s
 
   Scenario: Rosters of any size are read as they were written
     Then rosters of 1, 64, 65, 300, 2000 members are read as they were written
--- a/features/steps/roster_steps.py
+++ b/features/steps/roster_steps.py
@@ -22,7 +22,9 @@
 from bramleystair.steering.balancer import Roster, RosterCopy
 
 COPIES = ("roster-0-0", "roster-1-0", "roster-2-0")
-WRITE_LIMIT_S = 6.0
+MAX_SENT = 100
+# An agent forgets a subscription after 3 s.
+MAX_PERIOD_S = 1.5
 BALANCER = ("10.0.0.1", 7)
 
 
@@ -295,6 +297,22 @@
     assert not members.is_roster_complete(context.fleet.clock.now())
 
 
+@then("it has heard each of the {count:d} agents in the last {limit:f} s")
+def check_heard(context, count, limit):
+    balancer = context.fleet.balancers[-1]
+    sent = {
+        action.address[0]
+        for action in balancer.actions[-10 * MAX_SENT :]
+        if isinstance(action, SendMessage) and isinstance(action.message, Subscribe)
+    }
+    now = context.fleet.clock.now()
+    for number in range(count):
+        member = balancer.members.get((get_host(number), PORT))
+        assert now - member.last_heard_s <= limit, member
+        assert get_host(number) in sent
+    assert balancer.members.compute_subscription_period() <= MAX_PERIOD_S
+
+
 # Encoding.
 
 
--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -544,7 +544,7 @@
         self._next_subscription_s = now + self.members.compute_subscription_period()
         # Members that have not answered a request are sent subscriptions until they
         # answer; otherwise one lost datagram would make them count as lost for good.
-        for member in self.members.list_expected_senders():
+        for member in self.members.list_subscription_targets():
             self._subscribe(member.entry.address, now)
         if now - self._last_purge_s < self._settings.owner_lifetime_s / 4:
             return
--- a/src/bramleystair/steering/_member.py
+++ b/src/bramleystair/steering/_member.py
@@ -86,6 +86,11 @@
         load = self.load
         return load is not None and not load.is_accepting and load.running < load.slots
 
+    @property
+    def is_unknown(self) -> bool:
+        """Whether it has neither a usable entry nor been heard."""
+        return self.is_unlisted and not self.has_been_heard
+
     def set_entry(self, entry: MemberEntry, now: float) -> None:
         """Set the published entry, which may be another writer's."""
         if entry.zone != self.entry.zone:
@@ -115,6 +120,8 @@
         """Set the load that the agent has sent."""
         self.load = load
         self.is_restarting = load.is_stopping
+        if load.is_accepting:
+            self.withdrawn_s = float("-inf")
 
     def mark_subscribed(self, now: float) -> None:
         """Mark the member as subscribed and expect its load reports.
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -16,7 +16,10 @@
 # Maximum number of members that only a roster names and that have not been heard.
 # Others are added once these are heard or removed: odd rosters then cost few queries,
 # and any number of agents is still found within seconds.
-MAX_UNHEARD_NAMED = 1024
+MAX_UNHEARD_NAMED = 256
+# Number of unlisted members that were never heard to which a subscription is sent each
+# time, in turn, so that the others are sent theirs in time.
+UNHEARD_SUBSCRIPTIONS = 32
 
 
 class Members:
@@ -82,6 +85,7 @@
         # Counts the changes of what a roster is to name.
         self.roster_generation = 0
         self._agreement: tuple[int, bool] = (-1, False)
+        self._next_unheard = 0
 
     def __iter__(self):
         """Iterate over all members."""
@@ -326,6 +330,18 @@
         """Return the members that are subscribed or have not answered a request yet."""
         return [member for member in self if member.is_message_expected]
 
+    def list_subscription_targets(self) -> list[Member]:
+        """Return the expected senders to which a subscription is sent now."""
+        expected = self.list_expected_senders()
+        unheard = [member for member in expected if member.is_unknown]
+        if len(unheard) <= UNHEARD_SUBSCRIPTIONS:
+            return expected
+        self._next_unheard %= len(unheard)
+        rotated = unheard[self._next_unheard :] + unheard[: self._next_unheard]
+        self._next_unheard += UNHEARD_SUBSCRIPTIONS
+        heard = [member for member in expected if not member.is_unknown]
+        return heard + rotated[:UNHEARD_SUBSCRIPTIONS]
+
     def mark_owner_subscribed(self, address: Address, now: float) -> bool:
         """Mark a member that owns a flow as subscribed; return whether that is new.
 
@@ -376,6 +392,9 @@
         if member is not None:
             member.set_load(load)
             member.flows_since_report = 0
+        elif load.is_accepting and address in self._removed:
+            # The agent has a server again.
+            self._removed = self._removed - {address}
 
     def record_failure(self, member: Member, now: float) -> None:
         """Avoid a member that did not answer, with exponential backoff."""
@@ -532,6 +551,7 @@
             address
             for address, member in self._members.items()
             if member.is_message_expected
+            and not member.is_unknown
             and settings.probe_after_s
             < now - member.last_heard_s
             <= settings.probe_until_s
@@ -540,10 +560,10 @@
     def compute_subscription_period(self) -> float:
         """Return the interval between subscriptions to load reports, in seconds."""
         settings = self._settings
-        return max(
-            settings.subscribe_period_s,
-            settings.subscribe_gap_s * len(self.list_subscribed()),
-        )
+        subscribed = self.list_subscribed()
+        unheard = sum(member.is_unknown for member in subscribed)
+        count = len(subscribed) - max(0, unheard - UNHEARD_SUBSCRIPTIONS)
+        return max(settings.subscribe_period_s, settings.subscribe_gap_s * count)
 
     def is_isolated(self, now: float) -> bool:
         """Return whether no subscribed member was heard within `isolated_after_s`.
