--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -284,10 +284,6 @@
         """Return whether there may be members that this balancer does not know."""
         return now < self._incomplete_until_s
 
-    def is_roster_complete(self, now: float) -> bool:
-        """Return whether the rosters in the store show that all members are known."""
-        return False
-
     def set_evacuated_zones(self, zones: Collection[str]) -> None:
         """Set the availability zones in which no new flows are placed."""
         self._evacuated_zones = frozenset(zones)
