Load fewer modules at the start of a node

Cause: after a loss of power all processes start at once, with little processor time, and callers wait for them. Two thirds of a node's start are imports.

A scenario in features/nodes.feature names modules that must not be loaded.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -5,10 +5,12 @@
 # Garbage collection during the imports would free nothing; `run_node` enables it again.
 gc.disable()
 
+import os.path  # noqa: E402
 import sys  # noqa: E402
-from pathlib import Path  # noqa: E402
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+# After a loss of power, callers wait for the imports; pathlib would add five modules.
+_FOLDER = os.path.dirname(os.path.dirname(os.path.realpath(__file__)))
+sys.path.insert(0, os.path.join(_FOLDER, "src"))
 
 from bramleystair.platform import main  # noqa: E402
 
--- a/features/nodes.feature
+++ b/features/nodes.feature
@@ -85,3 +85,18 @@
     Given a pipe that nobody reads
     When 2000 log lines are written to it
     Then the writer was not blocked and lines were dropped
+
+  Scenario Outline: A node loads no modules that its start does not need
+    # Guards against a longer time until callers are served after a loss of power: all
+    # processes start at once, with little processor time.
+    When the modules of a <role> are loaded by a new process
+    Then none of these is loaded: <unneeded>
+
+    Examples:
+      | role     | unneeded                                                             |
+      | balancer | pathlib, urllib.parse, ipaddress, pythonjsonlogger, asyncio, ssl     |
+      | balancer | bramleystair.metrics._status, bramleystair.metrics._server           |
+      | balancer | bramleystair.steering._agent, bramleystair.nodes._agent              |
+      | agent    | pathlib, urllib.parse, ipaddress, pythonjsonlogger, asyncio, ssl     |
+      | agent    | bramleystair.metrics._status, bramleystair.metrics._server           |
+      | agent    | bramleystair.steering._balancer, bramleystair.steering._rosters      |
--- a/features/steps/nodes_steps.py
+++ b/features/steps/nodes_steps.py
@@ -2,6 +2,9 @@
 import random
 import signal
 import socket
+import subprocess
+import sys
+from pathlib import Path
 
 from behave import given, then, when
 from log_recorder import record_logs
@@ -285,3 +288,28 @@
 def check_dropped(context):
     # The scenario only reaches this step if no write blocked.
     assert context.stream.dropped > 0
+
+
+LOADED_MODULES = {
+    "balancer": "bramleystair.nodes._balancer, bramleystair.platform._configuration",
+    "agent": "bramleystair.nodes._agent, bramleystair.platform._heartbeats",
+}
+
+
+@when("the modules of a {role} are loaded by a new process")
+def load_modules(context, role):
+    # Without the site module, which may load others for the development tools.
+    paths = [str(Path(__file__).resolve().parents[2] / "src"), *sys.path]
+    script = (
+        f"import sys; sys.path[:] = {paths!r}; import bramleystair.platform, "
+        f"{LOADED_MODULES[role]}; print(*sys.modules)"
+    )
+    command = [sys.executable, "-S", "-c", script]
+    output = subprocess.run(command, check=True, capture_output=True, text=True)
+    context.modules = set(output.stdout.split())
+
+
+@then("none of these is loaded: {names}")
+def check_modules(context, names):
+    assert "bramleystair.steering" in context.modules
+    assert not context.modules.intersection(names.split(", "))
--- a/src/bramleystair/platform/_settings.py
+++ b/src/bramleystair/platform/_settings.py
@@ -1,7 +1,6 @@
 """Parser of the platform's settings file."""
 
 import json
-from pathlib import Path
 from typing import Any
 
 from result import Err, Ok, Result
@@ -18,7 +17,8 @@
 def read_settings(path: str, metrics_port: int) -> Result[NodeSettings, StepError]:
     """Read the settings of a node; an error names what is missing or wrong."""
     try:
-        document = json.loads(Path(path).read_text(encoding="utf-8"))
+        with open(path, encoding="utf-8") as file:
+            document = json.load(file)
         return Ok(_parse_document(document, metrics_port))
     except OSError as error:
         return Err(StepError("read settings", path, error.strerror or "unreadable"))
--- a/src/bramleystair/platform/_store.py
+++ b/src/bramleystair/platform/_store.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 from typing import Any
-from urllib.parse import quote
 
 from bramleystair.documents import (
     DECODE_ERRORS,
@@ -72,7 +71,7 @@
 
     def list_items(self, kind: str, after: str) -> Future:
         """Request the page after the name `after`; Listing or StoreFailure."""
-        query = f"?after={quote(after)}" if after else ""
+        query = f"?after={_quote(after)}" if after else ""
         return self._call("GET", kind + query, _parse_listing)
 
     def watch(
@@ -93,7 +92,7 @@
 
     def read(self, kind: str, name: str) -> Future:
         """Read an object, possibly as of seconds ago; StoredItem or StoreFailure."""
-        return self._call("GET", f"{kind}/{quote(name)}?StaleRead=1", _parse_item)
+        return self._call("GET", f"{kind}/{_quote(name)}?StaleRead=1", _parse_item)
 
     def create(self, kind: str, name: str, value: Any) -> Future:
         """Create an object; StoredItem or StoreFailure."""
@@ -103,11 +102,11 @@
     def replace(self, kind: str, name: str, value: Any, revision: int) -> Future:
         """Replace an object of the given revision; StoredItem or StoreFailure."""
         body = _build_body(name, value, revision)
-        return self._call("PUT", f"{kind}/{quote(name)}", _parse_item, body)
+        return self._call("PUT", f"{kind}/{_quote(name)}", _parse_item, body)
 
     def delete(self, kind: str, name: str, revision: int) -> Future:
         """Delete an object of the given revision; None or StoreFailure."""
-        target = f"{kind}/{quote(name)}?Rev={revision}"
+        target = f"{kind}/{_quote(name)}?Rev={revision}"
         return self._call("DELETE", target, lambda document: None)
 
     def _call(
@@ -144,6 +143,14 @@
         return not is_number or self.epoch.record(int(text))
 
 
+def _quote(name: str) -> str:
+    # Imported on demand: the first calls of a node name no object in their path, and
+    # callers wait for them after a loss of power.
+    from urllib.parse import quote
+
+    return quote(name)
+
+
 def _build_body(name: str, value: Any, revision: int | None) -> bytes:
     meta: dict[str, Any] = {"Name": name}
     if revision is not None:
--- a/src/bramleystair/steering/_options.py
+++ b/src/bramleystair/steering/_options.py
@@ -7,7 +7,6 @@
 import json
 import math
 from collections.abc import Mapping
-from pathlib import Path
 from typing import Any
 
 import attrs
@@ -81,7 +80,8 @@
         The error names the option, its value and what is allowed.
     """
     try:
-        lines = Path(path).read_text(encoding="utf-8").splitlines()
+        with open(path, encoding="utf-8") as file:
+            lines = file.read().splitlines()
         kept = [line for line in lines if not line.lstrip().startswith(COMMENT_PREFIX)]
         return Ok(_parse(json.loads("\n".join(kept))))
     except OSError as error:
