Divide rosters into parts of up to 96 members

Cause: with parts of up to 64 members, a release of 45 of 136 servers wrote 51 objects.

Change: a part holds 48 to 96 members.

--- a/src/bramleystair/steering/_rosters.py
+++ b/src/bramleystair/steering/_rosters.py
@@ -23,8 +23,9 @@
 from bramleystair.steering._types import Address
 
 COPIES = 3
-# Mean number of members in a part above which the number of parts is doubled.
-PART_MEMBERS = 64
+# Mean number of members in a part above which the number of parts is doubled: parts of
+# larger rosters hold 48 to 96.
+PART_MEMBERS = 96
 MAX_PARTS = 1024
 # More hosts than the hash puts into a part.
 MAX_PART_HOSTS = 8 * PART_MEMBERS
