Refuse new flows at servers that fail their callers

Cause: a server that resets or hangs requests while its reports are good looks idle, so balancers prefer it.

Change: an agent judges its server by the outcome of requests: overdue, closed or reset without a response, first packets returned. It pauses the server for new flows, then admits single flows as a trial, and doubles the pause while it goes on. Balancers prefer other members and use failing ones only if all of the service fail. Open flows are left alone. A silent or absent server counts as failing for balancers as well. The part is an option, server_faults, off by default. Lookups that wait for a returned packet move to a module of their own.

--- a/src/bramleystair/model/_servers.py
+++ b/src/bramleystair/model/_servers.py
@@ -75,6 +75,8 @@
         self._mean_service_time_s = service_time_s
         self._send = send
         self.is_up = True
+        # Share of the requests that are answered with a reset of their flow.
+        self.reset_share = 0.0
         self.started_s = events.now
         self.incarnation = 0
         self.processed = 0
@@ -130,6 +132,9 @@
 
     def _handle_request(self, segment: Segment) -> None:
         request = (segment.flow, segment.sequence)
+        if self.reset_share and self._random.random() < self.reset_share:
+            self._respond(segment.flow, segment.sequence, RST)
+            return
         if self._in_progress < self.settings.slots:
             self._process(*request)
         elif len(self._queue) < self.settings.queue:
@@ -165,6 +170,7 @@
         server_sequence = self._flows[flow]
         if flags & RST:
             del self._flows[flow]
+        size = 0 if flags & RST else 1
         self._send(
-            encode_packet(flow, ACK | flags, server_sequence + 1, sequence + 1, 1)
+            encode_packet(flow, ACK | flags, server_sequence + 1, sequence + 1, size)
         )
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -4,8 +4,6 @@
 hold the flow or cannot accept it; see `Segment.is_returned`.
 """
 
-from collections import deque
-
 import attrs
 
 from bramleystair.steering._actions import (
@@ -37,12 +35,14 @@
     Subscribe,
 )
 from bramleystair.steering._outbox import Outbox
+from bramleystair.steering._pending_lookups import PendingLookup, PendingLookups
 from bramleystair.steering._report_history import (
     ReportHistory,
     Verdict,
     get_identity,
 )
 from bramleystair.steering._segments import Segment
+from bramleystair.steering._server_health import ServerHealth
 from bramleystair.steering._types import (
     Address,
     Load,
@@ -66,18 +66,6 @@
 LOST_FLOWS_OF_REPLACED_SERVER = 2
 
 
-@attrs.define(eq=False)
-class _PendingLookup:
-    """A lookup that waits for the server to return its packet.
-
-    A returned packet answers it with `Ownership.NONE`.
-    """
-
-    balancer: Address
-    token: int
-    due_s: float
-
-
 class AgentSteering:
     """Admit new flows to the backend server and answer lookups of those that it holds.
 
@@ -117,8 +105,7 @@
         self._has_left = False
         self._service_id = 0
         self._flows: dict[bytes, AgentFlow] = {}
-        self._pending_lookups: dict[bytes, list[_PendingLookup]] = {}
-        self._lookup_deadlines: deque[tuple[float, bytes]] = deque()
+        self._pending_lookups = PendingLookups()
         self._admission = AdmissionControl(settings)
         self._server_last_seen_s = now
         self._unanswered_since_s: float | None = None
@@ -128,6 +115,9 @@
         self._last_expiry_s = now
         self._is_stopping = False
         self._outbox = Outbox()
+        self._health = ServerHealth(
+            settings.options.server_faults, self._outbox, self._send_load_reports
+        )
 
     @property
     def has_report(self) -> bool:
@@ -182,9 +172,12 @@
 
     def compute_wait(self, now: float) -> float:
         """Return the seconds until `run_timers` is due."""
-        due_s = min(self._next_load_report_s, self._admission.next_offer_expiry_s)
-        if self._lookup_deadlines:
-            due_s = min(due_s, self._lookup_deadlines[0][0])
+        due_s = min(
+            self._next_load_report_s,
+            self._admission.next_offer_expiry_s,
+            self._pending_lookups.due_s,
+            self._health.compute_due(self._admission.meter.service_s),
+        )
         return max(0.0, due_s - now)
 
     def handle_report(self, report: ServerReport, now: float) -> list[Action]:
@@ -340,6 +333,7 @@
         )
         self._untracked.forget(segment.flow)
         self._admission.admit(segment.flow, now)
+        self._health.record_admission(now)
         if self._unanswered_since_s is None:
             self._unanswered_since_s = now
         self._deliver(segment)
@@ -465,7 +459,10 @@
             self._outbox.observe("response", now - flow.request_started_s)
             self._admission.meter.end_request(flow.request_started_s, now)
             flow.request_started_s = None
+        if segment.has_payload:
+            self._health.record_answer(segment.flow, now)
         if segment.is_reset or segment.is_fin:
+            self._health.record_closed(segment.flow, segment.is_reset, now)
             self._admission.cancel_reservation(segment.flow)
             self._end_request(flow, now)
         self._outbox.add(DeliverToCaller(segment.flow, segment.data))
@@ -485,9 +482,10 @@
 
     def run_timers(self, now: float) -> list[Action]:
         """Run what is due and return the actions."""
-        while self._lookup_deadlines and self._lookup_deadlines[0][0] <= now:
-            _, flow = self._lookup_deadlines.popleft()
-            self._answer_likely(flow, now)
+        for lookup in self._pending_lookups.take_due(now):
+            if not self.is_server_silent(now):
+                self._answer_lookup(lookup, Ownership.LIKELY)
+        self._health.check_overdue(self._admission.meter.service_s, now)
         self._offer_slots(now)
         self._use_draining_server(now)
         if now >= self._next_load_report_s:
@@ -520,10 +518,15 @@
         if report is None:
             # `is_stopping` makes balancers wait for the agent to come back. Without a
             # server it stays false, as the VM may be shutting down for good.
-            return Load(is_accepting=False)
+            return Load(is_accepting=False, is_failing=self._health.is_enabled)
+        is_silent = self.is_server_silent(now)
+        is_failing = self._health.is_failing(now) or (
+            is_silent and self._health.is_enabled
+        )
         is_accepting = (
             not self._is_stopping
-            and not self.is_server_silent(now)
+            and not is_failing
+            and not is_silent
             and not self._admission.is_busy(report.slots, now)
         )
         return Load(
@@ -536,6 +539,7 @@
             self._admission.is_cold(now),
             is_accepting,
             self._is_stopping,
+            is_failing,
         )
 
     def _use_report(self, report: ServerReport, now: float) -> None:
@@ -546,6 +550,7 @@
         self._is_report_assumed = False
         self._service_id = compute_service_id(report.service)
         self._admission.set_cold(report.cold_left_s, now)
+        self._health.set_slots(report.slots)
         is_new = previous is None or get_identity(report) != get_identity(previous)
         if is_new or report.state is not previous.state:
             self._outbox.log(
@@ -611,6 +616,7 @@
             self._use_report(report, now)
             return
         self._admission.reset(now)
+        self._health.reset()
         self._outbox.count("server_replaced", "reported")
         self._replaced = previous, previous_s
         self._lost_flows.clear()
@@ -705,6 +711,8 @@
             return Refusal.SILENT
         if self._admission.exceeds_cold_rate(message.cold_rate, now):
             return Refusal.COLD
+        if self._health.is_failing(now) and not message.is_last_resort:
+            return Refusal.FAILING
         if self._admission.is_busy(report.slots, now, message.urgency):
             return Refusal.BUSY
         return Refusal.NONE
@@ -780,8 +788,8 @@
         """
         self._outbox.count("packet_dropped", "reset_of_probe")
         self._remove_flow(segment.flow, now)
-        for lookup in self._pending_lookups.pop(segment.flow, ()):
-            self._reply_to_lookup(lookup.balancer, lookup.token, Ownership.NONE)
+        for lookup in self._pending_lookups.take(segment.flow):
+            self._answer_lookup(lookup, Ownership.NONE)
 
     def _track_flow(self, sender: Address, segment: Segment, now: float) -> AgentFlow:
         flow = self._flows[segment.flow] = AgentFlow(sender, now, is_established=True)
@@ -797,9 +805,11 @@
         if starts_request(flow, segment):
             flow.request_started_s = now
             self._admission.start_request(segment.flow, now)
+            self._health.start_request(segment.flow, now)
         if carries_new_data(flow, segment):
             flow.highest_sequence = segment.sequence
         if segment.is_reset or segment.is_fin:
+            self._health.cancel_request(segment.flow)
             self._admission.cancel_reservation(segment.flow)
             self._end_request(flow, now)
         self._deliver(segment)
@@ -810,14 +820,15 @@
             # A copy of the first packet that the server cannot accept a second time.
             self._outbox.count("packet_dropped", "returned_copy")
             return
-        lookups = self._pending_lookups.pop(segment.flow, ())
+        lookups = self._pending_lookups.take(segment.flow)
         for lookup in lookups:
-            self._reply_to_lookup(lookup.balancer, lookup.token, Ownership.NONE)
+            self._answer_lookup(lookup, Ownership.NONE)
         if flow is None:
             self._outbox.count("packet_dropped", "returned_unknown")
             return
         self._remove_flow(segment.flow, now)
         if segment.is_syn:
+            self._health.record_returned(now)
             if flow.token is not None and flow.last_balancer is not None:
                 self._refuse_open(
                     flow.last_balancer, flow.token, segment.flow, Refusal.RETURNED, now
@@ -838,29 +849,18 @@
         self, sender: Address, token: int, flow: bytes, now: float
     ) -> None:
         due_s = now + self._settings.return_wait_s
-        self._pending_lookups.setdefault(flow, []).append(
-            _PendingLookup(sender, token, due_s)
-        )
-        self._lookup_deadlines.append((due_s, flow))
+        self._pending_lookups.add(flow, PendingLookup(sender, token, due_s))
 
     def _answer_certain(self, flow: bytes) -> None:
-        for lookup in self._pending_lookups.pop(flow, ()):
-            self._reply_to_lookup(lookup.balancer, lookup.token, Ownership.CERTAIN)
-
-    def _answer_likely(self, flow: bytes, now: float) -> None:
-        lookups = self._pending_lookups.get(flow, [])
-        due = [lookup for lookup in lookups if lookup.due_s <= now]
-        remaining = [lookup for lookup in lookups if lookup.due_s > now]
-        if remaining:
-            self._pending_lookups[flow] = remaining
-        else:
-            self._pending_lookups.pop(flow, None)
-        for lookup in due:
-            if not self.is_server_silent(now):
-                self._reply_to_lookup(lookup.balancer, lookup.token, Ownership.LIKELY)
+        for lookup in self._pending_lookups.take(flow):
+            self._answer_lookup(lookup, Ownership.CERTAIN)
+
+    def _answer_lookup(self, lookup: PendingLookup, ownership: Ownership) -> None:
+        self._reply_to_lookup(lookup.balancer, lookup.token, ownership)
 
     def _remove_flow(self, flow: bytes, now: float) -> None:
         tracked = self._flows.pop(flow, None)
+        self._health.cancel_request(flow)
         self._admission.cancel_reservation(flow)
         if tracked is not None:
             self._end_request(tracked, now)
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -30,6 +30,8 @@
     - candidate: an eligible member of the service in question.
     - busy: it refused a flow as busy within the last `round_delay_s`.
     - accepting: its last load report, if any, says that it accepts new flows.
+    - failing: its last message says that requests at its server fail, and is not
+      stale. Others are preferred, unless all candidates are failing.
     - unavailable: its last load report says that it refuses new flows for a reason
       other than load.
     - unusable: not eligible, unavailable or lost; it does not count towards the number
@@ -313,7 +315,8 @@
     ) -> Member | None:
         """Return the member for a new flow, or None if there is no candidate.
 
-        The first of these groups that has any candidates is used:
+        Failing members are left out, unless all are failing. The first of these groups
+        that has any candidates is used:
 
         1. responsive ones that are accepting and not busy;
         2. unsubscribed ones that are not busy, suspect or lost;
@@ -331,7 +334,7 @@
         """
         candidates = [
             member
-            for member in self.list_candidates(service)
+            for member in self._list_preferred(service, now)
             if member.entry.address not in excluded
         ]
         if not candidates:
@@ -353,6 +356,32 @@
         )
         return min(sample, key=lambda member: self._compute_cost(member, fastest_s))
 
+    def _list_preferred(self, service: str, now: float) -> list[Member]:
+        """Return the candidates that are not failing, or all if all are."""
+        candidates = self.list_candidates(service)
+        return [m for m in candidates if not self._is_failing(m, now)] or candidates
+
+    def is_avoided(self, member: Member, now: float) -> bool:
+        """Return whether a member is failing and another one of its service is not."""
+        return self._is_failing(member, now) and not self.are_all_failing(
+            member.entry.service, now
+        )
+
+    def are_all_failing(self, service: str, now: float) -> bool:
+        """Return whether all candidates of `service` are failing."""
+        return all(
+            self._is_failing(member, now)
+            for member in self._members.values()
+            if member.entry.service == service and self.is_eligible(member)
+        )
+
+    def _is_failing(self, member: Member, now: float) -> bool:
+        return (
+            member.load is not None
+            and member.load.is_failing
+            and now - member.last_heard_s <= self._settings.stale_after_s
+        )
+
     def _list_unsubscribed(self, candidates: list[Member], now: float) -> list[Member]:
         """Return the unsubscribed candidates that are not busy, suspect or lost."""
         return [
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -33,6 +33,7 @@
     RETURNED = 7
     STOPPING = 8
     NO_ANSWER = 9
+    FAILING = 10
 
 
 class Ownership(enum.IntEnum):
@@ -64,6 +65,9 @@
         Urgency of the flow.
     waiting : Urgency or None
         Urgency of the most urgent flow that waits at the sender for this service.
+    is_last_resort : bool
+        Whether the requests of all members of the service fail, as far as the sender
+        knows, so that no better one can be asked.
     """
 
     token: int
@@ -72,6 +76,7 @@
     urgency: Urgency
     waiting: Urgency | None
     data: bytes
+    is_last_resort: bool = False
 
 
 @attrs.define
@@ -245,7 +250,7 @@
     | DeclineSlot
 )
 
-_OPEN_FLOW = struct.Struct("!BIQfBB")
+_OPEN_FLOW = struct.Struct("!BIQfBB?")
 _OPEN_REPLY = struct.Struct("!BIB")
 _LOOKUP_REQUEST = struct.Struct("!BI12sI")
 _LOOKUP_PROBE = struct.Struct("!BI")
@@ -255,7 +260,7 @@
 _STORE_RESTORED = struct.Struct("!BQ")
 _ENTRY_CHANGED = struct.Struct("!BQQ?")
 _FLOW_LOST = struct.Struct("!B12sI")
-_LOAD = struct.Struct("!BHHfHf???")
+_LOAD = struct.Struct("!BHHfHf????")
 _STATES = tuple(ServerState)
 # First byte of each encoded message.
 (
@@ -283,10 +288,10 @@
     match message:
         case Relay(data):
             return b"\x03" + data
-        case OpenFlow(token, service_id, cold_rate, urgency, waiting, data):
+        case OpenFlow(token, service_id, cold_rate, urgency, waiting, data, is_last):
             urgencies = _encode_urgency(urgency), _encode_urgency(waiting)
-            head = _OPEN_FLOW.pack(OPEN_FLOW, token, service_id, cold_rate, *urgencies)
-            return head + data
+            fields = token, service_id, cold_rate, *urgencies, is_last
+            return _OPEN_FLOW.pack(OPEN_FLOW, *fields) + data
         case OpenReply(token, refusal, load):
             return _OPEN_REPLY.pack(OPEN_REPLY, token, refusal) + _encode_load(load)
         case LookupRequest(token, flow, acknowledgement):
@@ -362,13 +367,15 @@
     if kind == RELAY:
         return Relay(data[1:])
     if kind == OPEN_FLOW:
-        _, token, service_id, cold_rate, *urgencies = _OPEN_FLOW.unpack_from(data)
+        _, token, service_id, cold_rate, *urgencies, is_last = _OPEN_FLOW.unpack_from(
+            data
+        )
         _check_finite(cold_rate)
         urgency, waiting = map(_decode_urgency, urgencies)
         if urgency is None:
             raise ValueError("new flow without an urgency")
         packet = data[_OPEN_FLOW.size :]
-        return OpenFlow(token, service_id, cold_rate, urgency, waiting, packet)
+        return OpenFlow(token, service_id, cold_rate, urgency, waiting, packet, is_last)
     if kind == OPEN_REPLY:
         _, token, refusal = _OPEN_REPLY.unpack_from(data)
         return OpenReply(token, Refusal(refusal), _decode_load(data, _OPEN_REPLY.size))
@@ -426,6 +433,7 @@
         load.is_cold,
         load.is_accepting,
         load.is_stopping,
+        load.is_failing,
     )
 
 
--- a/src/bramleystair/steering/_openings.py
+++ b/src/bramleystair/steering/_openings.py
@@ -221,10 +221,12 @@
         Returns
         -------
         bool
-            False if the member is not eligible or no suitable flow waits.
+            False if the member is not eligible or avoided, or no suitable flow waits.
         """
         if not self._members.is_eligible(member):
             return False
+        if self._members.is_avoided(member, now):
+            return False
         service = member.entry.service
         response_s = self._members.estimate_response_s(service)
         waiting = self._choose_waiting_flow(service, now, response_s)
@@ -423,6 +425,7 @@
             urgency,
             None if waiting is None else waiting.compute_rank(now, response_s)[0],
             pending.segment.data,
+            self._members.are_all_failing(pending.service, now),
         )
         self._outbox.send(address, message)
         self._members.record_request_sent(address, now)
--- a/src/bramleystair/steering/_options.py
+++ b/src/bramleystair/steering/_options.py
@@ -58,9 +58,27 @@
     ----------
     max_slots : int
         Highest number of slots of a server beside which the part applies; 0: none.
+    overdue_s : float
+        Age in seconds from which a request without a response counts as failed, if the
+        server is usually faster. Callers notice delays of this length.
+    overdue_factor : float
+        The same limit as a multiple of the server's usual response time.
+    failure_share : float
+        Share of failed requests among the last ones from which new flows are refused.
+    pause_s, max_pause_s : float
+        Time in seconds for which they are refused at first, and at most. It doubles
+        with each pause.
+    memory_s : float
+        Time in seconds without a failure after which the pauses start from the first.
     """
 
     max_slots: int = bounded(0, 0, MAX_SLOTS)
+    overdue_s: float = bounded(0.3, 0.05, 10.0)
+    overdue_factor: float = bounded(8.0, 2.0, 100.0)
+    failure_share: float = bounded(0.5, 0.05, 1.0)
+    pause_s: float = bounded(0.5, 0.05, 60.0)
+    max_pause_s: float = bounded(4.0, 0.05, 600.0)
+    memory_s: float = bounded(10.0, 1.0, 3600.0)
 
 
 @attrs.frozen
--- a/src/bramleystair/steering/_types.py
+++ b/src/bramleystair/steering/_types.py
@@ -102,6 +102,9 @@
         if unknown.
     is_stopping : bool
         Whether the agent stops while its server keeps running.
+    is_failing : bool
+        Whether new flows are refused because the server fails its callers, is silent or
+        has left.
     """
 
     state: ServerState = ServerState.READY
@@ -113,6 +116,7 @@
     is_cold: bool = False
     is_accepting: bool = True
     is_stopping: bool = False
+    is_failing: bool = False
 
 
 @attrs.frozen
