Use failing servers again where few others are sound

Cause: if most servers of a service were suspected, the few sound ones would get all new flows; failing members were used only if all were failing.

Change: when no sound member accepts a flow and fewer than half of the members are sound, balancers ask failing ones as a last resort, and accept their offers.

--- a/features/failing_servers.feature
+++ b/features/failing_servers.feature
@@ -100,10 +100,22 @@
     Then all members were asked as the last resort
     And their agents would admit the flows
 
+  Scenario Outline: Members fail and the others are busy
+    # Guards against sound servers that are overloaded because most others are suspected,
+    # and against failing ones that get flows whenever the others are busy.
+    Given a balancer with 4 members, of which <failing> fail
+    When one first packet arrives and the sound members are busy
+    Then the caller who finds no sound member <outcome>
+
+    Examples:
+      | failing | outcome                            |
+      | 2       | waits                              |
+      | 3       | is sent to a member that fails     |
+
   Scenario: Agents refuse that were not known to fail
     # Guards against flows refused for good when a balancer learns late that all fail.
     Given a balancer with 4 members, of which 0 fail
-    When one first packet arrives and each member refuses as failing until the last resort
+    When one first packet arrives and members refuse as failing until the last resort
     Then a member was asked as the last resort within 0.1 s
 
   Scenario: Servers go down and up by turns
--- a/features/steps/failing_servers_steps.py
+++ b/features/steps/failing_servers_steps.py
@@ -289,15 +289,29 @@
     return Refusal.NONE if message.is_last_resort else Refusal.FAILING
 
 
-@when(
-    "one first packet arrives and each member refuses as failing until the last resort"
-)
+@when("one first packet arrives and members refuse as failing until the last resort")
 def refuse_as_failing(context):
     send_first_packet(context, 1, refuse_unless_last)
     context.now += 0.05
     answer_open(context, context.balancer.run_timers(context.now), refuse_unless_last)
 
 
+@when("one first packet arrives and the sound members are busy")
+def refuse_as_busy(context):
+    context.resets = []
+
+    def refuse(message):
+        return Refusal.NONE if message.is_last_resort else Refusal.BUSY
+
+    send_first_packet(context, 1, refuse)
+
+
+@then("the caller who finds no sound member {outcome}")
+def check_outcome(context, outcome):
+    was_placed = context.asked[-1][1].is_last_resort
+    assert was_placed == (outcome != "waits"), context.asked
+
+
 @then("a member was asked as the last resort within 0.1 s")
 def check_last_resort(context):
     assert context.asked[-1][1].is_last_resort
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -31,7 +31,7 @@
     - busy: it refused a flow as busy within the last `round_delay_s`.
     - accepting: its last load report, if any, says that it accepts new flows.
     - failing: its last message says that requests at its server fail, and is not
-      stale. Others are preferred, unless all candidates are failing.
+      stale.
     - unavailable: its last load report says that it refuses new flows for a reason
       other than load.
     - unusable: not eligible, unavailable or lost; it does not count towards the number
@@ -315,8 +315,9 @@
     ) -> Member | None:
         """Return the member for a new flow, or None if there is no candidate.
 
-        Failing members are left out, unless all are failing. The first of these groups
-        that has any candidates is used:
+        A failing member is only chosen if no other one is, and fewer than half of the
+        candidates are sound: the few would be overloaded otherwise. The first of these
+        groups that has any candidates is used:
 
         1. responsive ones that are accepting and not busy;
         2. unsubscribed ones that are not busy, suspect or lost;
@@ -332,11 +333,22 @@
         responsive_only : bool
             Whether to return None if the first three groups are empty.
         """
-        candidates = [
-            member
-            for member in self._list_preferred(service, now)
-            if member.entry.address not in excluded
-        ]
+        candidates = self.list_candidates(service)
+        sound = [m for m in candidates if not self.is_failing(m, now)]
+        member = self._choose_from(sound, excluded, responsive_only, now)
+        if member is not None or 2 * len(sound) >= len(candidates):
+            return member
+        failing = [m for m in candidates if self.is_failing(m, now)]
+        return self._choose_from(failing, excluded, responsive_only, now)
+
+    def _choose_from(
+        self,
+        members: list[Member],
+        excluded: Collection[Address],
+        responsive_only: bool,
+        now: float,
+    ) -> Member | None:
+        candidates = [m for m in members if m.entry.address not in excluded]
         if not candidates:
             return None
         responsive = [
@@ -356,26 +368,16 @@
         )
         return min(sample, key=lambda member: self._compute_cost(member, fastest_s))
 
-    def _list_preferred(self, service: str, now: float) -> list[Member]:
-        """Return the candidates that are not failing, or all if all are."""
-        candidates = self.list_candidates(service)
-        return [m for m in candidates if not self._is_failing(m, now)] or candidates
-
     def is_avoided(self, member: Member, now: float) -> bool:
-        """Return whether a member is failing and another one of its service is not."""
-        return self._is_failing(member, now) and not self.are_all_failing(
-            member.entry.service, now
-        )
-
-    def are_all_failing(self, service: str, now: float) -> bool:
-        """Return whether all candidates of `service` are failing."""
-        return all(
-            self._is_failing(member, now)
-            for member in self._members.values()
-            if member.entry.service == service and self.is_eligible(member)
-        )
+        """Return whether a member is failing and half of the candidates are sound."""
+        if not self.is_failing(member, now):
+            return False
+        candidates = self.list_candidates(member.entry.service)
+        sound = sum(not self.is_failing(m, now) for m in candidates)
+        return 2 * sound >= len(candidates)
 
-    def _is_failing(self, member: Member, now: float) -> bool:
+    def is_failing(self, member: Member, now: float) -> bool:
+        """Return whether a recent message says that the member's server fails."""
         return (
             member.load is not None
             and member.load.is_failing
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -66,8 +66,8 @@
     waiting : Urgency or None
         Urgency of the most urgent flow that waits at the sender for this service.
     is_last_resort : bool
-        Whether the requests of all members of the service fail, as far as the sender
-        knows, so that no better one can be asked.
+        Whether the sender knows that the agent refuses new flows as failing, and asks
+        it because too few others are sound.
     """
 
     token: int
--- a/src/bramleystair/steering/_openings.py
+++ b/src/bramleystair/steering/_openings.py
@@ -418,6 +418,7 @@
         # with the lowest rank is served first.
         urgency, _ = _build_waiting_flow(pending).compute_rank(now, response_s)
         waiting = self._choose_waiting_flow(pending.service, now, response_s)
+        member = self._members.get(address)
         message = OpenFlow(
             pending.token,
             service_id,
@@ -425,7 +426,7 @@
             urgency,
             None if waiting is None else waiting.compute_rank(now, response_s)[0],
             pending.segment.data,
-            self._members.are_all_failing(pending.service, now),
+            member is not None and self._members.is_failing(member, now),
         )
         self._outbox.send(address, message)
         self._members.record_request_sent(address, now)
