--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -42,6 +42,7 @@
     get_identity,
 )
 from bramleystair.steering._segments import Segment
+from bramleystair.steering._server_health import ServerHealth
 from bramleystair.steering._types import (
     Address,
     Load,
@@ -119,6 +120,9 @@
         self._withdrawal_announced_until_s = float("-inf")
         self._outbox = Outbox()
         self._lookups = AgentLookups(self._untracked, self._outbox)
+        self._health = ServerHealth(
+            settings.options.server_faults, self._outbox, self._send_load_reports
+        )
 
     @property
     def has_report(self) -> bool:
@@ -177,6 +181,7 @@
             self._next_load_report_s,
             self._admission.next_offer_expiry_s,
             self._lookups.due_s,
+            self._health.compute_due(self._admission.meter.service_s),
         )
         return max(0.0, due_s - now)
 
@@ -358,6 +363,7 @@
         )
         self._untracked.forget(segment.flow)
         self._admission.admit(segment.flow, now)
+        self._health.record_admission(now)
         if self._unanswered_since_s is None:
             self._unanswered_since_s = now
         self._deliver(segment)
@@ -473,7 +479,10 @@
             self._outbox.observe("response", now - flow.request_started_s)
             self._admission.meter.end_request(flow.request_started_s, now)
             flow.request_started_s = None
+        if segment.has_payload:
+            self._health.record_answer(segment.flow, now)
         if segment.is_reset or segment.is_fin:
+            self._health.record_closed(segment.flow, segment.is_reset, now)
             self._admission.cancel_reservation(segment.flow)
             self._end_request(flow, now)
         self._outbox.add(DeliverToCaller(segment.flow, segment.data))
@@ -494,6 +503,7 @@
     def run_timers(self, now: float) -> list[Action]:
         """Run what is due and return the actions."""
         self._lookups.answer_due(now, self.is_server_silent(now))
+        self._health.check_overdue(self._admission.meter.service_s, now)
         self._offer_slots(now)
         self._use_draining_server(now)
         if now >= self._next_load_report_s:
@@ -526,10 +536,15 @@
         if report is None:
             # `is_stopping` makes balancers wait for the agent to come back. Without a
             # server it stays false, as the VM may be shutting down for good.
-            return Load(is_accepting=False)
+            return Load(is_accepting=False, is_failing=self._health.is_enabled)
+        is_silent = self.is_server_silent(now)
+        is_failing = self._health.is_failing(now) or (
+            is_silent and self._health.is_enabled
+        )
         is_accepting = (
             not self._is_stopping
-            and not self.is_server_silent(now)
+            and not is_failing
+            and not is_silent
             and not self._admission.is_busy(report.slots, now)
         )
         return Load(
@@ -542,6 +557,7 @@
             self._admission.is_cold(now),
             is_accepting,
             self._is_stopping,
+            is_failing,
         )
 
     def _use_report(self, report: ServerReport, now: float) -> None:
@@ -552,6 +568,7 @@
         self._is_report_assumed = False
         self._service_id = compute_service_id(report.service)
         self._admission.set_cold(report.cold_left_s, now)
+        self._health.set_slots(report.slots)
         is_new = previous is None or get_identity(report) != get_identity(previous)
         if is_new or report.state is not previous.state:
             self._outbox.log(
@@ -617,6 +634,7 @@
             self._use_report(report, now)
             return
         self._admission.reset(now)
+        self._health.reset()
         self._outbox.count("server_replaced", "reported")
         self._replaced = previous, previous_s
         self._lost_flows.clear()
@@ -711,6 +729,8 @@
             return Refusal.SILENT
         if self._admission.exceeds_cold_rate(message.cold_rate, now):
             return Refusal.COLD
+        if self._health.is_failing(now) and not message.is_last_resort:
+            return Refusal.FAILING
         if self._admission.is_busy(report.slots, now, message.urgency):
             return Refusal.BUSY
         return Refusal.NONE
@@ -803,9 +823,11 @@
         if starts_request(flow, segment):
             flow.request_started_s = now
             self._admission.start_request(segment.flow, now)
+            self._health.start_request(segment.flow, now)
         if carries_new_data(flow, segment):
             flow.highest_sequence = segment.sequence
         if segment.is_reset or segment.is_fin:
+            self._health.cancel_request(segment.flow)
             self._admission.cancel_reservation(segment.flow)
             self._end_request(flow, now)
         self._deliver(segment)
@@ -822,6 +844,7 @@
             return
         self._remove_flow(segment.flow, now)
         if segment.is_syn:
+            self._health.record_returned(now)
             if flow.token is not None and flow.last_balancer is not None:
                 self._refuse_open(
                     flow.last_balancer, flow.token, segment.flow, Refusal.RETURNED, now
@@ -840,6 +863,7 @@
 
     def _remove_flow(self, flow: bytes, now: float) -> None:
         tracked = self._flows.pop(flow, None)
+        self._health.cancel_request(flow)
         self._admission.cancel_reservation(flow)
         if tracked is not None:
             self._untracked.record_abandoned(flow, tracked.is_opened_here, now)
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -42,6 +42,8 @@
     - candidate: an eligible member of the service in question.
     - busy: it refused a flow as busy within the last `round_delay_s`.
     - accepting: its last load report, if any, says that it accepts new flows.
+    - failing: its last message says that requests at its server fail, and is not
+      stale.
     - unavailable: its last load report says that it refuses new flows for a reason
       other than load.
     - unusable: not eligible, unavailable or lost; it does not count towards the number
@@ -439,7 +441,9 @@
     ) -> Member | None:
         """Return the member for a new flow, or None if there is no candidate.
 
-        The first of these groups that has any candidates is used:
+        A failing member is only chosen if no other one is, and fewer than half of the
+        candidates are sound: the few would be overloaded otherwise. The first of these
+        groups that has any candidates is used:
 
         1. responsive ones that are accepting and not busy;
         2. unsubscribed ones that are not busy, suspect or lost;
@@ -456,11 +460,23 @@
         responsive_only : bool
             Whether to return None if the first three groups are empty.
         """
-        candidates = [
-            member
-            for member in self.list_candidates(service)
-            if member.entry.address not in excluded
-        ]
+        candidates = self.list_candidates(service)
+        sound = [m for m in candidates if not self.is_failing(m, now)]
+        member = self._choose_from(flow, sound, excluded, responsive_only, now)
+        if member is not None or 2 * len(sound) >= len(candidates):
+            return member
+        failing = [m for m in candidates if self.is_failing(m, now)]
+        return self._choose_from(flow, failing, excluded, responsive_only, now)
+
+    def _choose_from(
+        self,
+        flow: bytes,
+        members: list[Member],
+        excluded: Collection[Address],
+        responsive_only: bool,
+        now: float,
+    ) -> Member | None:
+        candidates = [m for m in members if m.entry.address not in excluded]
         if not candidates:
             return None
         responsive = [
@@ -480,6 +496,22 @@
         )
         return min(sample, key=lambda member: self._compute_cost(member, fastest_s))
 
+    def is_avoided(self, member: Member, now: float) -> bool:
+        """Return whether a member is failing and half of the candidates are sound."""
+        if not self.is_failing(member, now):
+            return False
+        candidates = self.list_candidates(member.entry.service)
+        sound = sum(not self.is_failing(m, now) for m in candidates)
+        return 2 * sound >= len(candidates)
+
+    def is_failing(self, member: Member, now: float) -> bool:
+        """Return whether a recent message says that the member's server fails."""
+        return (
+            member.load is not None
+            and member.load.is_failing
+            and now - member.last_heard_s <= self._settings.stale_after_s
+        )
+
     def _list_unsubscribed(self, candidates: list[Member], now: float) -> list[Member]:
         """Return the unsubscribed candidates that are not busy, suspect or lost."""
         return [
--- a/src/bramleystair/steering/_openings.py
+++ b/src/bramleystair/steering/_openings.py
@@ -221,10 +221,12 @@
         Returns
         -------
         bool
-            False if the member is not eligible or no suitable flow waits.
+            False if the member is not eligible or avoided, or no suitable flow waits.
         """
         if not self._members.is_eligible(member):
             return False
+        if self._members.is_avoided(member, now):
+            return False
         service = member.entry.service
         response_s = self._members.estimate_response_s(service)
         waiting = self._choose_waiting_flow(service, now, response_s)
@@ -418,6 +420,7 @@
         # with the lowest rank is served first.
         urgency, _ = _build_waiting_flow(pending).compute_rank(now, response_s)
         waiting = self._choose_waiting_flow(pending.service, now, response_s)
+        member = self._members.get(address)
         message = OpenFlow(
             pending.token,
             service_id,
@@ -425,6 +428,7 @@
             urgency,
             None if waiting is None else waiting.compute_rank(now, response_s)[0],
             pending.segment.data,
+            member is not None and self._members.is_failing(member, now),
         )
         self._outbox.send(address, message)
         self._members.record_request_sent(address, now)
@@ -544,6 +548,7 @@
     pending.tried.clear()
     pending.refusals.clear()
     pending.current_member = None
+    pending.is_accepted = False
 
 
 def _build_waiting_flow(pending: _PendingOpen) -> WaitingFlow:
