Wait for the rosters before playing a loss of power

Cause: the script lost power 8 s after the first start of the deployment, when no rosters were written yet, so that callers were told late or not at all.

Change: it waits until three copies are in the store.

--- a/scripts/power_loss.py
+++ b/scripts/power_loss.py
@@ -30,6 +30,8 @@
 DEADLINE_S = 8.0
 DELETE_PERIOD_S = 1.0
 MEMBER_KIND = "members"
+ROSTER_COPIES = 3
+ROSTER_TIMEOUT_S = 15.0
 # Share of the callers of dead flows that have to be told before their deadlines.
 TOLD_SHARE = 0.9
 
@@ -62,6 +64,7 @@
         fleet.reactor.call(lambda zone=zone: open_flow(fleet, zone))
         time.sleep(0.02)
     time.sleep(2.0)
+    wait_for_rosters(fleet)
 
     lost = agents if case == "all" else agents[2:]
     balancers = [name for name in fleet.nodes if name not in agents]
@@ -86,6 +89,21 @@
     return judge(fleet, case, dead, lost_s)
 
 
+def wait_for_rosters(fleet):
+    """Wait until the balancers have written the rosters after their first start."""
+    deadline_s = time.monotonic() + ROSTER_TIMEOUT_S
+    while time.monotonic() < deadline_s:
+        _, listing = fleet.store.handle(
+            "GET", f"/bramleystair/objects/{MEMBER_KIND}", {}
+        )
+        names = [item["meta"]["Name"] for item in listing["items"]]
+        if sum(name.startswith("roster-") for name in names) >= ROSTER_COPIES:
+            time.sleep(1.0)
+            return
+        time.sleep(0.1)
+    raise CannotRunError("the balancers have written no rosters")
+
+
 def delete(fleet, names, stopped):
     """Delete the entries of agents again and again, as another writer."""
     while not stopped.wait(DELETE_PERIOD_S):
