Let modelled servers reject requests with a response or fail all of them

A server with a full queue answers that it has not run a request, and one that is about to go down accepts flows and resets them. The model knew only resets from a full queue, so neither load could be compared there. Existing patterns keep the reset; their results are unchanged.

--- a/src/bramleystair/model/_callers.py
+++ b/src/bramleystair/model/_callers.py
@@ -8,7 +8,7 @@
 import attrs
 
 from bramleystair.model._events import EventQueue
-from bramleystair.model._packets import ACK, SYN, encode_packet
+from bramleystair.model._packets import ACK, SYN, encode_packet, is_rejection
 from bramleystair.steering import Segment
 
 # Times after the first SYN at which it is sent again, and at which the attempt fails.
@@ -126,8 +126,14 @@
                 self._acknowledgement = segment.sequence + 1
                 self._send_request()
             return
-        if segment.has_payload and self._started_s is not None:
-            self._handle_response()
+        if not segment.has_payload or self._started_s is None:
+            return
+        if is_rejection(segment):
+            self._flow = None
+            self._is_open = False
+            self._retry_or_complete(is_refused=True)
+            return
+        self._handle_response()
 
     def _begin_request(self) -> None:
         if self._events.now >= self._settings.end_s:
--- a/src/bramleystair/model/_packets.py
+++ b/src/bramleystair/model/_packets.py
@@ -7,6 +7,8 @@
 # Flow, flags, sequence and acknowledgement numbers, payload size.
 _HEADER = struct.Struct("!12sBIIH")
 SYN, ACK, FIN, RST, RETURNED = 1, 2, 4, 8, 16
+# Payload size of a response to a request, and of one that rejects the request.
+RESPONSE_BYTES, REJECTION_BYTES = 1, 2
 
 
 def encode_packet(
@@ -36,6 +38,11 @@
     )
 
 
+def is_rejection(segment: Segment) -> bool:
+    """Return whether a server's response says that it has not run the request."""
+    return _HEADER.unpack_from(segment.data)[-1] == REJECTION_BYTES
+
+
 def mark_returned(data: bytes) -> bytes:
     """Return the packet with the flag of one that the server returned to its agent."""
     flow, flags, sequence, acknowledgement, size = _HEADER.unpack_from(data)
--- a/src/bramleystair/model/_servers.py
+++ b/src/bramleystair/model/_servers.py
@@ -9,6 +9,8 @@
 from bramleystair.model._events import EventQueue
 from bramleystair.model._packets import (
     ACK,
+    REJECTION_BYTES,
+    RESPONSE_BYTES,
     RST,
     SYN,
     decode_packet,
@@ -26,7 +28,9 @@
     ----------
     slots, queue : int
         Requests processed concurrently, and requests that may wait; further requests
-        are answered with a reset.
+        are rejected.
+    is_resetting : bool
+        Whether a request is rejected with a reset instead of a response.
     speed : float
         Processing speed; service times are divided by it.
     cold_s, cold_factor : float
@@ -35,6 +39,7 @@
 
     slots: int = 5
     queue: int = 18
+    is_resetting: bool = True
     speed: float = 1.0
     cold_s: float = 2.0
     cold_factor: float = 1.6
@@ -75,6 +80,8 @@
         self._mean_service_time_s = service_time_s
         self._send = send
         self.is_up = True
+        # Whether it accepts flows and resets them at their next request.
+        self.is_failing = False
         self.started_s = events.now
         self.incarnation = 0
         self.processed = 0
@@ -130,13 +137,20 @@
 
     def _handle_request(self, segment: Segment) -> None:
         request = (segment.flow, segment.sequence)
+        if self.is_failing:
+            self._respond(segment.flow, segment.sequence, RST)
+            return
         if self._in_progress < self.settings.slots:
             self._process(*request)
-        elif len(self._queue) < self.settings.queue:
+            return
+        if len(self._queue) < self.settings.queue:
             self._queue.append(request)
-        else:
-            self.refused += 1
+            return
+        self.refused += 1
+        if self.settings.is_resetting:
             self._respond(segment.flow, segment.sequence, RST)
+            return
+        self._respond(segment.flow, segment.sequence, 0, REJECTION_BYTES)
 
     def _process(self, flow: bytes, sequence: int) -> None:
         self._in_progress += 1
@@ -161,10 +175,12 @@
         if self._queue:
             self._process(*self._queue.popleft())
 
-    def _respond(self, flow: bytes, sequence: int, flags: int) -> None:
+    def _respond(
+        self, flow: bytes, sequence: int, flags: int, size: int = RESPONSE_BYTES
+    ) -> None:
         server_sequence = self._flows[flow]
         if flags & RST:
             del self._flows[flow]
         self._send(
-            encode_packet(flow, ACK | flags, server_sequence + 1, sequence + 1, 1)
+            encode_packet(flow, ACK | flags, server_sequence + 1, sequence + 1, size)
         )
