Learn the pace of a server from its answers

A server that goes down and up by turns accepts flows and resets their requests. It has none in progress, so it looked idle and was given more flows than any other; a caller lost all three attempts there. A cold server had a fixed penalty, and a recovered one its full share at once.

The agent learns how many requests in progress its server answers in time, from one on; load reports carry the share of the full pace, and balancers count the server as having fewer slots. Each recent failure halves the share. On by pace.max_slots; without it, load reports have the same bytes as before.

--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -102,6 +102,7 @@
             rng.choice((0, 65_535)),
             rng.choice((0.0, 1e-30, 1e30)),
             *(rng.random() < 0.5 for _ in range(3)),
+            pace=rng.choice((0.0, 0.5, 1.0)),
         )
         token, data = rng.choice(self.tokens), b"packet"
         flow = self.generate_segment().flow
--- a/src/bramleystair/model/_patterns.py
+++ b/src/bramleystair/model/_patterns.py
@@ -7,6 +7,8 @@
 from bramleystair.model._callers import CallerSettings, Outcome
 from bramleystair.model._fleet import Fleet, FleetSettings
 from bramleystair.model._servers import ServerSettings
+from bramleystair.steering import SteeringOptions
+from bramleystair.steering._options import PaceSettings
 from bramleystair.steering.agent import AgentSteeringSettings
 from bramleystair.steering.balancer import BalancerSteeringSettings
 
@@ -25,6 +27,12 @@
     callers=102, priority=1, objective_s=0.17, deadline_s=2.5
 )
 FAST, SLOW = ServerSettings(), ServerSettings(speed=0.5)
+# Servers of uneven speeds with one slot and a short queue, beyond which they reject
+# requests.
+SMALL_SERVERS = tuple(
+    ServerSettings(slots=1, queue=4, is_resetting=False, speed=speed)
+    for speed in (0.6, 0.8, 0.9, 1.0, 1.0, 1.1, 1.3, 1.5) * 2
+)
 
 
 @attrs.frozen
@@ -62,6 +70,12 @@
     _change_agent("limit 0.8", max_load=0.8),
     _change_agent("limit 2", max_load=2.0, max_admitted=2.5),
     _change_agent("no limit", max_load=UNLIMITED, max_admitted=UNLIMITED),
+    Policy(
+        "pace",
+        agent=AgentSteeringSettings(
+            options=SteeringOptions(pace=PaceSettings(max_slots=1))
+        ),
+    ),
 )
 
 
@@ -120,6 +134,33 @@
     return fleet
 
 
+def run_down_and_up(policy: Policy, seed: int) -> Fleet:
+    """Let a quarter of the servers fail all requests in every other second."""
+    fleet = _build_small_servers(policy, seed)
+    servers = fleet.servers[1::4]
+    for start_s in range(8, 28, 2):
+        fleet.run_until(start_s)
+        for server in servers:
+            server.crash()
+            server.is_up = server.is_failing = True
+        fleet.run_until(start_s + 1)
+        for server in servers:
+            server.is_failing = False
+            server.restart()
+    fleet.run_until(DURATION_S)
+    return fleet
+
+
+def run_return_of_third(policy: Policy, seed: int) -> Fleet:
+    """Stop a third of the servers for 1.5 s, as a release of many at once does."""
+    return _run_returns(policy, seed, 5)
+
+
+def run_return_of_all(policy: Policy, seed: int) -> Fleet:
+    """Stop all servers for 1.5 s, after which they are cold."""
+    return _run_returns(policy, seed, len(SMALL_SERVERS))
+
+
 PATTERNS: dict[str, Callable[[Policy, int], Fleet]] = {
     "mixed speeds": run_mixed_speeds,
     "overload": run_overload,
@@ -127,6 +168,9 @@
     "crash": run_crash,
     "burst": run_burst,
     "backlog": run_backlog,
+    "down and up": run_down_and_up,
+    "return of a third": run_return_of_third,
+    "return of all": run_return_of_all,
 }
 
 
@@ -160,6 +204,31 @@
         server.restart()
 
 
+def _run_returns(policy: Policy, seed: int, count: int) -> Fleet:
+    fleet = _build_small_servers(policy, seed)
+    for start_s in (8, 18):
+        fleet.run_until(start_s)
+        for server in fleet.servers[:count]:
+            server.crash()
+        fleet.run_until(start_s + 1.5)
+        for server in fleet.servers[:count]:
+            server.restart()
+    fleet.run_until(DURATION_S)
+    return fleet
+
+
+def _build_small_servers(policy: Policy, seed: int) -> Fleet:
+    return _build(
+        policy,
+        seed,
+        SMALL_SERVERS,
+        attrs.evolve(SHORT_FLOW_CALLERS, callers=60, objective_s=0.25),
+        attrs.evolve(LONG_FLOW_CALLERS, callers=215, objective_s=0.25),
+        service_time_s=0.024,
+        balancers=5,
+    )
+
+
 def _build_two_classes(policy: Policy, seed: int, *extra: CallerSettings) -> Fleet:
     """Return a fleet with callers that reuse flows and callers that do not."""
     return _build(
--- a/src/bramleystair/steering/_admission.py
+++ b/src/bramleystair/steering/_admission.py
@@ -1,11 +1,21 @@
 """Admission control: the number of requests that an agent lets its server process."""
 
+import attrs
+
 from bramleystair.steering._agent_settings import AgentSteeringSettings
 from bramleystair.steering._cold_rate_limiter import ColdRateLimiter
 from bramleystair.steering._load import LoadMeter
+from bramleystair.steering._messages import Refusal
 from bramleystair.steering._offers import SlotOffers
+from bramleystair.steering._outbox import Outbox
 from bramleystair.steering._reservations import Reservations
-from bramleystair.steering._types import Address, Urgency
+from bramleystair.steering._server_pace import (
+    LOWEST_LIMIT,
+    PaceOutcome,
+    PaceReason,
+    ServerPace,
+)
+from bramleystair.steering._types import Address, Load, ServerReport, Urgency
 
 
 class AdmissionControl:
@@ -15,15 +25,25 @@
     ----------
     settings : AgentSteeringSettings
         Timeouts and limits.
+    outbox : Outbox
+        Receives the counters and log lines of the pace.
+    now : float
+        Time in seconds.
     """
 
-    def __init__(self, settings: AgentSteeringSettings) -> None:
+    def __init__(
+        self, settings: AgentSteeringSettings, outbox: Outbox, now: float
+    ) -> None:
         self._settings = settings
+        self._outbox = outbox
         self.meter = LoadMeter(settings.busy_window_s)
         self._reservations = Reservations(settings.request_wait_s)
         self._offers = SlotOffers(settings.offer_wait_s, settings.interest_s)
         self._cold_rate_limiter = ColdRateLimiter()
         self._cold_until_s = 0.0
+        self.pace = ServerPace(settings.options.pace, now)
+        # Slots of the server as it reported them; 0 before its first report.
+        self._slots = 0
         # Time of the last new flow by priority.
         self._last_arrivals_s: dict[int, float] = {}
 
@@ -36,6 +56,17 @@
         """Discard the state of a replaced server."""
         self.meter.reset(now)
         self._reservations.clear()
+        self.pace.start(now, PaceReason.REPLACED)
+
+    def use_report(self, report: ServerReport, now: float) -> None:
+        """Use what the server reports of its capacity.
+
+        A server can become cold without a restart, for example in an evacuated zone.
+        """
+        if report.cold_left_s > 0 and not self.is_cold(now):
+            self.pace.start(now, PaceReason.STARTED)
+        self.set_cold(report.cold_left_s, now)
+        self._slots = report.slots
 
     def set_cold(self, seconds: float, now: float) -> None:
         """Set the time for which the server remains cold."""
@@ -63,11 +94,22 @@
         factor = (
             settings.urgent_share if self._outranks_other_flows(urgency, now) else 1.0
         )
+        limit = factor * self._compute_flow_limit(slots, now)
         return (
-            self.meter.running >= factor * settings.max_load * slots
-            or self.count_requests(now) >= factor * settings.max_admitted * slots
+            self.meter.running >= settings.max_load * limit
+            or self.count_requests(now) >= settings.max_admitted * limit
         )
 
+    def _compute_flow_limit(self, slots: int, now: float) -> float:
+        """Return the requests in progress up to which any new flow is admitted.
+
+        Flows that outrank others are admitted up to the whole pace of the server.
+        """
+        if not self.pace.applies(slots):
+            return slots
+        limit = self.pace.compute_limit(slots, now) / self._settings.urgent_share
+        return max(LOWEST_LIMIT, limit)
+
     def _outranks_other_flows(self, urgency: Urgency | None, now: float) -> bool:
         """Return whether flows of a lower priority use the server as well.
 
@@ -91,10 +133,75 @@
         self._cold_rate_limiter.record(now)
         self._reservations.add(flow, now)
 
-    def start_request(self, flow: bytes, now: float) -> None:
-        """Count a request that is delivered to the server."""
+    def start_request(self, flow: bytes, now: float) -> int:
+        """Count a request that is delivered to the server.
+
+        Returns
+        -------
+        int
+            Requests in progress, including this one.
+        """
         self._reservations.discard(flow)
         self.meter.start_request(now)
+        return self.meter.running
+
+    def end_request(self, started_s: float | None, queued: int, now: float) -> None:
+        """Count the end of a request.
+
+        Parameters
+        ----------
+        started_s : float or None
+            Start of an answered request; None for a request without a response.
+        queued : int
+            Value that `start_request` returned for it.
+        """
+        self.meter.end_request(started_s, now)
+        if not self.pace.applies(self._slots):
+            return
+        if started_s is None:
+            self.pace.record_failure(PaceReason.UNANSWERED, now)
+        else:
+            self.pace.record_response(now - started_s, queued, self._slots, now)
+        self._report_pace()
+
+    def record_refusal(self, refusal: Refusal, now: float) -> None:
+        """Record that a new flow was refused."""
+        if refusal is Refusal.RETURNED and self.pace.applies(self._slots):
+            self.pace.record_failure(PaceReason.RETURNED, now)
+            self._report_pace()
+
+    def build_load(self, report: ServerReport, is_silent: bool, now: float) -> Load:
+        """Return the load of the server, without what depends on the agent."""
+        self.meter.update(now)
+        load = Load(
+            report.state,
+            report.slots,
+            self.count_requests(now),
+            self.meter.mean_running,
+            service_s=self.meter.service_s,
+            is_cold=self.is_cold(now),
+            is_accepting=not is_silent and not self.is_busy(report.slots, now),
+        )
+        if not self.pace.applies(report.slots):
+            return load
+        if is_silent:
+            self.pace.record_silence(now)
+            self._report_pace()
+        return attrs.evolve(load, pace=self.pace.compute_share(report.slots, now))
+
+    def _report_pace(self) -> None:
+        for change in self.pace.take_changes():
+            self._outbox.count(f"pace_{change.outcome}", change.reason.value)
+            if change.outcome is PaceOutcome.FULL:
+                self._outbox.observe("pace_full", change.seconds)
+            if change.is_logged:
+                self._outbox.log(
+                    "pace",
+                    b"",
+                    change.outcome.value,
+                    reason=change.reason.value,
+                    limit=round(change.limit, 1),
+                )
 
     def cancel_reservation(self, flow: bytes) -> None:
         """Give up the reservation of a flow that ends."""
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -119,7 +119,6 @@
         self._flows: dict[bytes, AgentFlow] = {}
         self._pending_lookups: dict[bytes, list[_PendingLookup]] = {}
         self._lookup_deadlines: deque[tuple[float, bytes]] = deque()
-        self._admission = AdmissionControl(settings)
         self._server_last_seen_s = now
         self._unanswered_since_s: float | None = None
         self._subscribers: dict[Address, float] = {}
@@ -128,6 +127,7 @@
         self._last_expiry_s = now
         self._is_stopping = False
         self._outbox = Outbox()
+        self._admission = AdmissionControl(settings, self._outbox, now)
 
     @property
     def has_report(self) -> bool:
@@ -463,7 +463,7 @@
             self._answer_certain(segment.flow)
         if segment.has_payload and flow.request_started_s is not None:
             self._outbox.observe("response", now - flow.request_started_s)
-            self._admission.meter.end_request(flow.request_started_s, now)
+            self._admission.end_request(flow.request_started_s, flow.queued, now)
             flow.request_started_s = None
         if segment.is_reset or segment.is_fin:
             self._admission.cancel_reservation(segment.flow)
@@ -515,27 +515,17 @@
 
     def build_load(self, now: float) -> Load:
         """Return the current load."""
-        self._admission.meter.update(now)
         report = self._report
         if report is None:
             # `is_stopping` makes balancers wait for the agent to come back. Without a
             # server it stays false, as the VM may be shutting down for good.
             return Load(is_accepting=False)
-        is_accepting = (
-            not self._is_stopping
-            and not self.is_server_silent(now)
-            and not self._admission.is_busy(report.slots, now)
-        )
-        return Load(
-            report.state,
-            report.slots,
-            self._admission.count_requests(now),
-            self._admission.meter.mean_running,
-            len(self._flows),
-            self._admission.meter.service_s,
-            self._admission.is_cold(now),
-            is_accepting,
-            self._is_stopping,
+        load = self._admission.build_load(report, self.is_server_silent(now), now)
+        return attrs.evolve(
+            load,
+            flows=len(self._flows),
+            is_accepting=load.is_accepting and not self._is_stopping,
+            is_stopping=self._is_stopping,
         )
 
     def _use_report(self, report: ServerReport, now: float) -> None:
@@ -545,7 +535,7 @@
         self._untracked.set_server_absent(False, now)
         self._is_report_assumed = False
         self._service_id = compute_service_id(report.service)
-        self._admission.set_cold(report.cold_left_s, now)
+        self._admission.use_report(report, now)
         is_new = previous is None or get_identity(report) != get_identity(previous)
         if is_new or report.state is not previous.state:
             self._outbox.log(
@@ -796,7 +786,7 @@
         flow.record_caller_packet(segment)
         if starts_request(flow, segment):
             flow.request_started_s = now
-            self._admission.start_request(segment.flow, now)
+            flow.queued = self._admission.start_request(segment.flow, now)
         if carries_new_data(flow, segment):
             flow.highest_sequence = segment.sequence
         if segment.is_reset or segment.is_fin:
@@ -867,7 +857,7 @@
 
     def _end_request(self, flow: AgentFlow, now: float) -> None:
         if flow.request_started_s is not None:
-            self._admission.meter.end_request(None, now)
+            self._admission.end_request(None, flow.queued, now)
             flow.request_started_s = None
 
     def _expire_requests_and_flows(self, now: float) -> None:
@@ -920,6 +910,7 @@
         self, sender: Address, token: int, flow: bytes, refusal: Refusal, now: float
     ) -> None:
         reason = refusal.name.lower()
+        self._admission.record_refusal(refusal, now)
         self._outbox.count("flow_refused", reason)
         self._outbox.log(
             "open", flow, reason, running=self._admission.count_requests(now)
--- a/src/bramleystair/steering/_agent_flows.py
+++ b/src/bramleystair/steering/_agent_flows.py
@@ -34,6 +34,8 @@
         other than the reply to the first one. Cleared when the server is replaced.
     request_started_s : float or None
         Start of the request in progress, if any.
+    queued : int
+        Requests in progress at the server when that one started, including it.
     highest_sequence : int or None
         Highest sequence number of a packet with payload, by which retransmissions are
         recognised.
@@ -62,6 +64,7 @@
     is_established: bool = False
     is_certain: bool = False
     request_started_s: float | None = None
+    queued: int = 0
     highest_sequence: int | None = None
     acknowledgement: int = 0
     last_server_packet_s: float | None = None
--- a/src/bramleystair/steering/_balancer_settings.py
+++ b/src/bramleystair/steering/_balancer_settings.py
@@ -106,7 +106,8 @@
         Maximum utilization added to the cost of a server that is slower than the
         fastest one.
     cold_penalty : float
-        Utilization added to the cost of a cold server.
+        Utilization added to the cost of a cold server, or, in proportion to what is
+        missing from its full pace, to that of a server whose pace is learnt.
     zone_penalty : float
         Utilization added to the cost of a server in another availability zone, because
         traffic between zones is billed.
--- a/src/bramleystair/steering/_member.py
+++ b/src/bramleystair/steering/_member.py
@@ -128,6 +128,8 @@
         slots = max(1, self.entry.slots)
         if self.load is None:
             return (self.flows_since_report + 1) * NEW_FLOW_LOAD / slots
+        if self.load.pace > 0:
+            slots *= self.load.pace
         flows = max(1, self.load.flows)
         demand = max(NEW_FLOW_LOAD / 2, self.load.mean_running / flows)
         busy = max(self.load.mean_running, 0.5 * self.load.running)
--- a/src/bramleystair/steering/_members.py
+++ b/src/bramleystair/steering/_members.py
@@ -488,6 +488,8 @@
             # Prefer faster servers: 0 is added for the fastest one, half the weight for
             # one that takes twice as long, and less than the weight for any other.
             cost += settings.speed_weight * (1 - fastest_s / load.service_s)
-        if load.is_cold:
+        if load.pace > 0:
+            cost += settings.cold_penalty * (1 - load.pace)
+        elif load.is_cold:
             cost += settings.cold_penalty
         return cost
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -256,6 +256,8 @@
 _ENTRY_CHANGED = struct.Struct("!BQQ?")
 _FLOW_LOST = struct.Struct("!B12sI")
 _LOAD = struct.Struct("!BHHfHf???")
+# Follows the load of a server whose pace is learnt.
+_PACE = struct.Struct("!f")
 _STATES = tuple(ServerState)
 # First byte of each encoded message.
 (
@@ -416,7 +418,7 @@
 
 
 def _encode_load(load: Load) -> bytes:
-    return _LOAD.pack(
+    data = _LOAD.pack(
         _STATES.index(load.state),
         min(load.slots, _MAX_U16),
         min(load.running, _MAX_U16),
@@ -427,14 +429,19 @@
         load.is_accepting,
         load.is_stopping,
     )
+    return data + _PACE.pack(load.pace) if load.pace else data
 
 
 def _decode_load(data: bytes, offset: int) -> Load:
-    if len(data) != offset + _LOAD.size:
+    end = offset + _LOAD.size
+    if len(data) not in (end, end + _PACE.size):
         raise ValueError("wrong length of a message with a load")
     state, *fields = _LOAD.unpack_from(data, offset)
-    load = Load(_STATES[state], *fields)
+    pace = _PACE.unpack_from(data, end)[0] if len(data) > end else 0.0
+    load = Load(_STATES[state], *fields, pace)
     _check_finite(load.mean_running, load.service_s)
+    if not 0 <= pace <= 1:
+        raise ValueError(f"{pace} is not a pace from 0 to 1")
     return load
 
 
--- a/src/bramleystair/steering/_options.py
+++ b/src/bramleystair/steering/_options.py
@@ -45,9 +45,17 @@
     ----------
     max_slots : int
         Highest number of slots of a server beside which the part applies; 0: none.
+    response_s : float
+        Time in seconds within which a server answers a request while its pace is kept,
+        including the time in its own queue; a part of the objective of its routes.
+    max_per_slot : float
+        Highest number of requests in progress per slot; the pace of a server that
+        reaches it is full.
     """
 
     max_slots: int = bounded(0, 0, MAX_SLOTS)
+    response_s: float = bounded(0.1, 0.001, 60.0)
+    max_per_slot: float = bounded(3.0, 1.0, 1024.0)
 
 
 @attrs.frozen
--- a/src/bramleystair/steering/_types.py
+++ b/src/bramleystair/steering/_types.py
@@ -102,6 +102,9 @@
         if unknown.
     is_stopping : bool
         Whether the agent stops while its server keeps running.
+    pace : float
+        Share of the requests in progress of a server at full pace that this one can
+        take, above 0 and up to 1; 0 if it is not learnt.
     """
 
     state: ServerState = ServerState.READY
@@ -113,6 +116,7 @@
     is_cold: bool = False
     is_accepting: bool = True
     is_stopping: bool = False
+    pace: float = 0.0
 
 
 @attrs.frozen
