Count only resets and late ends as failures of a server

A request now counts as failed if the server resets its flow or it ends after the time that answers may take. Resets of modelled servers that fail no longer carry data, which agents took for answers.

--- a/features/server_pace.feature
+++ b/features/server_pace.feature
@@ -84,6 +84,14 @@
     When 2 requests are answered in 0.025 s
     Then the agent reports a pace of 1
 
+  Scenario: A server closes a flow in order before it responds
+    # Guards against a pace that falls although the server works: some requests are not
+    # meant to be answered.
+    Given an agent at the full pace of its server
+    When its server closes 3 flows with a request in progress
+    Then the agent reports a pace of 1
+    And nothing about the pace is counted or logged
+
   Scenario Outline: The pace is switched off
     # Guards against other deployments: without the option, or with larger servers, load
     # reports and limits are those of before.
--- a/features/steps/server_pace_steps.py
+++ b/features/steps/server_pace_steps.py
@@ -181,6 +181,14 @@
         context.actions += context.agent.handle_server_segment(reset, context.now)
 
 
+@when("its server closes {count:d} flows with a request in progress")
+def close_flows(context, count):
+    for _ in range(count):
+        end = make_segment(send_request(context), sequence=901, ack=541)
+        end.is_fin = True
+        context.actions += context.agent.handle_server_segment(end, context.now)
+
+
 @when("another server reports in its place")
 def report_other_server(context):
     for sequence in (1, 2, 3, 4):
--- a/src/bramleystair/model/_servers.py
+++ b/src/bramleystair/model/_servers.py
@@ -138,7 +138,7 @@
     def _handle_request(self, segment: Segment) -> None:
         request = (segment.flow, segment.sequence)
         if self.is_failing:
-            self._respond(segment.flow, segment.sequence, RST)
+            self._respond(segment.flow, segment.sequence, RST, 0)
             return
         if self._in_progress < self.settings.slots:
             self._process(*request)
--- a/src/bramleystair/steering/_admission.py
+++ b/src/bramleystair/steering/_admission.py
@@ -145,24 +145,36 @@
         self.meter.start_request(now)
         return self.meter.running
 
-    def end_request(self, started_s: float | None, queued: int, now: float) -> None:
-        """Count the end of a request.
+    def end_request(self, started_s: float, queued: int, now: float) -> None:
+        """Count the end of an answered request.
 
         Parameters
         ----------
-        started_s : float or None
-            Start of an answered request; None for a request without a response.
         queued : int
             Value that `start_request` returned for it.
         """
         self.meter.end_request(started_s, now)
+        if self.pace.applies(self._slots):
+            self.pace.record_response(now - started_s, queued, self._slots, now)
+            self._report_pace()
+
+    def abandon_request(self, waited_s: float, is_reset: bool, now: float) -> None:
+        """Count the end of a request without a response.
+
+        Parameters
+        ----------
+        waited_s : float
+            Time since its start.
+        is_reset : bool
+            Whether the server reset its flow. Either end may also close a flow in order
+            before the response, which says nothing about the server.
+        """
+        self.meter.end_request(None, now)
         if not self.pace.applies(self._slots):
             return
-        if started_s is None:
+        if is_reset or waited_s > self._settings.options.pace.response_s:
             self.pace.record_failure(PaceReason.UNANSWERED, now)
-        else:
-            self.pace.record_response(now - started_s, queued, self._slots, now)
-        self._report_pace()
+            self._report_pace()
 
     def record_refusal(self, refusal: Refusal, now: float) -> None:
         """Record that a new flow was refused."""
@@ -201,6 +213,7 @@
                     change.outcome.value,
                     reason=change.reason.value,
                     limit=round(change.limit, 1),
+                    seconds=round(change.seconds, 2),
                 )
 
     def cancel_reservation(self, flow: bytes) -> None:
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -467,7 +467,7 @@
             flow.request_started_s = None
         if segment.is_reset or segment.is_fin:
             self._admission.cancel_reservation(segment.flow)
-            self._end_request(flow, now)
+            self._end_request(flow, now, segment.is_reset)
         self._outbox.add(DeliverToCaller(segment.flow, segment.data))
         self._offer_slots(now)
         return self._outbox.take()
@@ -855,9 +855,10 @@
         if tracked is not None:
             self._end_request(tracked, now)
 
-    def _end_request(self, flow: AgentFlow, now: float) -> None:
+    def _end_request(self, flow: AgentFlow, now: float, is_reset: bool = False) -> None:
         if flow.request_started_s is not None:
-            self._admission.end_request(None, flow.queued, now)
+            waited_s = now - flow.request_started_s
+            self._admission.abandon_request(waited_s, is_reset, now)
             flow.request_started_s = None
 
     def _expire_requests_and_flows(self, now: float) -> None:
