--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -108,7 +108,6 @@
         self._has_left = False
         self._service_id = 0
         self._flows: dict[bytes, AgentFlow] = {}
-        self._admission = AdmissionControl(settings)
         self._server_last_seen_s = now
         self._unanswered_since_s: float | None = None
         self._subscribers: dict[Address, float] = {}
@@ -123,6 +122,7 @@
         self._health = ServerHealth(
             settings.options.server_faults, self._outbox, self._send_load_reports
         )
+        self._admission = AdmissionControl(settings, self._outbox, now)
 
     @property
     def has_report(self) -> bool:
@@ -477,14 +477,14 @@
             self._lookups.answer_probes(segment.flow, Ownership.CERTAIN)
         if segment.has_payload and flow.request_started_s is not None:
             self._outbox.observe("response", now - flow.request_started_s)
-            self._admission.meter.end_request(flow.request_started_s, now)
+            self._admission.end_request(flow.request_started_s, flow.queued, now)
             flow.request_started_s = None
         if segment.has_payload:
             self._health.record_answer(segment.flow, now)
         if segment.is_reset or segment.is_fin:
             self._health.record_closed(segment.flow, segment.is_reset, now)
             self._admission.cancel_reservation(segment.flow)
-            self._end_request(flow, now)
+            self._end_request(flow, now, segment.is_reset)
         self._outbox.add(DeliverToCaller(segment.flow, segment.data))
         self._offer_slots(now)
         return self._outbox.take()
@@ -531,7 +531,6 @@
 
     def build_load(self, now: float) -> Load:
         """Return the current load."""
-        self._admission.meter.update(now)
         report = self._report
         if report is None:
             # `is_stopping` makes balancers wait for the agent to come back. Without a
@@ -541,23 +540,13 @@
         is_failing = self._health.is_failing(now) or (
             is_silent and self._health.is_enabled
         )
-        is_accepting = (
-            not self._is_stopping
-            and not is_failing
-            and not is_silent
-            and not self._admission.is_busy(report.slots, now)
-        )
-        return Load(
-            report.state,
-            report.slots,
-            self._admission.count_requests(now),
-            self._admission.meter.mean_running,
-            len(self._flows),
-            self._admission.meter.service_s,
-            self._admission.is_cold(now),
-            is_accepting,
-            self._is_stopping,
-            is_failing,
+        load = self._admission.build_load(report, is_silent, now)
+        return attrs.evolve(
+            load,
+            flows=len(self._flows),
+            is_accepting=load.is_accepting and not (self._is_stopping or is_failing),
+            is_stopping=self._is_stopping,
+            is_failing=is_failing,
         )
 
     def _use_report(self, report: ServerReport, now: float) -> None:
@@ -567,7 +556,7 @@
         self._untracked.set_server_absent(False, now)
         self._is_report_assumed = False
         self._service_id = compute_service_id(report.service)
-        self._admission.set_cold(report.cold_left_s, now)
+        self._admission.use_report(report, now)
         self._health.set_slots(report.slots)
         is_new = previous is None or get_identity(report) != get_identity(previous)
         if is_new or report.state is not previous.state:
@@ -822,7 +811,7 @@
         flow.record_caller_packet(segment)
         if starts_request(flow, segment):
             flow.request_started_s = now
-            self._admission.start_request(segment.flow, now)
+            flow.queued = self._admission.start_request(segment.flow, now)
             self._health.start_request(segment.flow, now)
         if carries_new_data(flow, segment):
             flow.highest_sequence = segment.sequence
@@ -869,9 +858,10 @@
             self._untracked.record_abandoned(flow, tracked.is_opened_here, now)
             self._end_request(tracked, now)
 
-    def _end_request(self, flow: AgentFlow, now: float) -> None:
+    def _end_request(self, flow: AgentFlow, now: float, is_reset: bool = False) -> None:
         if flow.request_started_s is not None:
-            self._admission.meter.end_request(None, now)
+            waited_s = now - flow.request_started_s
+            self._admission.abandon_request(waited_s, is_reset, now)
             flow.request_started_s = None
 
     def _expire_requests_and_flows(self, now: float) -> None:
@@ -928,6 +918,7 @@
         self, sender: Address, token: int, flow: bytes, refusal: Refusal, now: float
     ) -> None:
         reason = refusal.name.lower()
+        self._admission.record_refusal(refusal, now)
         self._outbox.count("flow_refused", reason)
         self._outbox.log(
             "open", flow, reason, running=self._admission.count_requests(now)
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -275,7 +275,7 @@
     | DeclineSlot
 )
 
-_OPEN_FLOW = struct.Struct("!BIQfBB?")
+_OPEN_FLOW = struct.Struct("!BIQfBB")
 _OPEN_REPLY = struct.Struct("!BIB")
 _LOOKUP_REQUEST = struct.Struct("!BI12sI")
 _LOOKUP_PROBE = struct.Struct("!BI")
@@ -285,7 +285,10 @@
 _STORE_RESTORED = struct.Struct("!BQ")
 _ENTRY_CHANGED = struct.Struct("!BQQ?")
 _FLOW_LOST = struct.Struct("!B12sI")
-_LOAD = struct.Struct("!BHHfHf????")
+_LOAD = struct.Struct("!BHHfHf???")
+# Pace, and whether the server fails. Follows the load if either is set, so that nodes
+# without these options understand each other across versions.
+_SERVER_CONDITION = struct.Struct("!f?")
 _STATES = tuple(ServerState)
 # First byte of each encoded message.
 (
@@ -303,6 +306,8 @@
 BUNDLE = 10
 OFFER_SLOT, DECLINE_SLOT, STORE_RESTORED = 11, 12, 13
 ENTRY_CHANGED, ENTRY_WITHDRAWN, FLOW_LOST = 14, 15, 16
+# A new flow that asks a failing member as a last resort.
+OPEN_LAST_RESORT = 17
 _MAX_U16 = 0xFFFF
 # An urgency is encoded in one byte: a bit for late flows, and the priority.
 _LATE, _MAX_PRIORITY, _NO_URGENCY = 0x80, 0x7E, 0xFF
@@ -315,8 +320,9 @@
             return b"\x03" + data
         case OpenFlow(token, service_id, cold_rate, urgency, waiting, data, is_last):
             urgencies = _encode_urgency(urgency), _encode_urgency(waiting)
-            fields = token, service_id, cold_rate, *urgencies, is_last
-            return _OPEN_FLOW.pack(OPEN_FLOW, *fields) + data
+            kind = OPEN_LAST_RESORT if is_last else OPEN_FLOW
+            head = _OPEN_FLOW.pack(kind, token, service_id, cold_rate, *urgencies)
+            return head + data
         case OpenReply(token, refusal, load):
             return _OPEN_REPLY.pack(OPEN_REPLY, token, refusal) + _encode_load(load)
         case LookupRequest(token, flow, acknowledgement):
@@ -391,15 +397,14 @@
     kind = data[0]
     if kind == RELAY:
         return Relay(data[1:])
-    if kind == OPEN_FLOW:
-        _, token, service_id, cold_rate, *urgencies, is_last = _OPEN_FLOW.unpack_from(
-            data
-        )
+    if kind in (OPEN_FLOW, OPEN_LAST_RESORT):
+        _, token, service_id, cold_rate, *urgencies = _OPEN_FLOW.unpack_from(data)
         _check_finite(cold_rate)
         urgency, waiting = map(_decode_urgency, urgencies)
         if urgency is None:
             raise ValueError("new flow without an urgency")
         packet = data[_OPEN_FLOW.size :]
+        is_last = kind == OPEN_LAST_RESORT
         return OpenFlow(token, service_id, cold_rate, urgency, waiting, packet, is_last)
     if kind == OPEN_REPLY:
         _, token, refusal = _OPEN_REPLY.unpack_from(data)
@@ -448,7 +453,7 @@
 
 
 def _encode_load(load: Load) -> bytes:
-    return _LOAD.pack(
+    data = _LOAD.pack(
         _STATES.index(load.state),
         min(load.slots, _MAX_U16),
         min(load.running, _MAX_U16),
@@ -458,16 +463,24 @@
         load.is_cold,
         load.is_accepting,
         load.is_stopping,
-        load.is_failing,
     )
+    if not (load.pace or load.is_failing):
+        return data
+    return data + _SERVER_CONDITION.pack(load.pace, load.is_failing)
 
 
 def _decode_load(data: bytes, offset: int) -> Load:
-    if len(data) != offset + _LOAD.size:
+    end = offset + _LOAD.size
+    if len(data) not in (end, end + _SERVER_CONDITION.size):
         raise ValueError("wrong length of a message with a load")
     state, *fields = _LOAD.unpack_from(data, offset)
-    load = Load(_STATES[state], *fields)
+    pace, is_failing = 0.0, False
+    if len(data) > end:
+        pace, is_failing = _SERVER_CONDITION.unpack_from(data, end)
+    load = Load(_STATES[state], *fields, is_failing, pace)
     _check_finite(load.mean_running, load.service_s)
+    if not 0 <= pace <= 1:
+        raise ValueError(f"{pace} is not a pace from 0 to 1")
     return load
 
 
--- a/src/bramleystair/steering/_types.py
+++ b/src/bramleystair/steering/_types.py
@@ -105,6 +105,9 @@
     is_failing : bool
         Whether new flows are refused because the server fails its callers, is silent or
         has left.
+    pace : float
+        Share of the requests in progress of a server at full pace that this one can
+        take, above 0 and up to 1; 0 if it is not learnt.
     """
 
     state: ServerState = ServerState.READY
@@ -117,6 +120,7 @@
     is_accepting: bool = True
     is_stopping: bool = False
     is_failing: bool = False
+    pace: float = 0.0
 
 
 @attrs.frozen
