Document and check the options of the steering parts

Options were read by nodes, but neither on the page of the settings nor known to `bramleystair config check`.

--- a/src/bramleystair/operators/_config.py
+++ b/src/bramleystair/operators/_config.py
@@ -12,6 +12,7 @@
     SettingsError,
     load_settings,
 )
+from bramleystair.steering import SteeringOptions, read_options
 
 SCHEMAS_BY_DAEMON = {"balancer": BalancerSettings, "agent": AgentSettings}
 
@@ -37,9 +38,33 @@
 
 
 def check_settings_file(file: Path) -> ConfigReport:
-    """Check `file` against the schema that gives fewer errors."""
+    """Check `file` as options of steering if it has any, or against the best schema.
+
+    The best one is the daemon's schema that gives fewer errors.
+    """
+    if _has_steering_options(file):
+        return ConfigReport(str(file), "steering", _check_steering_options(file))
     reports = [
         ConfigReport(str(file), kind, load_settings(file, schema).err() or ())
         for kind, schema in SCHEMAS_BY_DAEMON.items()
     ]
     return min(reports, key=lambda report: len(report.errors))
+
+
+def _has_steering_options(file: Path) -> bool:
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError):
+        # The daemons' loader reports why the file cannot be read.
+        return False
+    parts = (field.name for field in attrs.fields(SteeringOptions))
+    return any(f'"{part}"' in text for part in parts)
+
+
+def _check_steering_options(file: Path) -> tuple[SettingsError, ...]:
+    result = read_options(str(file))
+    if result.is_ok():
+        return ()
+    where, _, allowed = result.unwrap_err().detail.partition("; allowed: ")
+    name, _, value = where.removeprefix("option ").partition(" is ")
+    return (SettingsError(str(file), name.strip("'"), value, allowed),)
--- a/src/bramleystair/settings/_page.py
+++ b/src/bramleystair/settings/_page.py
@@ -11,10 +11,12 @@
 import attrs
 
 from bramleystair.settings._schemas import AgentSettings, BalancerSettings
+from bramleystair.steering import SteeringOptions
 
 PROGRAMS = {
     "bramleystair-balancer": BalancerSettings,
     "bramleystair-agent": AgentSettings,
+    "deploy/steering.json": SteeringOptions,
 }
 INTRODUCTION = """# Settings
 
@@ -22,6 +24,10 @@
 
 Settings are JSON with comments, as in JSON5. Unknown options are errors, and all errors
 of a file are reported at once. An option without a default is required.
+
+`deploy/steering.json` is read by the nodes of a platform with steady routers at their
+start, and named by `STEERING_OPTIONS` in their environment. Of comments, it may have
+whole lines that start with `//`. `bramleystair config check` checks it as well.
 """
 _PARAMETER = re.compile(r"^(\w[\w, ]*) : .+$")
 
--- a/src/bramleystair/steering/_options.py
+++ b/src/bramleystair/steering/_options.py
@@ -20,7 +20,15 @@
 
 def bounded(default: float, lowest: float, highest: float) -> Any:
     """Return an attrs field for a number in the given range."""
-    return attrs.field(default=default, metadata={"lowest": lowest, "highest": highest})
+    kind = "an integer" if type(default) is int else "a number"
+    return attrs.field(
+        default=default,
+        metadata={
+            "lowest": lowest,
+            "highest": highest,
+            "allowed": f"{kind} from {lowest} to {highest}",
+        },
+    )
 
 
 @attrs.frozen
@@ -147,7 +155,5 @@
     is_integer = type(field.default) is int
     has_type = type(value) is int or (not is_integer and type(value) is float)
     if not has_type or not math.isfinite(value) or not lowest <= value <= highest:
-        kind = "an integer" if is_integer else "a number"
-        raise ValueError(
-            f"option '{name}' is {value!r}; allowed: {kind} from {lowest} to {highest}"
-        )
+        allowed = field.metadata["allowed"]
+        raise ValueError(f"option '{name}' is {value!r}; allowed: {allowed}")
