Move the tracking of requests out of the agent's logic

RequestTracker now delivers callers' packets, counts requests in progress and ends them; behaviour is unchanged.

--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -11,15 +11,12 @@
 from bramleystair.steering._actions import (
     Action,
     DeliverToCaller,
-    DeliverToServer,
     ResetCaller,
 )
 from bramleystair.steering._admission import AdmissionControl
 from bramleystair.steering._agent_flows import (
     AgentFlow,
     acknowledges_other_server,
-    carries_new_data,
-    starts_request,
 )
 from bramleystair.steering._agent_settings import AgentSteeringSettings
 from bramleystair.steering._messages import (
@@ -42,6 +39,7 @@
     Verdict,
     get_identity,
 )
+from bramleystair.steering._request_tracker import RequestTracker
 from bramleystair.steering._segments import Segment
 from bramleystair.steering._types import (
     Address,
@@ -128,6 +126,7 @@
         self._last_expiry_s = now
         self._is_stopping = False
         self._outbox = Outbox()
+        self._requests = RequestTracker(self._admission, self._outbox)
 
     @property
     def has_report(self) -> bool:
@@ -342,7 +341,7 @@
         self._admission.admit(segment.flow, now)
         if self._unanswered_since_s is None:
             self._unanswered_since_s = now
-        self._deliver(segment)
+        self._requests.deliver_untracked(segment)
         self._reply_to_open(sender, message.token, Refusal.NONE, now)
         self._offer_slots(now)
         return self._outbox.take()
@@ -461,13 +460,7 @@
         elif not flow.is_certain:
             flow.is_certain = True
             self._answer_certain(segment.flow)
-        if segment.has_payload and flow.request_started_s is not None:
-            self._outbox.observe("response", now - flow.request_started_s)
-            self._admission.meter.end_request(flow.request_started_s, now)
-            flow.request_started_s = None
-        if segment.is_reset or segment.is_fin:
-            self._admission.cancel_reservation(segment.flow)
-            self._end_request(flow, now)
+        self._requests.handle_server_packet(flow, segment, now)
         self._outbox.add(DeliverToCaller(segment.flow, segment.data))
         self._offer_slots(now)
         return self._outbox.take()
@@ -610,12 +603,11 @@
             self._forget_replaced()
             self._use_report(report, now)
             return
-        self._admission.reset(now)
+        self._requests.replace_server(self._flows, now)
         self._outbox.count("server_replaced", "reported")
         self._replaced = previous, previous_s
         self._lost_flows.clear()
         for flow in self._flows.values():
-            flow.request_started_s = None
             flow.is_former = flow.is_certain and self._is_held_since(flow, previous_s)
             flow.is_certain = False
         self._use_report(report, now)
@@ -748,7 +740,7 @@
             self._refuse_open(sender, message.token, segment.flow, Refusal.SILENT, now)
             return
         flow.last_balancer, flow.token, flow.last_seen_s = sender, message.token, now
-        self._deliver(segment)
+        self._requests.deliver_untracked(segment)
         self._reply_to_open(sender, message.token, Refusal.NONE, now)
 
     def _is_handshake_with_other_server(
@@ -794,15 +786,7 @@
         flow.last_seen_s = now
         flow.acknowledgement = segment.acknowledgement
         flow.record_caller_packet(segment)
-        if starts_request(flow, segment):
-            flow.request_started_s = now
-            self._admission.start_request(segment.flow, now)
-        if carries_new_data(flow, segment):
-            flow.highest_sequence = segment.sequence
-        if segment.is_reset or segment.is_fin:
-            self._admission.cancel_reservation(segment.flow)
-            self._end_request(flow, now)
-        self._deliver(segment)
+        self._requests.deliver(flow, segment, now)
 
     def _handle_returned(self, segment: Segment, now: float) -> None:
         flow = self._flows.get(segment.flow)
@@ -863,32 +847,14 @@
         tracked = self._flows.pop(flow, None)
         self._admission.cancel_reservation(flow)
         if tracked is not None:
-            self._end_request(tracked, now)
-
-    def _end_request(self, flow: AgentFlow, now: float) -> None:
-        if flow.request_started_s is not None:
-            self._admission.meter.end_request(None, now)
-            flow.request_started_s = None
+            self._requests.end_request(flow, tracked, now)
 
     def _expire_requests_and_flows(self, now: float) -> None:
         settings = self._settings
         if now - self._last_expiry_s < settings.stuck_after_s / 2:
             return
         self._last_expiry_s = now
-        for key, flow in self._flows.items():
-            if (
-                flow.request_started_s is not None
-                and now - flow.request_started_s > settings.stuck_after_s
-            ):
-                self._outbox.count("request_stuck", "no_response")
-                self._outbox.log(
-                    "request",
-                    key,
-                    "stuck",
-                    seconds=round(now - flow.request_started_s, 1),
-                    is_certain=flow.is_certain,
-                )
-                self._end_request(flow, now)
+        self._requests.expire_requests(self._flows, now - settings.stuck_after_s, now)
         oldest_s = now - settings.flow_lifetime_s
         self._untracked.purge(oldest_s)
         for key in [
@@ -936,6 +902,3 @@
         self, sender: Address, token: int, ownership: Ownership
     ) -> None:
         self._outbox.send(sender, LookupReply(token, ownership))
-
-    def _deliver(self, segment: Segment) -> None:
-        self._outbox.add(DeliverToServer(segment.data))
