Model servers that reject requests with a response

A modelled server reset the flow of a request that its queue could not take. Servers that answer with a rejection keep the flow, and their callers may try again, also with requests that must not run twice.

--- a/src/bramleystair/model/_callers.py
+++ b/src/bramleystair/model/_callers.py
@@ -8,7 +8,7 @@
 import attrs
 
 from bramleystair.model._events import EventQueue
-from bramleystair.model._packets import ACK, SYN, encode_packet
+from bramleystair.model._packets import ACK, FIN, SYN, encode_packet, is_rejection
 from bramleystair.steering import Segment
 
 # Times after the first SYN at which it is sent again, and at which the attempt fails.
@@ -127,6 +127,10 @@
                 self._send_request()
             return
         if segment.has_payload and self._started_s is not None:
+            if is_rejection(segment.data):
+                self._close_flow()
+                self._retry_or_complete(is_refused=True)
+                return
             self._handle_response()
 
     def _begin_request(self) -> None:
@@ -193,6 +197,16 @@
         is_late = latency_s > self._settings.objective_s
         self._complete_request(Outcome.LATE if is_late else Outcome.IN_TIME)
 
+    def _close_flow(self) -> None:
+        """End the flow; a further attempt uses another one."""
+        self._send(
+            encode_packet(
+                self._flow, ACK | FIN, self._sequence + 1, self._acknowledgement
+            )
+        )
+        self._flow = None
+        self._is_open = False
+
     def _retry_or_complete(self, is_refused: bool, may_retry: bool = True) -> None:
         if self._started_s is None:
             return
--- a/src/bramleystair/model/_packets.py
+++ b/src/bramleystair/model/_packets.py
@@ -6,7 +6,7 @@
 
 # Flow, flags, sequence and acknowledgement numbers, payload size.
 _HEADER = struct.Struct("!12sBIIH")
-SYN, ACK, FIN, RST, RETURNED = 1, 2, 4, 8, 16
+SYN, ACK, FIN, RST, RETURNED, REJECTED = 1, 2, 4, 8, 16, 32
 
 
 def encode_packet(
@@ -36,6 +36,12 @@
     )
 
 
+def is_rejection(data: bytes) -> bool:
+    """Return whether a response says that the server did not run the request."""
+    _, flags, *_ = _HEADER.unpack_from(data)
+    return bool(flags & REJECTED)
+
+
 def mark_returned(data: bytes) -> bytes:
     """Return the packet with the flag of one that the server returned to its agent."""
     flow, flags, sequence, acknowledgement, size = _HEADER.unpack_from(data)
--- a/src/bramleystair/model/_servers.py
+++ b/src/bramleystair/model/_servers.py
@@ -9,6 +9,7 @@
 from bramleystair.model._events import EventQueue
 from bramleystair.model._packets import (
     ACK,
+    REJECTED,
     RST,
     SYN,
     decode_packet,
@@ -26,7 +27,9 @@
     ----------
     slots, queue : int
         Requests processed concurrently, and requests that may wait; further requests
-        are answered with a reset.
+        are refused.
+    has_rejections : bool
+        Whether they are refused with a response that says so, instead of a reset.
     speed : float
         Processing speed; service times are divided by it.
     cold_s, cold_factor : float
@@ -35,6 +38,7 @@
 
     slots: int = 5
     queue: int = 18
+    has_rejections: bool = False
     speed: float = 1.0
     cold_s: float = 2.0
     cold_factor: float = 1.6
@@ -79,6 +83,8 @@
         self.incarnation = 0
         self.processed = 0
         self.refused = 0
+        # Time and flow of each request that was refused.
+        self.refusals: list[tuple[float, bytes]] = []
         self._flows: dict[bytes, int] = {}
         self._in_progress = 0
         self._queue: deque[tuple[bytes, int]] = deque()
@@ -136,7 +142,9 @@
             self._queue.append(request)
         else:
             self.refused += 1
-            self._respond(segment.flow, segment.sequence, RST)
+            self.refusals.append((self._events.now, segment.flow))
+            flags = REJECTED if self.settings.has_rejections else RST
+            self._respond(segment.flow, segment.sequence, flags)
 
     def _process(self, flow: bytes, sequence: int) -> None:
         self._in_progress += 1
