Order requests on open flows by urgency at agents, off by default

Requests on open flows passed no decision: a server with one slot and a short queue served them in the order of arrival and rejected urgent ones while it served others.

The request gate holds requests while the server has no room, and delivers the most urgent one first. A hold ends after a fifth of the objective. With the gate, a new urgent flow is admitted past less urgent requests. request_gate.max_slots switches it on.

request_gate, admission, steering, waiting and model: 161 scenarios passed. The whole suite passed once, on code that changed slightly while it ran.

--- a/src/bramleystair/model/_patterns.py
+++ b/src/bramleystair/model/_patterns.py
@@ -1,12 +1,14 @@
 """Load patterns used to compare steering policies."""
 
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 
 from bramleystair.model._callers import CallerSettings, Outcome
 from bramleystair.model._fleet import Fleet, FleetSettings
 from bramleystair.model._servers import ServerSettings
+from bramleystair.steering import RequestGateSettings, SteeringOptions
 from bramleystair.steering.agent import AgentSteeringSettings
 from bramleystair.steering.balancer import BalancerSteeringSettings
 
@@ -25,6 +27,14 @@
     callers=102, priority=1, objective_s=0.17, deadline_s=2.5
 )
 FAST, SLOW = ServerSettings(), ServerSettings(speed=0.5)
+# Callers and servers of a deployment whose servers process one request at a time and
+# reject what their short queue cannot take.
+SMALL_SERVER = ServerSettings(slots=1, queue=4, has_rejections=True)
+URGENT_CALLERS = CallerSettings(
+    callers=32, priority=1, objective_s=0.3, deadline_s=2.4, is_idempotent=False
+)
+OTHER_CALLERS = CallerSettings(callers=105, priority=2, objective_s=0.3, deadline_s=1.8)
+OVERLOAD_START_S, OVERLOAD_END_S = 10, 22
 
 
 @attrs.frozen
@@ -40,7 +50,7 @@
     return Policy(name, balancer=BalancerSteeringSettings(**options))
 
 
-def _change_agent(name: str, **options: float) -> Policy:
+def _change_agent(name: str, **options: Any) -> Policy:
     return Policy(name, agent=AgentSteeringSettings(**options))
 
 
@@ -61,6 +71,9 @@
     _change_agent("no share for urgent flows", urgent_share=1.0),
     _change_agent("limit 0.8", max_load=0.8),
     _change_agent("limit 2", max_load=2.0, max_admitted=2.5),
+    _change_agent(
+        "request gate", options=SteeringOptions(RequestGateSettings(max_slots=3))
+    ),
     _change_agent("no limit", max_load=UNLIMITED, max_admitted=UNLIMITED),
 )
 
@@ -111,6 +124,33 @@
     return fleet
 
 
+def run_scarcity(
+    policy: Policy, seed: int, urgent: CallerSettings = URGENT_CALLERS
+) -> Fleet:
+    """Triple the load of two classes for 12 s while two of twelve servers are down."""
+    times = {"start_s": OVERLOAD_START_S, "end_s": OVERLOAD_END_S}
+    fleet = _build(
+        policy,
+        seed,
+        (SMALL_SERVER,) * 12,
+        urgent,
+        OTHER_CALLERS,
+        attrs.evolve(urgent, callers=2 * urgent.callers, **times),
+        attrs.evolve(OTHER_CALLERS, callers=2 * OTHER_CALLERS.callers, **times),
+        service_time_s=0.022,
+        balancers=5,
+    )
+    _crash_two_servers(fleet, OVERLOAD_START_S, OVERLOAD_END_S)
+    fleet.run_until(DURATION_S)
+    return fleet
+
+
+def run_scarcity_of_short_flows(policy: Policy, seed: int) -> Fleet:
+    """Apply the same load with a flow for each request of the urgent class."""
+    urgent = attrs.evolve(URGENT_CALLERS, keeps_flows=False)
+    return run_scarcity(policy, seed, urgent)
+
+
 def run_backlog(policy: Policy, seed: int) -> Fleet:
     """Stop and restart all processes while two classes of callers send requests."""
     fleet = _build_two_classes(policy, seed)
@@ -127,6 +167,8 @@
     "crash": run_crash,
     "burst": run_burst,
     "backlog": run_backlog,
+    "scarcity": run_scarcity,
+    "scarcity, short": run_scarcity_of_short_flows,
 }
 
 
--- a/src/bramleystair/steering/__init__.py
+++ b/src/bramleystair/steering/__init__.py
@@ -45,7 +45,11 @@
     encode_message,
     split_bundle,
 )
-from bramleystair.steering._options import SteeringOptions, read_options
+from bramleystair.steering._options import (
+    RequestGateSettings,
+    SteeringOptions,
+    read_options,
+)
 from bramleystair.steering._segments import Segment, get_service_endpoint
 from bramleystair.steering._types import (
     Load,
@@ -85,6 +89,7 @@
     "Ownership",
     "Refusal",
     "Relay",
+    "RequestGateSettings",
     "ResetCaller",
     "ReturnPacket",
     "Route",
--- a/src/bramleystair/steering/_admission.py
+++ b/src/bramleystair/steering/_admission.py
@@ -24,6 +24,11 @@
         self._offers = SlotOffers(settings.offer_wait_s, settings.interest_s)
         self._cold_rate_limiter = ColdRateLimiter()
         self._cold_until_s = 0.0
+        # Whether requests are delivered by urgency, so that one on a new flow overtakes
+        # less urgent ones.
+        self.has_request_gate = False
+        # Priorities of the requests in progress, as far as known.
+        self._priorities: dict[bytes, int] = {}
         # Time of the last new flow by priority.
         self._last_arrivals_s: dict[int, float] = {}
 
@@ -35,6 +40,7 @@
     def reset(self, now: float) -> None:
         """Discard the state of a replaced server."""
         self.meter.reset(now)
+        self._priorities.clear()
         self._reservations.clear()
 
     def set_cold(self, seconds: float, now: float) -> None:
@@ -60,14 +66,24 @@
     def is_busy(self, slots: int, now: float, urgency: Urgency | None = None) -> bool:
         """Return whether no slot is free for a new flow, of `urgency` if known."""
         settings = self._settings
-        factor = (
-            settings.urgent_share if self._outranks_other_flows(urgency, now) else 1.0
-        )
+        factor, less_urgent = 1.0, 0
+        if self._outranks_other_flows(urgency, now):
+            factor = settings.urgent_share
+            less_urgent = self._count_less_urgent(urgency)
+        running = self.meter.running - less_urgent
+        requests = self.count_requests(now) - less_urgent
         return (
-            self.meter.running >= factor * settings.max_load * slots
-            or self.count_requests(now) >= factor * settings.max_admitted * slots
+            running >= factor * settings.max_load * slots
+            or requests >= factor * settings.max_admitted * slots
         )
 
+    def _count_less_urgent(self, urgency: Urgency) -> int:
+        """Return the number of requests in progress that a new flow overtakes."""
+        if not self.has_request_gate:
+            return 0
+        priorities = self._priorities.values()
+        return sum(priority > urgency.priority for priority in priorities)
+
     def _outranks_other_flows(self, urgency: Urgency | None, now: float) -> bool:
         """Return whether flows of a lower priority use the server as well.
 
@@ -91,10 +107,19 @@
         self._cold_rate_limiter.record(now)
         self._reservations.add(flow, now)
 
-    def start_request(self, flow: bytes, now: float) -> None:
-        """Count a request that is delivered to the server."""
+    def start_request(
+        self, flow: bytes, now: float, priority: int | None = None
+    ) -> None:
+        """Count a request for the server, of `priority` if known."""
         self._reservations.discard(flow)
         self.meter.start_request(now)
+        if priority is not None:
+            self._priorities[flow] = priority
+
+    def end_request(self, flow: bytes, started_s: float | None, now: float) -> None:
+        """Count the end of a request; see `LoadMeter.end_request`."""
+        self._priorities.pop(flow, None)
+        self.meter.end_request(started_s, now)
 
     def cancel_reservation(self, flow: bytes) -> None:
         """Give up the reservation of a flow that ends."""
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -126,7 +126,7 @@
         self._last_expiry_s = now
         self._is_stopping = False
         self._outbox = Outbox()
-        self._requests = RequestTracker(self._admission, self._outbox)
+        self._requests = RequestTracker(settings, self._admission, self._outbox)
 
     @property
     def has_report(self) -> bool:
@@ -181,7 +181,11 @@
 
     def compute_wait(self, now: float) -> float:
         """Return the seconds until `run_timers` is due."""
-        due_s = min(self._next_load_report_s, self._admission.next_offer_expiry_s)
+        due_s = min(
+            self._next_load_report_s,
+            self._admission.next_offer_expiry_s,
+            self._requests.next_due_s,
+        )
         if self._lookup_deadlines:
             due_s = min(due_s, self._lookup_deadlines[0][0])
         return max(0.0, due_s - now)
@@ -240,6 +244,7 @@
             "", service, self._zone, ServerState.READY, self._settings.assumed_slots
         )
         self._service_id = compute_service_id(service)
+        self._requests.set_slots(self._settings.assumed_slots, now)
         self._admission.set_cold(self._settings.assumed_cold_s, now)
         self._server_last_seen_s = now
         self._outbox.log("server_report", b"", "assumed_ready")
@@ -275,6 +280,7 @@
         if not self._is_report_assumed:
             self._reports.remove(now)
         self._report = None
+        self._requests.set_slots(0, now)
         self._is_report_assumed = False
         self._has_left = False
         self._send_load_reports(now)
@@ -301,6 +307,7 @@
         subscribed yet. It is repeated in case it is lost.
         """
         self._is_stopping = True
+        self._requests.stop(now)
         for flow in self._flows.values():
             if flow.last_balancer is not None:
                 self._subscribers.setdefault(flow.last_balancer, now)
@@ -316,6 +323,7 @@
         if flow is not None and flow.first_sequence == segment.sequence:
             self._handle_retransmitted_open(sender, message, segment, flow, now)
             return self._outbox.take()
+        self._requests.learn_level(segment.flow, message)
         # A slot that was offered to the sender may be used by this flow.
         self._admission.release_offer(sender)
         self._admission.record_arrival(message.urgency, now)
@@ -336,6 +344,7 @@
             segment.sequence,
             now,
             caller_position=segment.sequence,
+            waited_s=message.waited_s,
         )
         self._untracked.forget(segment.flow)
         self._admission.admit(segment.flow, now)
@@ -481,6 +490,7 @@
         while self._lookup_deadlines and self._lookup_deadlines[0][0] <= now:
             _, flow = self._lookup_deadlines.popleft()
             self._answer_likely(flow, now)
+        self._requests.run_timers(now)
         self._offer_slots(now)
         self._use_draining_server(now)
         if now >= self._next_load_report_s:
@@ -538,6 +548,7 @@
         self._untracked.set_server_absent(False, now)
         self._is_report_assumed = False
         self._service_id = compute_service_id(report.service)
+        self._requests.set_slots(report.slots, now)
         self._admission.set_cold(report.cold_left_s, now)
         is_new = previous is None or get_identity(report) != get_identity(previous)
         if is_new or report.state is not previous.state:
--- a/src/bramleystair/steering/_agent_flows.py
+++ b/src/bramleystair/steering/_agent_flows.py
@@ -51,6 +51,8 @@
         than an earlier flow of the same port that has ended.
     is_former : bool
         Whether the server held it before another one reported in its place.
+    waited_s : float
+        Time that the caller waited before the flow was admitted.
     """
 
     last_balancer: Address | None
@@ -71,6 +73,7 @@
     has_server_ended: bool = False
     is_probe_only: bool = False
     is_former: bool = False
+    waited_s: float = 0.0
 
     @property
     def has_ended(self) -> bool:
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -64,6 +64,10 @@
         Urgency of the flow.
     waiting : Urgency or None
         Urgency of the most urgent flow that waits at the sender for this service.
+    objective_s : float
+        Response time up to which a response is in time; 0 if unknown.
+    waited_s : float
+        Time since the caller first sent the packet, as far as known.
     """
 
     token: int
@@ -72,6 +76,8 @@
     urgency: Urgency
     waiting: Urgency | None
     data: bytes
+    objective_s: float = 0.0
+    waited_s: float = 0.0
 
 
 @attrs.define
@@ -245,7 +251,7 @@
     | DeclineSlot
 )
 
-_OPEN_FLOW = struct.Struct("!BIQfBB")
+_OPEN_FLOW = struct.Struct("!BIQfBBff")
 _OPEN_REPLY = struct.Struct("!BIB")
 _LOOKUP_REQUEST = struct.Struct("!BI12sI")
 _LOOKUP_PROBE = struct.Struct("!BI")
@@ -283,10 +289,8 @@
     match message:
         case Relay(data):
             return b"\x03" + data
-        case OpenFlow(token, service_id, cold_rate, urgency, waiting, data):
-            urgencies = _encode_urgency(urgency), _encode_urgency(waiting)
-            head = _OPEN_FLOW.pack(OPEN_FLOW, token, service_id, cold_rate, *urgencies)
-            return head + data
+        case OpenFlow():
+            return _encode_open(message)
         case OpenReply(token, refusal, load):
             return _OPEN_REPLY.pack(OPEN_REPLY, token, refusal) + _encode_load(load)
         case LookupRequest(token, flow, acknowledgement):
@@ -362,13 +366,7 @@
     if kind == RELAY:
         return Relay(data[1:])
     if kind == OPEN_FLOW:
-        _, token, service_id, cold_rate, *urgencies = _OPEN_FLOW.unpack_from(data)
-        _check_finite(cold_rate)
-        urgency, waiting = map(_decode_urgency, urgencies)
-        if urgency is None:
-            raise ValueError("new flow without an urgency")
-        packet = data[_OPEN_FLOW.size :]
-        return OpenFlow(token, service_id, cold_rate, urgency, waiting, packet)
+        return _decode_open(data)
     if kind == OPEN_REPLY:
         _, token, refusal = _OPEN_REPLY.unpack_from(data)
         return OpenReply(token, Refusal(refusal), _decode_load(data, _OPEN_REPLY.size))
@@ -402,6 +400,33 @@
     raise ValueError(f"unknown message kind {kind}")
 
 
+def _encode_open(message: OpenFlow) -> bytes:
+    head = _OPEN_FLOW.pack(
+        OPEN_FLOW,
+        message.token,
+        message.service_id,
+        message.cold_rate,
+        _encode_urgency(message.urgency),
+        _encode_urgency(message.waiting),
+        message.objective_s,
+        message.waited_s,
+    )
+    return head + message.data
+
+
+def _decode_open(data: bytes) -> OpenFlow:
+    _, token, service_id, cold_rate, *rest = _OPEN_FLOW.unpack_from(data)
+    urgency, waiting = map(_decode_urgency, rest[:2])
+    objective_s, waited_s = rest[2:]
+    _check_finite(cold_rate, objective_s, waited_s)
+    if urgency is None:
+        raise ValueError("new flow without an urgency")
+    packet = data[_OPEN_FLOW.size :]
+    return OpenFlow(
+        token, service_id, cold_rate, urgency, waiting, packet, objective_s, waited_s
+    )
+
+
 def _encode_urgency(urgency: Urgency | None) -> int:
     if urgency is None:
         return _NO_URGENCY
--- a/src/bramleystair/steering/_openings.py
+++ b/src/bramleystair/steering/_openings.py
@@ -423,6 +423,8 @@
             urgency,
             None if waiting is None else waiting.compute_rank(now, response_s)[0],
             pending.segment.data,
+            pending.route.level.objective_s,
+            max(0.0, now - pending.started_s),
         )
         self._outbox.send(address, message)
         self._members.record_request_sent(address, now)
--- a/src/bramleystair/steering/_options.py
+++ b/src/bramleystair/steering/_options.py
@@ -32,9 +32,20 @@
     ----------
     max_slots : int
         Highest number of slots of a server beside which the part applies; 0: none.
+    queue_factor : float
+        Number of requests that a server may have at a time, per slot. Above 1, it has
+        the next one at hand when a response is on its way.
+    max_hold_fraction : float
+        Maximum time for which a request is held, as a fraction of the objective of its
+        route. The rest is left for the server, or for a further try of the caller.
+    max_held : int
+        Maximum number of held requests per slot.
     """
 
     max_slots: int = bounded(0, 0, MAX_SLOTS)
+    queue_factor: float = bounded(2.0, 1.0, 16.0)
+    max_hold_fraction: float = bounded(0.2, 0.0, 0.25)
+    max_held: int = bounded(8, 1, 64)
 
 
 @attrs.frozen
--- a/src/bramleystair/steering/_request_tracker.py
+++ b/src/bramleystair/steering/_request_tracker.py
@@ -1,6 +1,6 @@
 """Requests that an agent delivers to its backend server, and their responses."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from bramleystair.steering._actions import DeliverToServer
 from bramleystair.steering._admission import AdmissionControl
@@ -9,8 +9,21 @@
     carries_new_data,
     starts_request,
 )
+from bramleystair.steering._agent_settings import AgentSteeringSettings
+from bramleystair.steering._messages import OpenFlow
 from bramleystair.steering._outbox import Outbox
-from bramleystair.steering._segments import Segment
+from bramleystair.steering._request_gate import (
+    Follow,
+    HeldRequest,
+    Outcome,
+    Release,
+    RequestGate,
+    RequestLevel,
+)
+from bramleystair.steering._segments import Segment, get_service_endpoint
+
+# Maximum number of routes whose level is remembered.
+MAX_LEVELS = 1024
 
 
 class RequestTracker:
@@ -18,27 +31,85 @@
 
     Parameters
     ----------
+    settings : AgentSteeringSettings
+        Timeouts, limits and options of the request gate.
     admission : AdmissionControl
         Counts the requests in progress.
     outbox : Outbox
         Receives the packets to deliver, counts and log lines.
+    compute_limit : callable or None
+        Returns the number of requests that the server may have at a time, given its
+        number of slots and the time; by default `queue_factor` per slot.
     """
 
-    def __init__(self, admission: AdmissionControl, outbox: Outbox) -> None:
+    def __init__(
+        self,
+        settings: AgentSteeringSettings,
+        admission: AdmissionControl,
+        outbox: Outbox,
+        compute_limit: Callable[[int, float], float] | None = None,
+    ) -> None:
+        options = settings.options.request_gate
         self._admission = admission
         self._outbox = outbox
+        self._gate = RequestGate(
+            options, compute_limit or (lambda slots, now: options.queue_factor * slots)
+        )
+        self._is_stopping = False
+        # Level of the requests by service endpoint, as told by balancers.
+        self._levels: dict[bytes, RequestLevel] = {}
+
+    @property
+    def next_due_s(self) -> float:
+        """Time at which `run_timers` is due."""
+        return self._gate.next_due_s
+
+    @property
+    def held_count(self) -> int:
+        """Number of requests that wait for room at the server."""
+        return self._gate.held_count
+
+    def set_slots(self, slots: int, now: float) -> None:
+        """Set the number of requests that the server processes concurrently."""
+        self._gate.set_slots(0 if self._is_stopping else slots)
+        self._admission.has_request_gate = self._gate.is_active
+        if not self._gate.is_active:
+            reason = Release.STOPPING if self._is_stopping else Release.SERVER_GONE
+            self._deliver_released(self._gate.release_all(), reason, now)
+
+    def stop(self, now: float) -> None:
+        """Deliver all held requests, and hold no others."""
+        self._is_stopping = True
+        self.set_slots(0, now)
+
+    def learn_level(self, flow: bytes, message: OpenFlow) -> None:
+        """Remember the level of a route; one without an objective is unknown."""
+        if not message.objective_s:
+            return
+        endpoint = get_service_endpoint(flow)
+        if endpoint not in self._levels and len(self._levels) >= MAX_LEVELS:
+            del self._levels[next(iter(self._levels))]
+        level = RequestLevel(message.urgency.priority, message.objective_s)
+        self._levels[endpoint] = level
 
     def deliver(self, flow: AgentFlow, segment: Segment, now: float) -> None:
-        """Deliver a packet of a tracked flow."""
-        if starts_request(flow, segment):
-            flow.request_started_s = now
-            self._admission.start_request(segment.flow, now)
+        """Deliver a packet of a tracked flow, or hold it with its request."""
+        is_start = starts_request(flow, segment)
+        is_first = flow.highest_sequence is None
         if carries_new_data(flow, segment):
             flow.highest_sequence = segment.sequence
         if segment.is_reset or segment.is_fin:
-            self._admission.cancel_reservation(segment.flow)
-            self.end_request(segment.flow, flow, now)
-        self.deliver_untracked(segment)
+            self._deliver_end(flow, segment, now)
+            return
+        if is_start:
+            waited_s = flow.waited_s if is_first else 0.0
+            self._start_request(flow, segment, waited_s, now)
+            return
+        match self._gate.follow(segment):
+            case Follow.PASS:
+                self.deliver_untracked(segment)
+            case Follow.COPY:
+                self._outbox.count("request_copy", "held")
 
     def deliver_untracked(self, segment: Segment) -> None:
         """Deliver a packet that is not part of a request."""
@@ -48,19 +119,31 @@
         self, flow: AgentFlow, segment: Segment, now: float
     ) -> None:
         """Record the response to a request, and the end of a flow."""
-        if segment.has_payload and flow.request_started_s is not None:
+        is_response = (
+            segment.has_payload
+            and flow.request_started_s is not None
+            # A retransmission of the response before.
+            and not self._gate.holds(segment.flow)
+        )
+        if is_response:
             self._outbox.observe("response", now - flow.request_started_s)
-            self._admission.meter.end_request(flow.request_started_s, now)
+            self._admission.end_request(segment.flow, flow.request_started_s, now)
+            self._gate.finish(segment.flow, now, is_answered=True)
             flow.request_started_s = None
         if segment.is_reset or segment.is_fin:
             self._admission.cancel_reservation(segment.flow)
             self.end_request(segment.flow, flow, now)
+        self._deliver_released(self._gate.release_room(now), Release.ROOM, now)
 
     def end_request(self, key: bytes, flow: AgentFlow, now: float) -> None:
         """Record that the request of a flow gets no response, if there is one."""
         if flow.request_started_s is not None:
-            self._admission.meter.end_request(None, now)
+            self._admission.end_request(key, None, now)
             flow.request_started_s = None
+        held = self._gate.discard(key)
+        if held is not None:
+            self._outbox.count("request_discarded", "flow_ended")
+            self._outbox.log("request", key, "discarded", packets=len(held.segments))
 
     def expire_requests(
         self, flows: Mapping[bytes, AgentFlow], oldest_s: float, now: float
@@ -80,7 +163,74 @@
             self.end_request(key, flow, now)
 
     def replace_server(self, flows: Mapping[bytes, AgentFlow], now: float) -> None:
-        """Forget the requests of a server that was replaced."""
+        """Deliver what is held, and forget the requests of the replaced server.
+
+        The server at its address returns the packets of flows that it does not hold.
+        """
+        released = self._gate.release_all()
+        self._deliver_released(released, Release.SERVER_REPLACED, now)
+        self._gate.forget_server()
         self._admission.reset(now)
         for flow in flows.values():
             flow.request_started_s = None
+
+    def run_timers(self, now: float) -> None:
+        """Deliver requests for which there is room, or that are due."""
+        self._deliver_released(self._gate.release_room(now), Release.ROOM, now)
+        self._deliver_released(self._gate.release_due(now), Release.DUE, now)
+
+    def _start_request(
+        self, flow: AgentFlow, segment: Segment, waited_s: float, now: float
+    ) -> None:
+        level = self._levels.get(get_service_endpoint(segment.flow))
+        flow.request_started_s = now
+        priority = None if level is None else level.priority
+        self._admission.start_request(segment.flow, now, priority)
+        if not self._gate.is_active:
+            self.deliver_untracked(segment)
+            return
+        # The server returns packets of flows that it does not hold, so that the first
+        # packet of an uncertain one finds out whether it does.
+        if level is None or not (flow.is_certain or flow.server_sequence is not None):
+            self._gate.submit(segment, None, now)
+            self.deliver_untracked(segment)
+            return
+        request = RequestLevel(level.priority, level.objective_s, waited_s)
+        outcome, displaced = self._gate.submit(segment, request, now)
+        if displaced is not None:
+            self._deliver_released([displaced], Release.DISPLACED, now)
+        if outcome is Outcome.HELD:
+            self._outbox.count("request_held", "no_room")
+            return
+        if outcome is not Outcome.DELIVERED:
+            self._outbox.count("request_passed", outcome.value)
+            self._outbox.log("request", segment.flow, outcome.value)
+        self.deliver_untracked(segment)
+
+    def _deliver_end(self, flow: AgentFlow, segment: Segment, now: float) -> None:
+        """Deliver the end of a flow behind its request, which a reset discards."""
+        if segment.is_fin:
+            held = self._gate.release_flow(segment.flow)
+            self._deliver_released([held] if held else [], Release.CLOSED, now)
+        self._admission.cancel_reservation(segment.flow)
+        self.end_request(segment.flow, flow, now)
+        self.deliver_untracked(segment)
+        self._deliver_released(self._gate.release_room(now), Release.ROOM, now)
+
+    def _deliver_released(
+        self, released: Iterable[HeldRequest], reason: Release, now: float
+    ) -> None:
+        for held in released:
+            held_s = now - held.arrived_s
+            self._outbox.count("request_released", reason.value)
+            self._outbox.observe("request_hold", held_s)
+            if reason is not Release.ROOM:
+                self._outbox.log(
+                    "request",
+                    held.flow,
+                    f"released_{reason.value}",
+                    held_ms=round(held_s * 1000, 1),
+                    priority=held.priority,
+                )
+            for segment in held.segments:
+                self.deliver_untracked(segment)
