--- a/src/bramleystair/model/_packets.py
+++ b/src/bramleystair/model/_packets.py
@@ -6,9 +6,7 @@
 
 # Flow, flags, sequence and acknowledgement numbers, payload size.
 _HEADER = struct.Struct("!12sBIIH")
-SYN, ACK, FIN, RST, RETURNED = 1, 2, 4, 8, 16
-# Payload size of a response to a request, and of one that rejects the request.
-RESPONSE_BYTES, REJECTION_BYTES = 1, 2
+SYN, ACK, FIN, RST, RETURNED, REJECTED = 1, 2, 4, 8, 16, 32
 
 
 def encode_packet(
@@ -38,9 +36,10 @@
     )
 
 
-def is_rejection(segment: Segment) -> bool:
-    """Return whether a server's response says that it has not run the request."""
-    return _HEADER.unpack_from(segment.data)[-1] == REJECTION_BYTES
+def is_rejection(data: bytes) -> bool:
+    """Return whether a response says that the server did not run the request."""
+    _, flags, *_ = _HEADER.unpack_from(data)
+    return bool(flags & REJECTED)
 
 
 def mark_returned(data: bytes) -> bytes:
--- a/src/bramleystair/steering/_admission.py
+++ b/src/bramleystair/steering/_admission.py
@@ -44,6 +44,11 @@
         self.pace = ServerPace(settings.options.pace, now)
         # Slots of the server as it reported them; 0 before its first report.
         self._slots = 0
+        # Whether requests are delivered by urgency, so that one on a new flow overtakes
+        # less urgent ones.
+        self.has_request_gate = False
+        # Priorities of the requests in progress, as far as known.
+        self._priorities: dict[bytes, int] = {}
         # Time of the last new flow by priority.
         self._last_arrivals_s: dict[int, float] = {}
 
@@ -55,6 +60,7 @@
     def reset(self, now: float) -> None:
         """Discard the state of a replaced server."""
         self.meter.reset(now)
+        self._priorities.clear()
         self._reservations.clear()
         self.pace.start(now, PaceReason.REPLACED)
 
@@ -91,15 +97,25 @@
     def is_busy(self, slots: int, now: float, urgency: Urgency | None = None) -> bool:
         """Return whether no slot is free for a new flow, of `urgency` if known."""
         settings = self._settings
-        factor = (
-            settings.urgent_share if self._outranks_other_flows(urgency, now) else 1.0
-        )
+        factor, less_urgent = 1.0, 0
+        if self._outranks_other_flows(urgency, now):
+            factor = settings.urgent_share
+            less_urgent = self._count_less_urgent(urgency)
         limit = factor * self._compute_flow_limit(slots, now)
+        running = self.meter.running - less_urgent
+        requests = self.count_requests(now) - less_urgent
         return (
-            self.meter.running >= settings.max_load * limit
-            or self.count_requests(now) >= settings.max_admitted * limit
+            running >= settings.max_load * limit
+            or requests >= settings.max_admitted * limit
         )
 
+    def _count_less_urgent(self, urgency: Urgency) -> int:
+        """Return the number of requests in progress that a new flow overtakes."""
+        if not self.has_request_gate:
+            return 0
+        priorities = self._priorities.values()
+        return sum(priority > urgency.priority for priority in priorities)
+
     def _compute_flow_limit(self, slots: int, now: float) -> float:
         """Return the requests in progress up to which any new flow is admitted.
 
@@ -133,8 +149,10 @@
         self._cold_rate_limiter.record(now)
         self._reservations.add(flow, now)
 
-    def start_request(self, flow: bytes, now: float) -> int:
-        """Count a request that is delivered to the server.
+    def start_request(
+        self, flow: bytes, now: float, priority: int | None = None
+    ) -> int:
+        """Count a request for the server, of `priority` if known.
 
         Returns
         -------
@@ -143,32 +161,48 @@
         """
         self._reservations.discard(flow)
         self.meter.start_request(now)
+        if priority is not None:
+            self._priorities[flow] = priority
         return self.meter.running
 
-    def end_request(self, started_s: float, queued: int, now: float) -> None:
+    def end_request(
+        self,
+        flow: bytes,
+        started_s: float,
+        delivered_s: float,
+        queued: int,
+        now: float,
+    ) -> None:
         """Count the end of an answered request.
 
         Parameters
         ----------
+        delivered_s : float
+            Time at which it was delivered: the pace of the server does not depend on
+            the time for which the request was held before.
         queued : int
-            Value that `start_request` returned for it.
+            Requests in progress at the server at that time, including it.
         """
+        self._priorities.pop(flow, None)
         self.meter.end_request(started_s, now)
         if self.pace.applies(self._slots):
-            self.pace.record_response(now - started_s, queued, self._slots, now)
+            self.pace.record_response(now - delivered_s, queued, self._slots, now)
             self._report_pace()
 
-    def abandon_request(self, waited_s: float, is_reset: bool, now: float) -> None:
+    def abandon_request(
+        self, flow: bytes, waited_s: float, is_reset: bool, now: float
+    ) -> None:
         """Count the end of a request without a response.
 
         Parameters
         ----------
         waited_s : float
-            Time since its start.
+            Time since its delivery.
         is_reset : bool
             Whether the server reset its flow. Either end may also close a flow in order
             before the response, which says nothing about the server.
         """
+        self._priorities.pop(flow, None)
         self.meter.end_request(None, now)
         if not self.pace.applies(self._slots):
             return
--- a/src/bramleystair/steering/_agent.py
+++ b/src/bramleystair/steering/_agent.py
@@ -9,15 +9,12 @@
 from bramleystair.steering._actions import (
     Action,
     DeliverToCaller,
-    DeliverToServer,
     ResetCaller,
 )
 from bramleystair.steering._admission import AdmissionControl
 from bramleystair.steering._agent_flows import (
     AgentFlow,
     acknowledges_other_server,
-    carries_new_data,
-    starts_request,
 )
 from bramleystair.steering._agent_lookups import AgentLookups, get_handshake_denial
 from bramleystair.steering._agent_settings import AgentSteeringSettings
@@ -41,6 +38,7 @@
     Verdict,
     get_identity,
 )
+from bramleystair.steering._request_tracker import RequestTracker
 from bramleystair.steering._segments import Segment
 from bramleystair.steering._server_health import ServerHealth
 from bramleystair.steering._types import (
@@ -123,6 +121,9 @@
             settings.options.server_faults, self._outbox, self._send_load_reports
         )
         self._admission = AdmissionControl(settings, self._outbox, now)
+        self._requests = RequestTracker(
+            settings, self._admission, self._health, self._outbox, self._flows
+        )
 
     @property
     def has_report(self) -> bool:
@@ -182,6 +183,7 @@
             self._admission.next_offer_expiry_s,
             self._lookups.due_s,
             self._health.compute_due(self._admission.meter.service_s),
+            self._requests.next_due_s,
         )
         return max(0.0, due_s - now)
 
@@ -241,6 +243,7 @@
             "", service, self._zone, ServerState.READY, self._settings.assumed_slots
         )
         self._service_id = compute_service_id(service)
+        self._requests.set_slots(self._settings.assumed_slots, now)
         self._admission.set_cold(self._settings.assumed_cold_s, now)
         self._server_last_seen_s = now
         self._outbox.log("server_report", b"", "assumed_ready")
@@ -283,6 +286,7 @@
         if not self._is_report_assumed:
             self._reports.remove(now)
         self._report = None
+        self._requests.set_slots(0, now)
         self._is_report_assumed = False
         self._has_left = False
         self._send_load_reports(now)
@@ -309,6 +313,7 @@
         subscribed yet. It is repeated in case it is lost.
         """
         self._is_stopping = True
+        self._requests.stop(now)
         for flow in self._flows.values():
             if flow.last_balancer is not None:
                 self._subscribers.setdefault(flow.last_balancer, now)
@@ -339,6 +344,7 @@
         if flow is not None and flow.first_sequence == segment.sequence:
             self._handle_retransmitted_open(sender, message, segment, flow, now)
             return self._outbox.take()
+        self._requests.learn_level(segment.flow, message)
         # A slot that was offered to the sender may be used by this flow.
         self._admission.release_offer(sender)
         self._admission.record_arrival(message.urgency, now)
@@ -360,13 +366,14 @@
             now,
             caller_position=segment.sequence,
             is_opened_here=True,
+            waited_s=message.waited_s,
         )
         self._untracked.forget(segment.flow)
         self._admission.admit(segment.flow, now)
         self._health.record_admission(now)
         if self._unanswered_since_s is None:
             self._unanswered_since_s = now
-        self._deliver(segment)
+        self._requests.deliver_untracked(segment)
         self._reply_to_open(sender, message.token, Refusal.NONE, now)
         self._offer_slots(now)
         return self._outbox.take()
@@ -475,16 +482,7 @@
         elif not flow.is_certain:
             flow.is_certain = True
             self._lookups.answer_probes(segment.flow, Ownership.CERTAIN)
-        if segment.has_payload and flow.request_started_s is not None:
-            self._outbox.observe("response", now - flow.request_started_s)
-            self._admission.end_request(flow.request_started_s, flow.queued, now)
-            flow.request_started_s = None
-        if segment.has_payload:
-            self._health.record_answer(segment.flow, now)
-        if segment.is_reset or segment.is_fin:
-            self._health.record_closed(segment.flow, segment.is_reset, now)
-            self._admission.cancel_reservation(segment.flow)
-            self._end_request(flow, now, segment.is_reset)
+        self._requests.handle_server_packet(flow, segment, now)
         self._outbox.add(DeliverToCaller(segment.flow, segment.data))
         self._offer_slots(now)
         return self._outbox.take()
@@ -504,6 +502,7 @@
         """Run what is due and return the actions."""
         self._lookups.answer_due(now, self.is_server_silent(now))
         self._health.check_overdue(self._admission.meter.service_s, now)
+        self._requests.run_timers(now)
         self._offer_slots(now)
         self._use_draining_server(now)
         if now >= self._next_load_report_s:
@@ -558,6 +557,7 @@
         self._service_id = compute_service_id(report.service)
         self._admission.use_report(report, now)
         self._health.set_slots(report.slots)
+        self._requests.set_slots(report.slots, now)
         is_new = previous is None or get_identity(report) != get_identity(previous)
         if is_new or report.state is not previous.state:
             self._outbox.log(
@@ -622,13 +622,11 @@
             self._forget_replaced()
             self._use_report(report, now)
             return
-        self._admission.reset(now)
-        self._health.reset()
+        self._requests.replace_server(now)
         self._outbox.count("server_replaced", "reported")
         self._replaced = previous, previous_s
         self._lost_flows.clear()
         for flow in self._flows.values():
-            flow.request_started_s = None
             flow.is_former = flow.is_certain and self._is_held_since(flow, previous_s)
             flow.is_certain = False
         self._use_report(report, now)
@@ -763,7 +761,7 @@
             self._refuse_open(sender, message.token, segment.flow, Refusal.SILENT, now)
             return
         flow.last_balancer, flow.token, flow.last_seen_s = sender, message.token, now
-        self._deliver(segment)
+        self._requests.deliver_untracked(segment)
         self._reply_to_open(sender, message.token, Refusal.NONE, now)
 
     def _is_handshake_with_other_server(
@@ -809,17 +807,7 @@
         flow.last_seen_s = now
         flow.acknowledgement = segment.acknowledgement
         flow.record_caller_packet(segment)
-        if starts_request(flow, segment):
-            flow.request_started_s = now
-            flow.queued = self._admission.start_request(segment.flow, now)
-            self._health.start_request(segment.flow, now)
-        if carries_new_data(flow, segment):
-            flow.highest_sequence = segment.sequence
-        if segment.is_reset or segment.is_fin:
-            self._health.cancel_request(segment.flow)
-            self._admission.cancel_reservation(segment.flow)
-            self._end_request(flow, now)
-        self._deliver(segment)
+        self._requests.deliver(flow, segment, now)
 
     def _handle_returned(self, segment: Segment, now: float) -> None:
         flow = self._flows.get(segment.flow)
@@ -856,33 +844,14 @@
         self._admission.cancel_reservation(flow)
         if tracked is not None:
             self._untracked.record_abandoned(flow, tracked.is_opened_here, now)
-            self._end_request(tracked, now)
-
-    def _end_request(self, flow: AgentFlow, now: float, is_reset: bool = False) -> None:
-        if flow.request_started_s is not None:
-            waited_s = now - flow.request_started_s
-            self._admission.abandon_request(waited_s, is_reset, now)
-            flow.request_started_s = None
+            self._requests.end_request(flow, tracked, now)
 
     def _expire_requests_and_flows(self, now: float) -> None:
         settings = self._settings
         if now - self._last_expiry_s < settings.stuck_after_s / 2:
             return
         self._last_expiry_s = now
-        for key, flow in self._flows.items():
-            if (
-                flow.request_started_s is not None
-                and now - flow.request_started_s > settings.stuck_after_s
-            ):
-                self._outbox.count("request_stuck", "no_response")
-                self._outbox.log(
-                    "request",
-                    key,
-                    "stuck",
-                    seconds=round(now - flow.request_started_s, 1),
-                    is_certain=flow.is_certain,
-                )
-                self._end_request(flow, now)
+        self._requests.expire_requests(settings.stuck_after_s, now)
         oldest_s = now - settings.flow_lifetime_s
         self._untracked.purge(oldest_s)
         for key in [
@@ -930,6 +899,3 @@
     ) -> None:
         reply = OpenReply(token, refusal, self.build_load(now))
         self._outbox.send(sender, reply)
-
-    def _deliver(self, segment: Segment) -> None:
-        self._outbox.add(DeliverToServer(segment.data))
--- a/src/bramleystair/steering/_agent_flows.py
+++ b/src/bramleystair/steering/_agent_flows.py
@@ -34,8 +34,10 @@
         other than the reply to the first one. Cleared when the server is replaced.
     request_started_s : float or None
         Start of the request in progress, if any.
+    request_delivered_s : float
+        Time at which it was delivered to the server, if it is not held.
     queued : int
-        Requests in progress at the server when that one started, including it.
+        Requests in progress at the server at its delivery, including it.
     highest_sequence : int or None
         Highest sequence number of a packet with payload, by which retransmissions are
         recognised.
@@ -55,6 +57,8 @@
         Whether the server held it before another one reported in its place.
     is_opened_here : bool
         Whether the first packet went through this process.
+    waited_s : float
+        Time that the caller waited before the flow was admitted.
     """
 
     last_balancer: Address | None
@@ -66,6 +70,7 @@
     is_established: bool = False
     is_certain: bool = False
     request_started_s: float | None = None
+    request_delivered_s: float = 0.0
     queued: int = 0
     highest_sequence: int | None = None
     acknowledgement: int = 0
@@ -77,6 +82,7 @@
     is_probe_only: bool = False
     is_former: bool = False
     is_opened_here: bool = False
+    waited_s: float = 0.0
 
     @property
     def has_ended(self) -> bool:
