--- a/src/bramleystair/model/_servers.py
+++ b/src/bramleystair/model/_servers.py
@@ -9,8 +9,7 @@
 from bramleystair.model._events import EventQueue
 from bramleystair.model._packets import (
     ACK,
-    REJECTION_BYTES,
-    RESPONSE_BYTES,
+    REJECTED,
     RST,
     SYN,
     decode_packet,
@@ -28,9 +27,9 @@
     ----------
     slots, queue : int
         Requests processed concurrently, and requests that may wait; further requests
-        are rejected.
-    is_resetting : bool
-        Whether a request is rejected with a reset instead of a response.
+        are refused.
+    has_rejections : bool
+        Whether they are refused with a response that says so, instead of a reset.
     speed : float
         Processing speed; service times are divided by it.
     cold_s, cold_factor : float
@@ -39,7 +38,7 @@
 
     slots: int = 5
     queue: int = 18
-    is_resetting: bool = True
+    has_rejections: bool = False
     speed: float = 1.0
     cold_s: float = 2.0
     cold_factor: float = 1.6
@@ -88,6 +87,8 @@
         self.incarnation = 0
         self.processed = 0
         self.refused = 0
+        # Time and flow of each request that was refused.
+        self.refusals: list[tuple[float, bytes]] = []
         self._flows: dict[bytes, int] = {}
         self._in_progress = 0
         self._queue: deque[tuple[bytes, int]] = deque()
@@ -141,7 +142,7 @@
         request = (segment.flow, segment.sequence)
         is_reset = self.reset_share and self._random.random() < self.reset_share
         if self.is_failing or is_reset:
-            self._respond(segment.flow, segment.sequence, RST, 0)
+            self._respond(segment.flow, segment.sequence, RST)
             return
         if self._in_progress < self.settings.slots:
             self._process(*request)
@@ -150,10 +151,9 @@
             self._queue.append(request)
             return
         self.refused += 1
-        if self.settings.is_resetting:
-            self._respond(segment.flow, segment.sequence, RST)
-            return
-        self._respond(segment.flow, segment.sequence, 0, REJECTION_BYTES)
+        self.refusals.append((self._events.now, segment.flow))
+        flags = REJECTED if self.settings.has_rejections else RST
+        self._respond(segment.flow, segment.sequence, flags)
 
     def _process(self, flow: bytes, sequence: int) -> None:
         self._in_progress += 1
@@ -178,9 +178,7 @@
         if self._queue:
             self._process(*self._queue.popleft())
 
-    def _respond(
-        self, flow: bytes, sequence: int, flags: int, size: int = RESPONSE_BYTES
-    ) -> None:
+    def _respond(self, flow: bytes, sequence: int, flags: int) -> None:
         server_sequence = self._flows[flow]
         if flags & RST:
             del self._flows[flow]
--- a/src/bramleystair/steering/_messages.py
+++ b/src/bramleystair/steering/_messages.py
@@ -90,6 +90,10 @@
     is_last_resort : bool
         Whether the sender knows that the agent refuses new flows as failing, and asks
         it because too few others are sound.
+    objective_s : float
+        Response time up to which a response is in time; 0 if unknown.
+    waited_s : float
+        Time since the caller first sent the packet, as far as known.
     """
 
     token: int
@@ -99,6 +103,8 @@
     waiting: Urgency | None
     data: bytes
     is_last_resort: bool = False
+    objective_s: float = 0.0
+    waited_s: float = 0.0
 
 
 @attrs.define
@@ -276,6 +282,10 @@
 )
 
 _OPEN_FLOW = struct.Struct("!BIQfBB")
+# Whether it is a last resort, objective and time waited. Follows the layout above in
+# messages of the kind `OPEN_TIMED`, so that nodes without the request gate understand
+# each other across versions.
+_OPEN_TIMES = struct.Struct("!?ff")
 _OPEN_REPLY = struct.Struct("!BIB")
 _LOOKUP_REQUEST = struct.Struct("!BI12sI")
 _LOOKUP_PROBE = struct.Struct("!BI")
@@ -308,6 +318,8 @@
 ENTRY_CHANGED, ENTRY_WITHDRAWN, FLOW_LOST = 14, 15, 16
 # A new flow that asks a failing member as a last resort.
 OPEN_LAST_RESORT = 17
+# A new flow with the times that the request gate uses.
+OPEN_TIMED = 18
 _MAX_U16 = 0xFFFF
 # An urgency is encoded in one byte: a bit for late flows, and the priority.
 _LATE, _MAX_PRIORITY, _NO_URGENCY = 0x80, 0x7E, 0xFF
@@ -318,11 +330,8 @@
     match message:
         case Relay(data):
             return b"\x03" + data
-        case OpenFlow(token, service_id, cold_rate, urgency, waiting, data, is_last):
-            urgencies = _encode_urgency(urgency), _encode_urgency(waiting)
-            kind = OPEN_LAST_RESORT if is_last else OPEN_FLOW
-            head = _OPEN_FLOW.pack(kind, token, service_id, cold_rate, *urgencies)
-            return head + data
+        case OpenFlow():
+            return _encode_open(message)
         case OpenReply(token, refusal, load):
             return _OPEN_REPLY.pack(OPEN_REPLY, token, refusal) + _encode_load(load)
         case LookupRequest(token, flow, acknowledgement):
@@ -397,15 +406,8 @@
     kind = data[0]
     if kind == RELAY:
         return Relay(data[1:])
-    if kind in (OPEN_FLOW, OPEN_LAST_RESORT):
-        _, token, service_id, cold_rate, *urgencies = _OPEN_FLOW.unpack_from(data)
-        _check_finite(cold_rate)
-        urgency, waiting = map(_decode_urgency, urgencies)
-        if urgency is None:
-            raise ValueError("new flow without an urgency")
-        packet = data[_OPEN_FLOW.size :]
-        is_last = kind == OPEN_LAST_RESORT
-        return OpenFlow(token, service_id, cold_rate, urgency, waiting, packet, is_last)
+    if kind in (OPEN_FLOW, OPEN_LAST_RESORT, OPEN_TIMED):
+        return _decode_open(data)
     if kind == OPEN_REPLY:
         _, token, refusal = _OPEN_REPLY.unpack_from(data)
         return OpenReply(token, Refusal(refusal), _decode_load(data, _OPEN_REPLY.size))
@@ -439,6 +441,40 @@
     raise ValueError(f"unknown message kind {kind}")
 
 
+def _encode_open(message: OpenFlow) -> bytes:
+    is_timed = bool(message.objective_s or message.waited_s)
+    kind = OPEN_LAST_RESORT if message.is_last_resort else OPEN_FLOW
+    head = _OPEN_FLOW.pack(
+        OPEN_TIMED if is_timed else kind,
+        message.token,
+        message.service_id,
+        message.cold_rate,
+        _encode_urgency(message.urgency),
+        _encode_urgency(message.waiting),
+    )
+    if is_timed:
+        head += _OPEN_TIMES.pack(
+            message.is_last_resort, message.objective_s, message.waited_s
+        )
+    return head + message.data
+
+
+def _decode_open(data: bytes) -> OpenFlow:
+    kind, token, service_id, cold_rate, *urgencies = _OPEN_FLOW.unpack_from(data)
+    urgency, waiting = map(_decode_urgency, urgencies)
+    if urgency is None:
+        raise ValueError("new flow without an urgency")
+    end = _OPEN_FLOW.size
+    is_last, times_s = kind == OPEN_LAST_RESORT, (0.0, 0.0)
+    if kind == OPEN_TIMED:
+        is_last, *times_s = _OPEN_TIMES.unpack_from(data, end)
+        end += _OPEN_TIMES.size
+    _check_finite(cold_rate, *times_s)
+    return OpenFlow(
+        token, service_id, cold_rate, urgency, waiting, data[end:], is_last, *times_s
+    )
+
+
 def _encode_urgency(urgency: Urgency | None) -> int:
     if urgency is None:
         return _NO_URGENCY
--- a/src/bramleystair/steering/_openings.py
+++ b/src/bramleystair/steering/_openings.py
@@ -429,6 +429,7 @@
             None if waiting is None else waiting.compute_rank(now, response_s)[0],
             pending.segment.data,
             member is not None and self._members.is_failing(member, now),
+            *self._get_times(pending, member, now),
         )
         self._outbox.send(address, message)
         self._members.record_request_sent(address, now)
@@ -436,6 +437,15 @@
         due_s = now + self._settings.open_timeout_s
         self._open_timers.append((due_s, pending.token, pending.segment.flow))
 
+    def _get_times(
+        self, pending: _PendingOpen, member: Member | None, now: float
+    ) -> tuple[float, float]:
+        """Return the objective and the time waited, if the request gate uses them."""
+        max_slots = self._settings.options.request_gate.max_slots
+        if member is None or not 0 < member.entry.slots <= max_slots:
+            return 0.0, 0.0
+        return pending.route.level.objective_s, max(0.0, now - pending.started_s)
+
     def _end_round(self, pending: _PendingOpen, now: float) -> None:
         """Queue, refuse or retry a flow for which no further member can be asked.
 
