Rank members for probes only when probes are next, and use rosters in one place

Each step of a lookup ranked the unsure members, also when members were still to be queried or a likely owner was known; and two methods used a roster by the same two lines. Behaviour is unchanged.

--- a/src/bramleystair/steering/_balancer.py
+++ b/src/bramleystair/steering/_balancer.py
@@ -263,15 +263,17 @@
             self._record_unlisted("kept", condition.value, member)
             self._subscribe(address, now)
         if roster is not None:
-            self._roster = roster
-            self._subscribe_to_added(self.members.set_roster(roster, now), now)
+            self._use_roster(roster, now)
         return self._outbox.take()
 
     def set_roster(self, roster: Roster, now: float) -> list[Action]:
         """Use the copies of the roster, and query members that only they name."""
+        self._use_roster(roster, now)
+        return self._outbox.take()
+
+    def _use_roster(self, roster: Roster, now: float) -> None:
         self._roster = roster
         self._subscribe_to_added(self.members.set_roster(roster, now), now)
-        return self._outbox.take()
 
     def _subscribe_to_added(self, added: Iterable[Member], now: float) -> None:
         """Tell the agents that only a roster names that their entries are missing."""
--- a/src/bramleystair/steering/_lookups.py
+++ b/src/bramleystair/steering/_lookups.py
@@ -308,7 +308,6 @@
             return
         self._record_silent_members(lookup, now)
         lookup.outstanding.clear()
-        unprobed = self._list_unprobed(lookup)
         if lookup.remaining_stages:
             # Query all members before a probe: one may be certain, and a server that is
             # slow to return the probe's packet would count as the likely owner.
@@ -318,7 +317,7 @@
         elif lookup.likely_owner is not None:
             self._complete(lookup, lookup.likely_owner, "likely", now)
             return
-        elif unprobed:
+        elif unprobed := self._list_unprobed(lookup):
             lookup.outstanding = unprobed
         elif lookup.unsure_members - lookup.probed_members:
             self._end_unanswered(lookup, now, "unanswered", Gap.MEMBER_SILENT)
