Review: packets of open flows reach only other servers in rolling restarts

What a caller sees: while agents and balancers are stopped and started in turn, a request on an open flow gets no answer for 3 to 6 s.

Cause: lookups that may probe one server at a time, as a member restarts, probe the same wrong server again and again.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -172,7 +172,7 @@
                     )
                 )
             for n in range(1, sides + 1):
-                self._hosts[f"side-{zone}-{n}"] = f"{self._network}.{number}.{29 + n}"
+                self._hosts[f"side-{zone}-{n}"] = f"{self._network}.{number}.{149 + n}"
         self.router = Router(balancers, hash_kind == "steady")
         self.version = 1
 
