--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import random
 import shlex
@@ -12,6 +13,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 import attrs
@@ -389,9 +391,15 @@
         the rule was broken.
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # The processes are ended, too, if the run is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
+    # Connections that are open at the end of a run are cancelled.
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     try:
         is_broken = asyncio.run(asyncio.wait_for(main(folder, has_trouble), 115))
-    except (NotRun, OSError, TimeoutError) as error:
-        print(f"not run: {error!r}")
+    except Exception:
+        # Whatever fails here says nothing about the rule.
+        traceback.print_exc()
+        print("not run")
         sys.exit(EXIT_NOT_RUN)
     sys.exit(EXIT_BROKEN if is_broken else EXIT_HELD)
