--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -46,7 +46,8 @@
     "edge": {"CpuShare": 0.537, "CpuCores": 2, "MemoryMb": 300, "MaxFds": 4100},
     "side": {"CpuShare": 0.645, "CpuCores": 1, "MemoryMb": 168, "MaxFds": 4096},
 }
-SERVICE_HOST = "198.18.0.1"
+# Address of the routes; outside the range of the machines, and nothing listens there.
+SERVICE_HOST = "127.254.0.1"
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 
